feat: lay out the workspace with protocol messages, result codes and configured objects

The packages, the messages between daemons, the numbered result codes and the types of configured objects and of the route table come first, since all other packages build on them.

--- /dev/null
+++ b/jayrack-burn/src/lib.rs
@@ -0,0 +1,2 @@
+//! Service-level objectives, burn rates and the report on them.
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/jayrack-membership/src/lib.rs
@@ -0,0 +1,2 @@
+//! Failure detection, member records and their dissemination.
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/jayrack-protocol/src/lib.rs
@@ -0,0 +1,37 @@
+//! Messages, result codes and datagram authentication shared by all jayrack processes.
+//!
+//! * [`code`]: the numbered result codes of every component.
+//! * [`id`]: identifiers of members and requests.
+//! * [`frame`]: length-prefixed messages on byte streams.
+//! * [`seal`]: authentication of datagrams by a fleet key.
+//! * [`gossip`], [`forward`], [`sync`]: message types generated from `proto/`.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod code;
+pub mod frame;
+pub mod id;
+pub mod seal;
+
+/// Messages of membership and failure detection, carried in datagrams.
+#[allow(missing_docs)]
+#[rustfmt::skip]
+pub mod gossip {
+    include!("generated/jayrack.gossip.rs");
+}
+
+/// Messages between an ingress and an owner, carried on QUIC streams.
+#[allow(missing_docs)]
+#[rustfmt::skip]
+pub mod forward {
+    include!("generated/jayrack.forward.rs");
+}
+
+/// Messages that bring configuration records from peer to peer, carried on QUIC streams.
+#[allow(missing_docs)]
+#[rustfmt::skip]
+pub mod sync {
+    include!("generated/jayrack.sync.rs");
+}
+
+pub use code::ResultCode;
+pub use id::{MemberId, RequestId};
--- /dev/null
+++ b/jayrack/src/lib.rs
@@ -0,0 +1,2 @@
+//! The operators' command-line tool.
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/jayrack/src/main.rs
@@ -0,0 +1,2 @@
+//! The tool.
+fn main() {}
--- /dev/null
+++ b/jayrackd/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
