--- /dev/null
+++ b/jayrack-platform/src/pool.rs
@@ -0,0 +1,111 @@
+//! The connections that the HTTP client keeps open.
+use std::{
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// How to open and keep connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Limit of opening a connection, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Age without use above which a connection is not used again, in milliseconds.
+    pub idle_limit_ms: u64,
+    /// Most idle connections kept.
+    pub max_idle: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 1_000,
+            idle_limit_ms: 5_000,
+            max_idle: 4,
+        }
+    }
+}
+
+/// The connection could not be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectError;
+
+/// An open connection that no request is using.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    address: SocketAddr,
+    options: Options,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+impl ConnectionPool {
+    /// Creates a pool that opens connections when they are asked for.
+    pub fn new(address: SocketAddr, options: Options) -> Self {
+        Self {
+            address,
+            options,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Takes the connection used last, if one is fit for use.
+    pub fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let limit = Duration::from_millis(self.options.idle_limit_ms);
+        let mut idle = self.lock();
+        idle.retain(|connection| {
+            connection.since.elapsed() < limit && connection.sender.is_ready()
+        });
+        idle.pop().map(|connection| connection.sender)
+    }
+
+    /// Opens a connection.
+    pub async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+        let limit = Duration::from_millis(self.options.connect_timeout_ms);
+        let stream = timeout(limit, TcpStream::connect(self.address))
+            .await
+            .map_err(|_| ConnectError)?
+            .map_err(|_| ConnectError)?;
+        stream.set_nodelay(true).map_err(|_| ConnectError)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ConnectError)?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    /// Keeps `sender` for a later request.
+    pub fn put_idle(&self, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.lock();
+        if idle.len() >= self.options.max_idle {
+            return;
+        }
+        idle.push(IdleConnection {
+            sender,
+            since: Instant::now(),
+        });
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- a/jayrack-protocol/src/code.rs
+++ b/jayrack-protocol/src/code.rs
@@ -68,6 +68,7 @@
     304 RecordInvalid "A log record does not validate and was applied nowhere.",
     305 DigestDiverged "Two daemons have different state digests for the same version.",
     306 SnapshotInvalid "A snapshot cannot be read.",
+    307 LogMalformed "The platform log refused a request or gave an answer that cannot be read.",
     400 NotReady "The daemon has not caught up with the configuration yet.",
     401 DatagramRejected "A datagram was not authentic or not well formed.",
     402 AnnouncementInvalid "A backend server's announcement does not validate.",
