--- /dev/null
+++ b/jayrack-testkit/src/http_client.rs
@@ -0,0 +1,111 @@
+//! An HTTP/1.1 client that opens a connection per request or keeps one open.
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use eyre::{Context, Result, eyre};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Method, Request, StatusCode,
+    client::conn::http1::{self, SendRequest},
+    header,
+};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
+
+/// A request with a whole body.
+pub type HttpRequest = Request<Full<Bytes>>;
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// Body of the answer.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// Parses the body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body)
+            .wrap_err_with(|| format!("{}: {}", self.status, String::from_utf8_lossy(&self.body)))
+    }
+
+    /// A header as text; empty when it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+}
+
+/// A connection that is kept open between requests.
+#[derive(Debug)]
+pub struct HttpConnection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl HttpConnection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&mut self, request: HttpRequest) -> Result<HttpAnswer> {
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(HttpAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    /// Whether another request can be sent.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
+/// Sends one request over a new connection.
+pub async fn send(
+    address: SocketAddr,
+    request: HttpRequest,
+    limit: Duration,
+) -> Result<HttpAnswer> {
+    timeout(limit, async {
+        HttpConnection::open(address).await?.send(request).await
+    })
+    .await
+    .map_err(|_| eyre!("no answer from {address} in time"))?
+}
+
+/// Builds a request without a body.
+pub fn get(address: SocketAddr, path: &str) -> Result<HttpRequest> {
+    Ok(Request::builder()
+        .method(Method::GET)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(Full::default())?)
+}
+
+/// Builds a request with a JSON body.
+pub fn post_json<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> Result<HttpRequest> {
+    Ok(Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(serde_json::to_vec(body)?))?)
+}
--- /dev/null
+++ b/jayrack-testkit/src/http_server.rs
@@ -0,0 +1,110 @@
+//! An HTTP/1.1 server on a listener that is already bound.
+use std::{convert::Infallible, future::Future, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+
+/// Largest request body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// The handler closes the connection without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection cut on purpose")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+impl From<Infallible> for Cut {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// What a handler gives back.
+pub type Answer = Result<Response<Full<Bytes>>, Cut>;
+
+/// Answers requests on `listener` until the returned future is dropped.
+///
+/// At most `connections` are open at once; further ones wait to be accepted.
+pub async fn serve<Handler, Handled>(listener: TcpListener, connections: usize, handler: Handler)
+where
+    Handler: Fn(Request<Incoming>) -> Handled + Clone + Send + Sync + 'static,
+    Handled: Future<Output = Answer> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(connections));
+    let mut tasks = tokio::task::JoinSet::new();
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        while tasks.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let handler = handler.clone();
+        tasks.spawn(async move {
+            serve_connection(stream, handler).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<Handler, Handled>(stream: TcpStream, handler: Handler)
+where
+    Handler: Fn(Request<Incoming>) -> Handled,
+    Handled: Future<Output = Answer>,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let outcome = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service_fn(handler))
+        .await;
+    if let Err(error) = outcome {
+        log::debug!(error:% = error; "connection ended");
+    }
+}
+
+/// Reads a whole request body.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Cut> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    Ok(body.map_err(|_| Cut)?.to_bytes())
+}
+
+/// Reads a request body as JSON; `None` when it does not parse.
+pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Result<Option<T>, Cut> {
+    let body = read_body(body).await?;
+    Ok(serde_json::from_slice(&body).ok())
+}
+
+/// Answers with a JSON body.
+pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    let body = serde_json::to_vec(value).map_err(|_| Cut)?;
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Full::from(body))
+        .map_err(|_| Cut)
+}
+
+/// Answers with an empty body.
+pub fn empty_answer(status: StatusCode) -> Answer {
+    Response::builder()
+        .status(status)
+        .body(Full::default())
+        .map_err(|_| Cut)
+}
--- /dev/null
+++ b/jayrack-testkit/tests/log_standin.rs
@@ -0,0 +1,144 @@
+//! The log stand-in through the project's own client.
+use std::{net::SocketAddr, time::Duration};
+
+use jayrack_platform::{HttpLog, LogService, http, log::Error};
+use jayrack_testkit::{
+    log_standin::{LogBehaviour, LogStandin, LostAnswer, Outage, store::LogStore},
+    standin_process::ANY_PORT,
+};
+use rstest::rstest;
+
+fn client(address: SocketAddr) -> HttpLog {
+    HttpLog::with_options(
+        address,
+        http::Options {
+            request_timeout_ms: 500,
+            ..http::Options::default()
+        },
+    )
+}
+
+#[tokio::test]
+async fn appended_records_are_read_in_order() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let log = client(standin.address());
+    log.append("intents", "a").await.unwrap();
+    log.append("intents", "b").await.unwrap();
+
+    let batch = log.read("intents", 1, 10, 0).await.unwrap();
+
+    assert_eq!(batch.next, 3);
+    let texts: Vec<_> = batch.records.iter().map(|record| &record.data).collect();
+    assert_eq!(texts, ["a", "b"]);
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn long_poll_ends_with_the_next_append() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let reader = client(standin.address());
+    let poll = tokio::spawn(async move { reader.read("intents", 1, 10, 30_000).await });
+    while standin.counts().reads == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    client(standin.address())
+        .append("intents", "a")
+        .await
+        .unwrap();
+
+    assert_eq!(poll.await.unwrap().unwrap().records.len(), 1);
+    standin.close().await;
+}
+
+#[rstest]
+#[case(LostAnswer::Cut, 0)]
+#[case(LostAnswer::Withhold, 0)]
+#[case(LostAnswer::Cut, 700)]
+#[tokio::test]
+async fn append_with_lost_answer_takes_effect(
+    #[case] lost_answer: LostAnswer,
+    #[case] late_ms: u64,
+) {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let log = client(standin.address());
+    standin.set_behaviour(LogBehaviour {
+        lose_answers: 1,
+        lost_answer,
+        late_ms,
+        ..LogBehaviour::default()
+    });
+
+    let outcome = log.append("intents", "a").await;
+
+    assert_eq!(outcome, Err(Error::Ambiguous));
+    let batch = log.read("intents", 1, 10, 30_000).await.unwrap();
+    assert_eq!(batch.records.len(), 1);
+    standin.close().await;
+}
+
+#[rstest]
+#[case(Outage::Refuse, Error::Unavailable)]
+#[case(Outage::Silent, Error::Ambiguous)]
+#[tokio::test]
+async fn outage_appends_nothing(#[case] outage: Outage, #[case] expected: Error) {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let log = client(standin.address());
+    standin.set_behaviour(LogBehaviour {
+        outage,
+        ..LogBehaviour::default()
+    });
+
+    let outcome = log.append("intents", "a").await;
+
+    assert_eq!(outcome, Err(expected));
+    assert!(standin.counts().records.is_empty());
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn expired_records_are_gone_and_offsets_stay() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let log = client(standin.address());
+    log.append("intents", "a").await.unwrap();
+    standin.expire_all();
+
+    let outcome = log.read("intents", 1, 10, 0).await;
+
+    assert!(matches!(
+        outcome,
+        Err(Error::Expired {
+            first: 2,
+            next: 2,
+            ..
+        })
+    ));
+    assert_eq!(log.append("intents", "b").await.unwrap().offset, 2);
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn silent_long_poll_ends_by_its_own_limit() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let log = client(standin.address());
+    standin.set_behaviour(LogBehaviour {
+        outage: Outage::Silent,
+        ..LogBehaviour::default()
+    });
+
+    let poll = tokio::time::timeout(Duration::from_secs(60), log.read("intents", 1, 10, 100)).await;
+
+    assert_eq!(poll, Ok(Err(Error::Unavailable)));
+    standin.close().await;
+}
+
+#[test]
+fn quota_holds_over_any_window() {
+    let mut store = LogStore::default();
+
+    let taken = (0..10_000)
+        .filter(|now_ms| store.take_token(50, *now_ms).is_ok())
+        .count();
+
+    assert!((450..=550).contains(&taken), "{taken}");
+}
