feat: add the command-line tool, the daemon's settings, logs and announcements

The tool renders every answer within 40 columns, since it is read on a phone. The daemon does not run yet.

--- a/jayrack/src/lib.rs
+++ b/jayrack/src/lib.rs
@@ -1,2 +1,10 @@
 //! The operators' command-line tool.
+//!
+//! * [`usage`]: the command line, parsed into an [`usage::Invocation`].
+//! * [`client`]: one request to the administration API.
+//! * [`render`]: answers as text that fits a phone of 40 columns.
 #![deny(missing_docs, unsafe_code)]
+
+pub mod client;
+pub mod render;
+pub mod usage;
--- /dev/null
+++ b/jayrackd/src/announce.rs
@@ -0,0 +1,158 @@
+//! Backend servers that announce themselves to this daemon.
+//!
+//! The registry is a pure state machine; `api` is its HTTP listener.
+pub mod api;
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::Deserialize;
+
+use crate::shared::LocalServer;
+
+/// Most backend servers that one daemon looks after.
+pub const MAX_SERVERS: usize = 16;
+
+/// What a backend server says of itself with every heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerAnnouncement {
+    /// Unique name.
+    pub name: String,
+    /// Service that the server works for.
+    pub service: String,
+    /// Address of its HTTP listener.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+    /// Time from its start until it reaches full capacity, in milliseconds.
+    #[serde(default)]
+    pub cold_start_ms: u64,
+}
+
+/// Why an announcement was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// The name or the service is empty or longer than 128 bytes.
+    NameInvalid,
+    /// The server has no slots or no connections.
+    NoCapacity,
+    /// The daemon looks after [`MAX_SERVERS`] servers already.
+    TooMany,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Error::NameInvalid => "name and service must have 1 to 128 bytes",
+            Error::NoCapacity => "slots and connections must be at least 1",
+            Error::TooMany => "too many backend servers at this daemon",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+#[derive(Debug)]
+struct ServerState {
+    announcement: ServerAnnouncement,
+    first_heard_ms: u64,
+    last_heard_ms: u64,
+}
+
+/// The backend servers heard from within the time-out.
+#[derive(Debug)]
+pub struct ServerRegistry {
+    timeout_ms: u64,
+    servers: BTreeMap<String, ServerState>,
+}
+
+impl ServerRegistry {
+    /// Creates an empty registry; a server unheard for `timeout_ms` is gone.
+    pub fn new(timeout_ms: u64) -> Self {
+        Self {
+            timeout_ms,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn announce(&mut self, now_ms: u64, announcement: ServerAnnouncement) -> Result<(), Error> {
+        check(&announcement)?;
+        if self.servers.len() >= MAX_SERVERS && !self.servers.contains_key(&announcement.name) {
+            return Err(Error::TooMany);
+        }
+        let first_heard_ms = self.first_heard(now_ms, &announcement);
+        let state = ServerState {
+            first_heard_ms,
+            last_heard_ms: now_ms,
+            announcement,
+        };
+        self.servers.insert(state.announcement.name.clone(), state);
+        Ok(())
+    }
+
+    /// Removes the servers that have not been heard from.
+    pub fn expire(&mut self, now_ms: u64) {
+        let timeout_ms = self.timeout_ms;
+        self.servers
+            .retain(|_, state| now_ms.saturating_sub(state.last_heard_ms) <= timeout_ms);
+    }
+
+    /// The servers known at `now_ms`, ordered by name.
+    pub fn servers(&self, now_ms: u64) -> Vec<LocalServer> {
+        self.servers
+            .values()
+            .map(|state| local_server(now_ms, state))
+            .collect()
+    }
+
+    fn first_heard(&self, now_ms: u64, announcement: &ServerAnnouncement) -> u64 {
+        match self.servers.get(&announcement.name) {
+            Some(state) if state.announcement.address == announcement.address => {
+                state.first_heard_ms
+            }
+            _ => now_ms,
+        }
+    }
+}
+
+fn check(announcement: &ServerAnnouncement) -> Result<(), Error> {
+    const NAME_BYTES: std::ops::RangeInclusive<usize> = 1..=128;
+    if !NAME_BYTES.contains(&announcement.name.len())
+        || !NAME_BYTES.contains(&announcement.service.len())
+    {
+        return Err(Error::NameInvalid);
+    }
+    if announcement.slots == 0 || announcement.connections == 0 {
+        return Err(Error::NoCapacity);
+    }
+    Ok(())
+}
+
+fn local_server(now_ms: u64, state: &ServerState) -> LocalServer {
+    let announcement = &state.announcement;
+    LocalServer {
+        name: announcement.name.clone(),
+        service: announcement.service.clone(),
+        address: announcement.address,
+        slots: announcement.slots,
+        connections: announcement.connections,
+        draining: announcement.draining,
+        warm_percent: warm_percent(now_ms - state.first_heard_ms, announcement.cold_start_ms),
+    }
+}
+
+/// Share of full capacity after `age_ms`, in steps of 10 so that a warming server is not gossiped all the time.
+fn warm_percent(age_ms: u64, cold_start_ms: u64) -> u8 {
+    const STEP_PERCENT: u64 = 10;
+    if age_ms >= cold_start_ms {
+        return 100;
+    }
+    let steps = age_ms * (100 / STEP_PERCENT) / cold_start_ms;
+    (steps.max(1) * STEP_PERCENT) as u8
+}
--- a/jayrackd/src/lib.rs
+++ b/jayrackd/src/lib.rs
@@ -1,6 +1,13 @@
 //! The daemon that runs beside each backend server.
 //!
+//! * [`settings`]: what the daemon is told at its start.
 //! * [`shared`]: what the control thread publishes to the traffic threads.
+//! * [`announce`]: the backend servers on this host.
+//! * [`clock`], [`logging`]: time and logs.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod announce;
+pub mod clock;
+pub mod logging;
+pub mod settings;
 pub mod shared;
