--- /dev/null
+++ b/jayrackd/src/admin.rs
@@ -0,0 +1,183 @@
+//! The administration API: tokens, limits and routes; decisions are made by the control thread.
+//!
+//! Every refusal carries a result code as `{"code", "name", "message", "reasons"}` and changes nothing.
+mod answer;
+mod route;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::{Buf, BytesMut};
+use futures_core::Stream;
+use jayrack_protocol::ResultCode;
+use tokio::sync::{mpsc, oneshot};
+use warp::{Filter, reply::Response};
+
+pub use answer::ApiAnswer;
+pub use route::{AdminCommand, PlanRequest};
+
+use crate::settings::{OperatorRole, OperatorSettings};
+
+/// Who sent an administration request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorIdentity {
+    /// Name of the team.
+    pub team: String,
+    /// What the token allows.
+    pub role: OperatorRole,
+}
+
+/// One administration request on its way to the control thread.
+#[derive(Debug)]
+pub struct AdminCall {
+    /// Who asks; `None` for paths that take no token.
+    pub operator: Option<OperatorIdentity>,
+    /// What is asked.
+    pub command: AdminCommand,
+    /// Takes the answer.
+    pub reply: oneshot::Sender<ApiAnswer>,
+}
+
+/// What the listener needs to know.
+#[derive(Debug)]
+pub struct Options {
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// Tokens of the teams.
+    pub operators: Vec<OperatorSettings>,
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+}
+
+/// Serves the administration API until the runtime ends.
+pub async fn serve(options: Options, calls: mpsc::Sender<AdminCall>) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::bind(options.address).await?;
+    let options = Arc::new(options);
+    let filter = warp::method()
+        .and(warp::path::full())
+        .and(warp::header::optional::<String>("authorization"))
+        .and(warp::body::stream())
+        .then(move |method, path: warp::path::FullPath, token, body| {
+            let head = RequestHead {
+                method,
+                path: path.as_str().to_string(),
+                token,
+            };
+            handle(options.clone(), calls.clone(), head, body)
+        });
+    tokio::task::spawn(warp::serve(filter).incoming(listener).run());
+    Ok(())
+}
+
+struct RequestHead {
+    method: warp::http::Method,
+    path: String,
+    token: Option<String>,
+}
+
+async fn handle<S, B>(
+    options: Arc<Options>,
+    calls: mpsc::Sender<AdminCall>,
+    head: RequestHead,
+    body: S,
+) -> Response
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    let answer = match admit(&options, &head, body).await {
+        Ok((operator, command)) => ask(calls, operator, command).await,
+        Err(refusal) => refusal,
+    };
+    answer.into_response()
+}
+
+async fn admit<S, B>(
+    options: &Options,
+    head: &RequestHead,
+    body: S,
+) -> Result<(Option<OperatorIdentity>, AdminCommand), ApiAnswer>
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    if let Some(command) = route::public_command(&head.method, &head.path) {
+        return Ok((None, command));
+    }
+    let operator = authenticate(&options.operators, head.token.as_deref())?;
+    let target = route::target_of(&head.method, &head.path)?;
+    route::check_role(&target, operator.role)?;
+    let body = read_body(body, options.body_bytes).await?;
+    let command = route::command_of(target, &body)?;
+    Ok((Some(operator), command))
+}
+
+fn authenticate(
+    operators: &[OperatorSettings],
+    header: Option<&str>,
+) -> Result<OperatorIdentity, ApiAnswer> {
+    let token = header
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(str::trim);
+    let Some(token) = token.filter(|token| !token.is_empty()) else {
+        return Err(ApiAnswer::refusal(ResultCode::TokenMissing));
+    };
+    let known = operators
+        .iter()
+        .find(|operator| is_same_secret(&operator.token, token));
+    known.map_or(
+        Err(ApiAnswer::refusal(ResultCode::TokenInvalid)),
+        |operator| {
+            Ok(OperatorIdentity {
+                team: operator.team.clone(),
+                role: operator.role,
+            })
+        },
+    )
+}
+
+/// Compares two secrets in a time that does not depend on where they differ.
+fn is_same_secret(left: &str, right: &str) -> bool {
+    if left.len() != right.len() {
+        return false;
+    }
+    let pairs = left.bytes().zip(right.bytes());
+    pairs.fold(0, |difference, (l, r)| difference | (l ^ r)) == 0
+}
+
+async fn read_body<S, B>(body: S, limit: usize) -> Result<Vec<u8>, ApiAnswer>
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = std::future::poll_fn(|context| body.as_mut().poll_next(context)).await {
+        let Ok(mut chunk) = chunk else {
+            return Err(ApiAnswer::refusal(ResultCode::JsonMalformed));
+        };
+        if bytes.len() + chunk.remaining() > limit {
+            return Err(ApiAnswer::refusal(ResultCode::BodyTooLarge));
+        }
+        bytes.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+    }
+    Ok(bytes.to_vec())
+}
+
+async fn ask(
+    calls: mpsc::Sender<AdminCall>,
+    operator: Option<OperatorIdentity>,
+    command: AdminCommand,
+) -> ApiAnswer {
+    let (reply, answer) = oneshot::channel();
+    let call = AdminCall {
+        operator,
+        command,
+        reply,
+    };
+    if calls.send(call).await.is_err() {
+        return ApiAnswer::refusal(ResultCode::NotReady);
+    }
+    answer
+        .await
+        .unwrap_or_else(|_| ApiAnswer::refusal(ResultCode::NotReady))
+}
--- /dev/null
+++ b/jayrackd/src/admin/route.rs
@@ -0,0 +1,132 @@
+//! Paths and bodies of the administration API.
+use jayrack_config::object::ConfigChange;
+use jayrack_protocol::ResultCode;
+use serde::Deserialize;
+use warp::http::Method;
+
+use super::ApiAnswer;
+use crate::settings::OperatorRole;
+
+/// Body of `POST /v1/plans`.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanRequest {
+    /// What the intent changes.
+    pub change: ConfigChange,
+    /// A remark for those who read the plan.
+    #[serde(default)]
+    pub note: String,
+}
+
+/// What an administration request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdminCommand {
+    /// State an intent.
+    Propose(PlanRequest),
+    /// Confirm the plan named.
+    Confirm(String),
+    /// Drop the plan named.
+    Drop(String),
+    /// Show the plan named.
+    ShowPlan(String),
+    /// List the plans.
+    ListPlans,
+    /// Show where the configuration is in force.
+    Status,
+    /// List the daemons.
+    Members,
+    /// Service-level burn as JSON.
+    Report,
+    /// Service-level burn as a page.
+    ReportPage,
+    /// This daemon's share of the report, for a daemon that gathers it.
+    LocalReport,
+    /// Metrics in the text format of Prometheus.
+    Metrics,
+    /// Whether the daemon runs.
+    Health,
+    /// Whether the daemon serves.
+    Readiness,
+}
+
+/// A path and method that are known, before the body is read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouteTarget {
+    /// `POST /v1/plans`; the body is a [`PlanRequest`].
+    Propose,
+    /// A command that takes no body.
+    Command(AdminCommand),
+}
+
+/// Commands that need no token.
+pub fn public_command(method: &Method, path: &str) -> Option<AdminCommand> {
+    match (method, path) {
+        (&Method::GET, "/metrics") => Some(AdminCommand::Metrics),
+        (&Method::GET, "/healthz") => Some(AdminCommand::Health),
+        (&Method::GET, "/readyz") => Some(AdminCommand::Readiness),
+        _ => None,
+    }
+}
+
+/// Finds what is asked for, or refuses an unknown path or method.
+pub fn target_of(method: &Method, path: &str) -> Result<RouteTarget, ApiAnswer> {
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let is_get = method == Method::GET;
+    let is_post = method == Method::POST;
+    let command = match segments.as_slice() {
+        ["v1", "plans"] if is_post => return Ok(RouteTarget::Propose),
+        ["v1", "plans"] if is_get => AdminCommand::ListPlans,
+        ["v1", "plans", plan] if is_get => AdminCommand::ShowPlan(plan.to_string()),
+        ["v1", "plans", plan, "confirm"] if is_post => AdminCommand::Confirm(plan.to_string()),
+        ["v1", "plans", plan, "drop"] if is_post => AdminCommand::Drop(plan.to_string()),
+        ["v1", "status"] if is_get => AdminCommand::Status,
+        ["v1", "members"] if is_get => AdminCommand::Members,
+        ["v1", "report"] if is_get => AdminCommand::Report,
+        ["v1", "report", "local"] if is_get => AdminCommand::LocalReport,
+        ["report"] if is_get => AdminCommand::ReportPage,
+        ["v1", "plans"]
+        | ["v1", "plans", _]
+        | ["v1", "plans", _, "confirm" | "drop"]
+        | ["v1", "status" | "members" | "report"]
+        | ["v1", "report", "local"]
+        | ["report"] => return Err(ApiAnswer::refusal(ResultCode::MethodNotAllowed)),
+        _ => return Err(ApiAnswer::refusal(ResultCode::PathUnknown)),
+    };
+    Ok(RouteTarget::Command(command))
+}
+
+/// Refuses changes by tokens that only read.
+pub fn check_role(target: &RouteTarget, role: OperatorRole) -> Result<(), ApiAnswer> {
+    let changes = matches!(
+        target,
+        RouteTarget::Propose
+            | RouteTarget::Command(AdminCommand::Confirm(_) | AdminCommand::Drop(_))
+    );
+    if changes && role == OperatorRole::Viewer {
+        return Err(ApiAnswer::refusal(ResultCode::RoleInsufficient));
+    }
+    Ok(())
+}
+
+/// Reads the body that `target` takes.
+pub fn command_of(target: RouteTarget, body: &[u8]) -> Result<AdminCommand, ApiAnswer> {
+    match target {
+        RouteTarget::Command(command) => Ok(command),
+        RouteTarget::Propose => parse_plan(body).map(AdminCommand::Propose),
+    }
+}
+
+fn parse_plan(body: &[u8]) -> Result<PlanRequest, ApiAnswer> {
+    let mut deserializer = serde_json::Deserializer::from_slice(body);
+    let result = serde_path_to_error::deserialize(&mut deserializer);
+    let request = result.map_err(|error| {
+        let code = match error.inner().classify() {
+            serde_json::error::Category::Data => ResultCode::JsonInvalid,
+            _ => ResultCode::JsonMalformed,
+        };
+        ApiAnswer::refusal_because(code, &error.to_string())
+    })?;
+    let end = deserializer.end();
+    end.map_err(|error| ApiAnswer::refusal_because(ResultCode::JsonMalformed, &error.to_string()))?;
+    Ok(request)
+}
