--- /dev/null
+++ b/jayrack-testkit/src/backend_standin/behaviour.rs
@@ -0,0 +1,104 @@
+//! What can be switched at a backend server stand-in, and its counters.
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// How service times vary around their mean.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Distribution {
+    /// Not at all.
+    #[default]
+    Fixed,
+    /// Evenly between a half and one and a half of the mean.
+    Uniform,
+    /// Exponentially.
+    Exponential,
+}
+
+/// What an endpoint reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Misreport {
+    /// The truth.
+    #[default]
+    Truth,
+    /// Always good or idle.
+    AlwaysGood,
+    /// Always bad or full.
+    AlwaysBad,
+}
+
+/// What the stand-in does from now on; a field left out has its default.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BackendBehaviour {
+    /// Time that work takes unless its request says otherwise, in microseconds.
+    pub service_us: u64,
+    /// How service times vary.
+    pub distribution: Distribution,
+    /// Whether it asks for no new work.
+    pub draining: bool,
+    /// Whether it sends heartbeats.
+    pub announcing: bool,
+    /// Whether it sheds all work with 503, without running it.
+    pub shedding: bool,
+    /// Whether it answers 500 after running the work.
+    pub failing: bool,
+    /// Whether it runs the work and never answers.
+    pub hanging: bool,
+    /// What `/health` reports.
+    pub health: Misreport,
+    /// What `/load` reports.
+    pub load: Misreport,
+}
+
+impl Default for BackendBehaviour {
+    fn default() -> Self {
+        Self {
+            service_us: 0,
+            distribution: Distribution::Fixed,
+            draining: false,
+            announcing: true,
+            shedding: false,
+            failing: false,
+            hanging: false,
+            health: Misreport::Truth,
+            load: Misreport::Truth,
+        }
+    }
+}
+
+/// Work seen since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct BackendCounts {
+    /// Requests that began to run.
+    pub executed: u64,
+    /// Requests that ran and were answered.
+    pub completed: u64,
+    /// Requests shed with 503, for want of a slot or by switch.
+    pub shed: u64,
+    /// Requests whose connection was closed while they ran.
+    pub cancelled: u64,
+    /// Requests whose deadline had passed on arrival.
+    pub expired: u64,
+    /// Requests that run now.
+    pub running: u64,
+    /// Most requests that ran at once.
+    pub most_running: u64,
+    /// Requests that began to run while draining.
+    pub while_draining: u64,
+    /// When the last of these began, in milliseconds after the drain.
+    pub last_while_draining_ms: u64,
+    /// Heartbeats that the daemon accepted.
+    pub announced: u64,
+    /// Runs per identifier.
+    pub by_id: BTreeMap<String, u64>,
+    /// Runs per `Idempotency-Key`.
+    pub by_key: BTreeMap<String, u64>,
+    /// Runs per kind of work.
+    pub by_kind: BTreeMap<String, u64>,
+    /// Time spent per customer request, in microseconds.
+    pub work_us_by_customer_request: BTreeMap<String, u64>,
+}
--- /dev/null
+++ b/jayrack-testkit/src/backend_standin/server.rs
@@ -0,0 +1,311 @@
+//! The HTTP form of a backend server.
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
+use serde::Serialize;
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use super::{
+    announcer::{self, Announcement, HEARTBEAT_INTERVAL_MS},
+    behaviour::{BackendBehaviour, BackendCounts, Misreport},
+    body,
+    call_tree::{self, Parent},
+    headers,
+    work::{Admission, ServerWork, WorkOrder},
+};
+use crate::{
+    http_client::ClientPool,
+    http_server::{self, Answer, Cut, empty_answer, json_answer, read_body, read_json},
+};
+
+/// What one server is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Unique name.
+    pub name: String,
+    /// Service that it works for.
+    pub service: String,
+    /// Address to listen on; port 0 chooses a free one.
+    pub listen: SocketAddr,
+    /// The daemon's address for announcements; none are sent without it.
+    pub announce: Option<SocketAddr>,
+    /// The daemon's address for callers; nested calls fail without it.
+    pub callers: Option<SocketAddr>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Length of its cold start, in milliseconds.
+    pub cold_start_ms: u64,
+    /// Behaviour at the start.
+    pub behaviour: BackendBehaviour,
+    /// Seed of its random choices.
+    pub seed: u64,
+}
+
+/// A running backend server stand-in.
+#[derive(Debug)]
+pub struct BackendStandin {
+    address: SocketAddr,
+    shared: Arc<SharedServer>,
+    server: JoinHandle<()>,
+    heartbeat: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct SharedServer {
+    options: Options,
+    address: SocketAddr,
+    started: Instant,
+    work: Mutex<ServerWork>,
+    announce_now: Notify,
+    callers: Option<ClientPool>,
+}
+
+#[derive(Serialize)]
+struct LoadReport {
+    running: u64,
+    slots: u64,
+}
+
+impl BackendStandin {
+    /// Starts a server and its heartbeats.
+    pub async fn start(options: Options) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let address = listener.local_addr()?;
+        let mut work = ServerWork::new(options.slots, options.cold_start_ms, options.seed);
+        work.behaviour = options.behaviour.clone();
+        let connections = options.connections as usize;
+        let shared = Arc::new(SharedServer {
+            callers: options.callers.map(ClientPool::new),
+            options,
+            address,
+            started: Instant::now(),
+            work: Mutex::new(work),
+            announce_now: Notify::new(),
+        });
+        let handler_shared = shared.clone();
+        let server = tokio::spawn(http_server::serve(listener, connections, move |request| {
+            handle(handler_shared.clone(), request)
+        }));
+        let heartbeat = tokio::spawn(announce_forever(shared.clone()));
+        Ok(Self {
+            address,
+            shared,
+            server,
+            heartbeat,
+        })
+    }
+
+    /// Where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the behaviour.
+    pub fn set_behaviour(&self, behaviour: BackendBehaviour) {
+        self.shared.set_behaviour(behaviour);
+    }
+
+    /// Work seen so far.
+    pub fn counts(&self) -> BackendCounts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Serves until the process ends.
+    pub async fn wait(self) {
+        self.server.await.unwrap_or_default();
+    }
+
+    /// Stops at once, as if killed.
+    pub async fn close(self) {
+        self.heartbeat.abort();
+        self.server.abort();
+        self.heartbeat.await.unwrap_or_default();
+        self.server.await.unwrap_or_default();
+    }
+}
+
+impl SharedServer {
+    fn lock(&self) -> MutexGuard<'_, ServerWork> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn set_behaviour(&self, behaviour: BackendBehaviour) {
+        let now_ms = self.now_ms();
+        self.lock().set_behaviour(behaviour, now_ms);
+        self.announce_now.notify_one();
+    }
+
+    /// The heartbeat to send now; `None` while heartbeats are switched off.
+    fn announcement(&self) -> Option<Announcement> {
+        let work = self.lock();
+        work.behaviour.announcing.then(|| Announcement {
+            name: self.options.name.clone(),
+            service: self.options.service.clone(),
+            address: self.address,
+            slots: self.options.slots,
+            connections: self.options.connections,
+            draining: work.behaviour.draining,
+            cold_start_ms: self.options.cold_start_ms,
+        })
+    }
+}
+
+async fn announce_forever(shared: Arc<SharedServer>) {
+    let Some(daemon) = shared.options.announce else {
+        return;
+    };
+    loop {
+        if let Some(announcement) = shared.announcement() {
+            match announcer::announce(daemon, &announcement).await {
+                Ok(()) => shared.lock().counts.announced += 1,
+                Err(error) => log::debug!(error:% = error; "heartbeat failed"),
+            }
+        }
+        let interval = Duration::from_millis(HEARTBEAT_INTERVAL_MS);
+        timeout(interval, shared.announce_now.notified()).await.ok();
+    }
+}
+
+async fn handle(shared: Arc<SharedServer>, request: Request<Incoming>) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/standin/counts") => {
+            let counts = shared.lock().counts.clone();
+            json_answer(StatusCode::OK, &counts)
+        }
+        (&Method::POST, "/standin/behaviour") => {
+            let Some(behaviour) = read_json(request.into_body()).await? else {
+                return empty_answer(StatusCode::BAD_REQUEST);
+            };
+            shared.set_behaviour(behaviour);
+            empty_answer(StatusCode::OK)
+        }
+        (&Method::GET, "/health") => empty_answer(health(&shared)),
+        (&Method::GET, "/load") => json_answer(StatusCode::OK, &load(&shared)),
+        _ => work(shared, request).await,
+    }
+}
+
+fn health(shared: &SharedServer) -> StatusCode {
+    let work = shared.lock();
+    let is_good = match work.behaviour.health {
+        Misreport::Truth => !work.behaviour.draining && !work.behaviour.shedding,
+        Misreport::AlwaysGood => true,
+        Misreport::AlwaysBad => false,
+    };
+    if is_good {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+fn load(shared: &SharedServer) -> LoadReport {
+    let work = shared.lock();
+    let slots = u64::from(shared.options.slots);
+    let running = match work.behaviour.load {
+        Misreport::Truth => work.counts.running,
+        Misreport::AlwaysGood => 0,
+        Misreport::AlwaysBad => slots,
+    };
+    LoadReport { running, slots }
+}
+
+/// Holds a slot; a drop without completion is a cancellation.
+struct RunningWork {
+    shared: Arc<SharedServer>,
+    is_complete: bool,
+}
+
+impl RunningWork {
+    fn complete(mut self) {
+        self.is_complete = true;
+        self.shared.lock().complete();
+    }
+}
+
+impl Drop for RunningWork {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            self.shared.lock().cancel();
+        }
+    }
+}
+
+async fn work(shared: Arc<SharedServer>, request: Request<Incoming>) -> Answer {
+    let arrived = Instant::now();
+    let (parts, incoming) = request.into_parts();
+    read_body(incoming).await?;
+    let order = WorkOrder::from_headers(&parts.headers);
+    let now_ms = shared.now_ms();
+    let admission = shared.lock().begin(&order, now_ms);
+    let Admission::Run(service_us) = admission else {
+        return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let running = RunningWork {
+        shared: shared.clone(),
+        is_complete: false,
+    };
+    if service_us > 0 {
+        sleep(Duration::from_micros(service_us)).await;
+    }
+    let calls_answered = make_calls(&shared, &order, &parts.headers, arrived).await;
+    let behaviour = shared.lock().behaviour.clone();
+    if behaviour.hanging {
+        std::future::pending::<()>().await;
+    }
+    running.complete();
+    let status = match calls_answered {
+        true if behaviour.failing => StatusCode::INTERNAL_SERVER_ERROR,
+        true => StatusCode::OK,
+        false => StatusCode::FAILED_DEPENDENCY,
+    };
+    Response::builder()
+        .status(status)
+        .header(headers::ID, &order.id)
+        .header(headers::SERVER, &shared.options.name)
+        .body(body::build(&order.id, order.answer_bytes).into())
+        .map_err(|_| Cut)
+}
+
+/// Makes the further calls of `order`; stops at the first that is not answered whole.
+async fn make_calls(
+    shared: &SharedServer,
+    order: &WorkOrder,
+    headers: &HeaderMap,
+    arrived: Instant,
+) -> bool {
+    for (index, node) in order.calls.iter().enumerate() {
+        let Some(pool) = &shared.callers else {
+            return false;
+        };
+        let parent = Parent {
+            id: &order.id,
+            headers,
+            elapsed_ms: arrived.elapsed().as_millis() as u64,
+        };
+        let host = pool.address().to_string();
+        let Ok(request) = call_tree::request(parent, index, node, &host) else {
+            return false;
+        };
+        let id = call_tree::call_id(&order.id, index);
+        if !call_tree::call(pool, request, &id).await {
+            return false;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/jayrack-testkit/src/backend_standin/work.rs
@@ -0,0 +1,176 @@
+//! Slots, service times and counting.
+use hyper::HeaderMap;
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+
+use super::{
+    behaviour::{BackendBehaviour, BackendCounts, Distribution},
+    call_tree::{self, CallNode},
+    headers,
+};
+
+/// Length of an answer's filling unless its request says otherwise, in bytes.
+const DEFAULT_ANSWER_BYTES: usize = 64;
+
+/// How many times slower a server is at the beginning of its cold start.
+const COLD_FACTOR: u64 = 4;
+
+/// What one request asks of the server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkOrder {
+    /// Identifier under which the run is counted.
+    pub id: String,
+    /// `Idempotency-Key`; empty without one.
+    pub key: String,
+    /// Kind of work.
+    pub kind: String,
+    /// Customer request that the work is for; empty without one.
+    pub customer_request: String,
+    /// Mean time of the work, in microseconds; that of the behaviour when absent.
+    pub service_us: Option<u64>,
+    /// Length of the answer's filling, in bytes.
+    pub answer_bytes: usize,
+    /// Time left on arrival, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Further calls.
+    pub calls: Vec<CallNode>,
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs for this time, in microseconds.
+    Run(u64),
+    /// It is shed.
+    Shed,
+}
+
+/// The state of one server.
+#[derive(Debug)]
+pub struct ServerWork {
+    /// What the server does.
+    pub behaviour: BackendBehaviour,
+    /// What it has done.
+    pub counts: BackendCounts,
+    slots: u64,
+    cold_start_ms: u64,
+    drained_ms: u64,
+    random: Pcg64Mcg,
+}
+
+impl WorkOrder {
+    /// Reads an order from the headers of a request.
+    pub fn from_headers(map: &HeaderMap) -> Self {
+        let calls = text(map, headers::CALLS);
+        let id = match text(map, headers::ID) {
+            "" => text(map, "x-jayrack-request-id"),
+            id => id,
+        };
+        Self {
+            id: id.to_string(),
+            key: text(map, "idempotency-key").to_string(),
+            kind: text(map, headers::KIND).to_string(),
+            customer_request: text(map, "x-jayrack-customer-request").to_string(),
+            service_us: text(map, headers::SERVICE_US).parse().ok(),
+            answer_bytes: text(map, headers::BYTES)
+                .parse()
+                .unwrap_or(DEFAULT_ANSWER_BYTES),
+            deadline_ms: call_tree::deadline_ms(map),
+            calls: serde_json::from_str(calls).unwrap_or_default(),
+        }
+    }
+}
+
+impl ServerWork {
+    /// Creates a server that starts at 0 ms of its clock.
+    pub fn new(slots: u32, cold_start_ms: u64, seed: u64) -> Self {
+        Self {
+            behaviour: BackendBehaviour::default(),
+            counts: BackendCounts::default(),
+            slots: u64::from(slots),
+            cold_start_ms,
+            drained_ms: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the behaviour.
+    pub fn set_behaviour(&mut self, behaviour: BackendBehaviour, now_ms: u64) {
+        if behaviour.draining && !self.behaviour.draining {
+            self.drained_ms = now_ms;
+        }
+        self.behaviour = behaviour;
+    }
+
+    /// Takes a slot and counts the run, or sheds the request.
+    pub fn begin(&mut self, order: &WorkOrder, now_ms: u64) -> Admission {
+        if self.behaviour.shedding || self.counts.running >= self.slots {
+            self.counts.shed += 1;
+            return Admission::Shed;
+        }
+        let mean_us = order.service_us.unwrap_or(self.behaviour.service_us);
+        let varied_us = self.vary(mean_us);
+        let service_us = self.slowed_by_cold_start(varied_us, now_ms);
+        self.count_run(order, service_us, now_ms);
+        Admission::Run(service_us)
+    }
+
+    /// Gives the slot back after an answer.
+    pub fn complete(&mut self) {
+        self.counts.running -= 1;
+        self.counts.completed += 1;
+    }
+
+    /// Gives the slot back after the connection was closed.
+    pub fn cancel(&mut self) {
+        self.counts.running -= 1;
+        self.counts.cancelled += 1;
+    }
+
+    fn count_run(&mut self, order: &WorkOrder, service_us: u64, now_ms: u64) {
+        let counts = &mut self.counts;
+        counts.executed += 1;
+        counts.running += 1;
+        counts.most_running = counts.most_running.max(counts.running);
+        counts.expired += u64::from(order.deadline_ms == Some(0));
+        if self.behaviour.draining {
+            counts.while_draining += 1;
+            counts.last_while_draining_ms = now_ms - self.drained_ms;
+        }
+        *counts.by_id.entry(order.id.clone()).or_default() += 1;
+        *counts.by_kind.entry(order.kind.clone()).or_default() += 1;
+        if !order.key.is_empty() {
+            *counts.by_key.entry(order.key.clone()).or_default() += 1;
+        }
+        if !order.customer_request.is_empty() {
+            let work = &mut counts.work_us_by_customer_request;
+            *work.entry(order.customer_request.clone()).or_default() += service_us;
+        }
+    }
+
+    fn vary(&mut self, mean_us: u64) -> u64 {
+        let share = (self.random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+        let mean = mean_us as f64;
+        match self.behaviour.distribution {
+            Distribution::Fixed => mean_us,
+            Distribution::Uniform => (mean * (0.5 + share)) as u64,
+            Distribution::Exponential => (-mean * (1.0 - share).ln()) as u64,
+        }
+    }
+
+    fn slowed_by_cold_start(&self, service_us: u64, now_ms: u64) -> u64 {
+        if now_ms >= self.cold_start_ms {
+            return service_us;
+        }
+        let cold_ms = self.cold_start_ms - now_ms;
+        service_us + service_us * (COLD_FACTOR - 1) * cold_ms / self.cold_start_ms
+    }
+}
+
+fn text<'a>(map: &'a HeaderMap, name: &str) -> &'a str {
+    map.get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
--- a/jayrack-testkit/src/http_client.rs
+++ b/jayrack-testkit/src/http_client.rs
@@ -1,5 +1,9 @@
-//! An HTTP/1.1 client that opens a connection per request or keeps one open.
-use std::{net::SocketAddr, time::Duration};
+//! An HTTP/1.1 client that opens a connection per request or keeps some open.
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use eyre::{Context, Result, eyre};
@@ -61,10 +65,32 @@
 
     /// Sends a request and reads the whole answer.
     pub async fn send(&mut self, request: HttpRequest) -> Result<HttpAnswer> {
-        self.sender.ready().await?;
-        let response = self.sender.send_request(request).await?;
+        match self.try_send(request).await {
+            Ok(answer) => Ok(answer),
+            Err(Unanswered::NotSent(_)) => Err(eyre!("the connection is closed")),
+            Err(Unanswered::Lost(error)) => Err(error),
+        }
+    }
+
+    /// Sends a request; gives it back when nothing of it was written.
+    pub async fn try_send(&mut self, request: HttpRequest) -> Result<HttpAnswer, Unanswered> {
+        if self.sender.ready().await.is_err() {
+            return Err(Unanswered::NotSent(Box::new(request)));
+        }
+        let response =
+            self.sender
+                .try_send_request(request)
+                .await
+                .map_err(|mut error| match error.take_message() {
+                    Some(request) => Unanswered::NotSent(Box::new(request)),
+                    None => Unanswered::Lost(error.into_error().into()),
+                })?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| Unanswered::Lost(error.into()))?
+            .to_bytes();
         Ok(HttpAnswer {
             status: parts.status,
             headers: parts.headers,
@@ -78,6 +104,67 @@
     }
 }
 
+/// Why a request has no answer.
+#[derive(Debug)]
+pub enum Unanswered {
+    /// Nothing of the request was written.
+    NotSent(Box<HttpRequest>),
+    /// The request may have been written.
+    Lost(eyre::Report),
+}
+
+/// Connections to one address that are kept open between requests.
+#[derive(Debug)]
+pub struct ClientPool {
+    address: SocketAddr,
+    idle: Mutex<Vec<HttpConnection>>,
+}
+
+impl ClientPool {
+    /// Creates a pool without connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// The address that the pool connects to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request over an idle connection, or over a new one where there is none that works.
+    pub async fn send(&self, mut request: HttpRequest) -> Result<HttpAnswer> {
+        while let Some(mut connection) = self.take_idle() {
+            match connection.try_send(request).await {
+                Ok(answer) => {
+                    self.put_idle(connection);
+                    return Ok(answer);
+                }
+                Err(Unanswered::NotSent(returned)) => request = *returned,
+                Err(Unanswered::Lost(error)) => return Err(error),
+            }
+        }
+        let mut connection = HttpConnection::open(self.address).await?;
+        let answer = connection.send(request).await?;
+        self.put_idle(connection);
+        Ok(answer)
+    }
+
+    fn take_idle(&self) -> Option<HttpConnection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.pop()
+    }
+
+    fn put_idle(&self, connection: HttpConnection) {
+        if connection.is_open() {
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.push(connection);
+        }
+    }
+}
+
 /// Sends one request over a new connection.
 pub async fn send(
     address: SocketAddr,
--- /dev/null
+++ b/jayrack-testkit/tests/backend_standin.rs
@@ -0,0 +1,107 @@
+//! The backend server stand-in on its own.
+use std::{net::SocketAddr, time::Duration};
+
+use hyper::StatusCode;
+use jayrack_testkit::{
+    backend_standin::{BackendBehaviour, BackendStandin, Misreport, Options, body, headers},
+    http_client::{self, HttpAnswer, HttpRequest},
+    standin_process::ANY_PORT,
+};
+use rstest::rstest;
+
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+fn options(slots: u32) -> Options {
+    Options {
+        name: "wrecsam-1".to_string(),
+        service: "bookings".to_string(),
+        listen: ANY_PORT,
+        announce: None,
+        callers: None,
+        slots,
+        connections: 110,
+        cold_start_ms: 0,
+        behaviour: BackendBehaviour::default(),
+        seed: 1,
+    }
+}
+
+fn work_request(address: SocketAddr, id: &str, bytes: usize) -> HttpRequest {
+    let mut request = http_client::get(address, "/bookings/confirm").unwrap();
+    let map = request.headers_mut();
+    map.insert(headers::ID, id.parse().unwrap());
+    map.insert("idempotency-key", id.parse().unwrap());
+    map.insert(headers::BYTES, bytes.into());
+    request
+}
+
+async fn send(address: SocketAddr, request: HttpRequest) -> HttpAnswer {
+    http_client::send(address, request, ANSWER_LIMIT)
+        .await
+        .unwrap()
+}
+
+#[rstest]
+#[case(0)]
+#[case(64)]
+#[case(1_000_000)]
+#[tokio::test]
+async fn answer_names_its_request_and_is_whole(#[case] bytes: usize) {
+    let standin = BackendStandin::start(options(1)).await.unwrap();
+
+    let answer = send(
+        standin.address(),
+        work_request(standin.address(), "r1", bytes),
+    )
+    .await;
+
+    assert!(body::is_whole("r1", &answer.body));
+    assert!(!body::is_whole("r2", &answer.body));
+    assert_eq!(standin.counts().by_key["r1"], 1);
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn work_above_the_slots_is_shed_and_not_counted_as_run() {
+    let standin = BackendStandin::start(options(1)).await.unwrap();
+    let address = standin.address();
+    standin.set_behaviour(BackendBehaviour {
+        hanging: true,
+        ..BackendBehaviour::default()
+    });
+    let first = tokio::spawn(async move { send(address, work_request(address, "r1", 1)).await });
+    while standin.counts().running == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    let second = send(address, work_request(address, "r2", 1)).await;
+
+    assert_eq!(second.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!standin.counts().by_id.contains_key("r2"));
+    first.abort();
+    while standin.counts().cancelled == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(standin.counts().running, 0);
+    standin.close().await;
+}
+
+#[rstest]
+#[case(Misreport::Truth, StatusCode::SERVICE_UNAVAILABLE)]
+#[case(Misreport::AlwaysGood, StatusCode::OK)]
+#[case(Misreport::AlwaysBad, StatusCode::SERVICE_UNAVAILABLE)]
+#[tokio::test]
+async fn health_misleads_on_request(#[case] health: Misreport, #[case] expected: StatusCode) {
+    let standin = BackendStandin::start(options(1)).await.unwrap();
+    standin.set_behaviour(BackendBehaviour {
+        draining: true,
+        health,
+        ..BackendBehaviour::default()
+    });
+    let request = http_client::get(standin.address(), "/health").unwrap();
+
+    let answer = send(standin.address(), request).await;
+
+    assert_eq!(answer.status, expected);
+    standin.close().await;
+}
