--- /dev/null
+++ b/jayrack-testkit/src/binaries.rs
@@ -0,0 +1,86 @@
+//! The executables of the project, built when asked for and found beside the running one.
+use std::{
+    path::{Path, PathBuf},
+    process::{Command, Stdio},
+    sync::OnceLock,
+};
+
+use eyre::{Result, WrapErr, ensure, eyre};
+
+/// The directory of the workspace at build time, given to cargo.
+const WORKSPACE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
+
+/// Executables that the kit starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Program {
+    /// The daemon.
+    Daemon,
+    /// The operators' tool.
+    Tool,
+    /// The platform log stand-in.
+    LogStandin,
+    /// The backend server stand-in.
+    BackendStandin,
+}
+
+impl Program {
+    /// File name of the executable.
+    pub fn file_name(self) -> &'static str {
+        match self {
+            Program::Daemon => "jayrackd",
+            Program::Tool => "jayrack",
+            Program::LogStandin => "jayrack-log-standin",
+            Program::BackendStandin => "jayrack-backend-standin",
+        }
+    }
+
+    /// Where the executable is; builds all of them before the first use.
+    pub fn path(self) -> Result<PathBuf> {
+        static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
+        let directory = directory()?;
+        BUILT
+            .get_or_init(|| build(&directory).map_err(|error| format!("{error:#}")))
+            .clone()
+            .map_err(|error| eyre!(error))?;
+        let path = directory.join(self.file_name());
+        ensure!(path.is_file(), "{} is missing", self.file_name());
+        Ok(path)
+    }
+}
+
+/// The directory with the executables of the running one's profile.
+fn directory() -> Result<PathBuf> {
+    let executable = std::env::current_exe()?;
+    let directory = executable.parent().ok_or_else(|| eyre!("no directory"))?;
+    let is_nested = directory.ends_with("deps") || directory.ends_with("examples");
+    let directory = match directory.parent() {
+        Some(parent) if is_nested => parent,
+        _ => directory,
+    };
+    Ok(directory.to_path_buf())
+}
+
+fn build(directory: &Path) -> Result<()> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    command
+        .args(["build", "--quiet", "--bins"])
+        .args(["-p", "jayrackd", "-p", "jayrack"])
+        .arg("--manifest-path")
+        .arg(Path::new(WORKSPACE).join("Cargo.toml"))
+        .stdin(Stdio::null());
+    // The running executable may be one of the kit's own, which cannot be written while it runs.
+    if !directory.join(Program::LogStandin.file_name()).is_file()
+        || !directory
+            .join(Program::BackendStandin.file_name())
+            .is_file()
+    {
+        command.args(["-p", "jayrack-testkit"]);
+    }
+    if directory.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().wrap_err("cannot start cargo")?;
+    ensure!(status.success(), "cargo build ended with {status}");
+    Ok(())
+}
--- /dev/null
+++ b/jayrack-testkit/src/link/tcp.rs
@@ -0,0 +1,125 @@
+//! A TCP relay whose open connections can go silent for good or be cut.
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time::sleep,
+};
+
+/// Bytes copied at once.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Connections opened before the last of each event are concerned by it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct LinkState {
+    forgotten: u64,
+    cut: u64,
+    delay_ms: u64,
+}
+
+/// A running relay.
+#[derive(Debug)]
+pub struct TcpLink {
+    address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    task: JoinHandle<()>,
+}
+
+impl TcpLink {
+    /// Starts a relay from a free loopback port to `target`.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(crate::standin_process::ANY_PORT).await?;
+        let address = listener.local_addr()?;
+        let state = watch::Sender::new(LinkState::default());
+        let task = tokio::spawn(accept(listener, target, state.clone()));
+        Ok(Self {
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// Where the relay listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes all open connections silent for good; they stay open and new ones work.
+    pub fn forget(&self) {
+        self.state.send_modify(|state| state.forgotten += 1);
+    }
+
+    /// Closes all open connections; new ones work.
+    pub fn cut(&self) {
+        self.state.send_modify(|state| state.cut += 1);
+    }
+
+    /// Delays each piece of data by this time, in milliseconds.
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.state.send_modify(|state| state.delay_ms = delay_ms);
+    }
+
+    /// Ends the relay and all its connections.
+    pub async fn close(self) {
+        self.task.abort();
+        self.task.await.unwrap_or_default();
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Sender<LinkState>) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        if let Ok((stream, _)) = listener.accept().await {
+            connections.spawn(relay(stream, target, state.subscribe()));
+        }
+    }
+}
+
+async fn relay(front: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+    let opened = *state.borrow_and_update();
+    let Ok(back) = TcpStream::connect(target).await else {
+        return;
+    };
+    if front.set_nodelay(true).is_err() || back.set_nodelay(true).is_err() {
+        return;
+    }
+    let (front_read, front_write) = front.into_split();
+    let (back_read, back_write) = back.into_split();
+    let forth = copy(front_read, back_write, state.clone(), opened);
+    let back = copy(back_read, front_write, state.clone(), opened);
+    let both = async { tokio::join!(forth, back) };
+    tokio::select! {
+        _ = both => {}
+        _ = state.wait_for(|now| now.cut != opened.cut) => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    state: watch::Receiver<LinkState>,
+    opened: LinkState,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await.unwrap_or_default();
+        let now = *state.borrow();
+        if now.forgotten != opened.forgotten {
+            // Neither data nor the end of the connection passes any more.
+            std::future::pending::<()>().await;
+        }
+        if now.delay_ms > 0 {
+            sleep(Duration::from_millis(now.delay_ms)).await;
+        }
+        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-testkit/src/link/udp.rs
@@ -0,0 +1,173 @@
+//! A UDP relay that loses, delays or forgets.
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+use tokio::{
+    net::UdpSocket,
+    task::{JoinHandle, JoinSet},
+    time::sleep,
+};
+
+/// Longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// What the relay does with datagrams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UdpBehaviour {
+    /// Share that is lost, in percent.
+    pub loss_percent: u32,
+    /// Delay, in milliseconds.
+    pub delay_ms: u64,
+}
+
+/// A running relay.
+#[derive(Debug)]
+pub struct UdpLink {
+    address: SocketAddr,
+    shared: Arc<Mutex<LinkState>>,
+    task: JoinHandle<()>,
+}
+
+/// Datagrams of one sender.
+#[derive(Debug, Clone)]
+struct Flow {
+    upstream: Arc<UdpSocket>,
+    is_forgotten: bool,
+}
+
+#[derive(Debug)]
+struct LinkState {
+    behaviour: UdpBehaviour,
+    random: Pcg64Mcg,
+    flows: BTreeMap<SocketAddr, Flow>,
+}
+
+impl LinkState {
+    /// The delay of a datagram of `sender`; `None` when it is lost.
+    fn judge(&mut self, sender: SocketAddr) -> Option<u64> {
+        let is_forgotten = self
+            .flows
+            .get(&sender)
+            .is_some_and(|flow| flow.is_forgotten);
+        let is_lost = self.random.next_u32() % 100 < self.behaviour.loss_percent;
+        (!is_forgotten && !is_lost).then_some(self.behaviour.delay_ms)
+    }
+}
+
+impl UdpLink {
+    /// Starts a relay from a free loopback port to `target`.
+    pub async fn start(target: SocketAddr, seed: u64) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(crate::standin_process::ANY_PORT).await?;
+        let address = socket.local_addr()?;
+        let shared = Arc::new(Mutex::new(LinkState {
+            behaviour: UdpBehaviour::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            flows: BTreeMap::new(),
+        }));
+        let task = tokio::spawn(relay(Arc::new(socket), target, shared.clone()));
+        Ok(Self {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Where the relay listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the behaviour.
+    pub fn set_behaviour(&self, behaviour: UdpBehaviour) {
+        lock(&self.shared).behaviour = behaviour;
+    }
+
+    /// Drops all further datagrams of the senders seen so far; new senders pass.
+    pub fn forget(&self) {
+        for flow in lock(&self.shared).flows.values_mut() {
+            flow.is_forgotten = true;
+        }
+    }
+
+    /// Ends the relay.
+    pub async fn close(self) {
+        self.task.abort();
+        self.task.await.unwrap_or_default();
+    }
+}
+
+fn lock(shared: &Mutex<LinkState>) -> MutexGuard<'_, LinkState> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn relay(socket: Arc<UdpSocket>, target: SocketAddr, shared: Arc<Mutex<LinkState>>) {
+    let mut tasks = JoinSet::new();
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        while tasks.try_join_next().is_some() {}
+        let Ok((count, sender)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let known = lock(&shared).flows.get(&sender).cloned();
+        let flow = match known {
+            Some(flow) => flow,
+            None => {
+                let Ok(flow) = open_flow(target).await else {
+                    continue;
+                };
+                lock(&shared).flows.insert(sender, flow.clone());
+                tasks.spawn(return_datagrams(
+                    socket.clone(),
+                    flow.upstream.clone(),
+                    sender,
+                    shared.clone(),
+                ));
+                flow
+            }
+        };
+        let Some(delay_ms) = lock(&shared).judge(sender) else {
+            continue;
+        };
+        let datagram = buffer[..count].to_vec();
+        tasks.spawn(async move {
+            sleep(Duration::from_millis(delay_ms)).await;
+            flow.upstream.send(&datagram).await.ok();
+        });
+    }
+}
+
+async fn open_flow(target: SocketAddr) -> std::io::Result<Flow> {
+    let upstream = UdpSocket::bind(crate::standin_process::ANY_PORT).await?;
+    upstream.connect(target).await?;
+    Ok(Flow {
+        upstream: Arc::new(upstream),
+        is_forgotten: false,
+    })
+}
+
+async fn return_datagrams(
+    socket: Arc<UdpSocket>,
+    upstream: Arc<UdpSocket>,
+    sender: SocketAddr,
+    shared: Arc<Mutex<LinkState>>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok(count) = upstream.recv(&mut buffer).await else {
+            continue;
+        };
+        let judged = lock(&shared).judge(sender);
+        if let Some(delay_ms) = judged {
+            sleep(Duration::from_millis(delay_ms)).await;
+            socket.send_to(&buffer[..count], sender).await.ok();
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-testkit/tests/link.rs
@@ -0,0 +1,76 @@
+//! The links that fail.
+use std::time::Duration;
+
+use jayrack_platform::{HttpLog, LogService, http, log::Error};
+use jayrack_testkit::{
+    link::{TcpLink, UdpBehaviour, UdpLink},
+    log_standin::LogStandin,
+    standin_process::ANY_PORT,
+};
+use tokio::net::UdpSocket;
+
+fn client(link: &TcpLink) -> HttpLog {
+    HttpLog::with_options(
+        link.address(),
+        http::Options {
+            request_timeout_ms: 500,
+            ..http::Options::default()
+        },
+    )
+}
+
+#[tokio::test]
+async fn forgotten_connection_is_silent_and_a_new_one_works() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let link = TcpLink::start(standin.address()).await.unwrap();
+    let log = client(&link);
+    log.append("intents", "a").await.unwrap();
+    link.forget();
+
+    let silent = log.append("intents", "b").await;
+    let fresh = log.append("intents", "c").await;
+
+    assert_eq!(silent, Err(Error::Ambiguous));
+    assert!(fresh.is_ok());
+    link.close().await;
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn cut_connection_is_replaced() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    let link = TcpLink::start(standin.address()).await.unwrap();
+    let log = client(&link);
+    log.append("intents", "a").await.unwrap();
+    link.cut();
+
+    let batch = log.read("intents", 1, 10, 0).await;
+
+    assert_eq!(batch.unwrap().records.len(), 1);
+    link.close().await;
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn datagrams_of_a_forgotten_flow_are_dropped() {
+    let target = UdpSocket::bind(ANY_PORT).await.unwrap();
+    let link = UdpLink::start(target.local_addr().unwrap(), 1)
+        .await
+        .unwrap();
+    link.set_behaviour(UdpBehaviour::default());
+    let old = UdpSocket::bind(ANY_PORT).await.unwrap();
+    let new = UdpSocket::bind(ANY_PORT).await.unwrap();
+    let mut buffer = [0; 16];
+    old.send_to(b"first", link.address()).await.unwrap();
+    target.recv(&mut buffer).await.unwrap();
+    link.forget();
+
+    old.send_to(b"second", link.address()).await.unwrap();
+    new.send_to(b"third", link.address()).await.unwrap();
+
+    let limit = Duration::from_secs(60);
+    let received = tokio::time::timeout(limit, target.recv(&mut buffer)).await;
+    let count = received.unwrap().unwrap();
+    assert_eq!(&buffer[..count], b"third");
+    link.close().await;
+}
