--- /dev/null
+++ b/jayrack-burn/src/report.rs
@@ -0,0 +1,179 @@
+//! What daemons tell each other, summed up and judged.
+//!
+//! Burn is the share of bad requests divided by the share that the objective allows: at 1 the
+//! allowance is used up exactly at the end of the objective's period.
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::window::{RequestCount, WindowLength};
+
+/// Burn over five minutes and one hour from which an objective is burning fast.
+pub const FAST_BURN: f64 = 14.4;
+
+/// Burn over six hours and three days from which an objective is burning slowly.
+pub const SLOW_BURN: f64 = 1.0;
+
+/// What one daemon counted for one service and rank.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocalRow {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the rank.
+    pub rank: String,
+    /// Counts in the order of [`WindowLength::ALL`].
+    pub counts: [RequestCount; WindowLength::ALL.len()],
+}
+
+/// What one daemon counted.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocalReport {
+    /// One row per service and rank, in this order.
+    pub rows: Vec<LocalRow>,
+}
+
+/// An objective as configured.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BurnObjective {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the rank.
+    pub rank: String,
+    /// Share of requests that must be good, in thousandths of a percent.
+    pub target_millipercent: u32,
+}
+
+/// How an objective stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum BurnState {
+    /// The allowance will be gone within hours.
+    Burning,
+    /// The allowance will be gone before its period ends.
+    Slow,
+    /// The objective is met.
+    Met,
+    /// No request was counted.
+    Idle,
+}
+
+impl BurnState {
+    /// The word shown to operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            BurnState::Burning => "burning",
+            BurnState::Slow => "slow burn",
+            BurnState::Met => "met",
+            BurnState::Idle => "idle",
+        }
+    }
+}
+
+/// Burn over one window.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WindowBurn {
+    /// Length of the window.
+    pub window: WindowLength,
+    /// Burn rate.
+    pub rate: f64,
+    /// Requests that met the objective.
+    pub good: u64,
+    /// All requests.
+    pub total: u64,
+}
+
+/// How one objective stands in the whole fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetRow {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the rank.
+    pub rank: String,
+    /// How the objective stands.
+    pub state: BurnState,
+    /// Burn by window, the shortest first.
+    pub windows: Vec<WindowBurn>,
+}
+
+/// Sums up `reports` and judges each of `objectives`, those that burn first.
+pub fn summarize<'a>(
+    objectives: &[BurnObjective],
+    reports: impl IntoIterator<Item = &'a LocalReport>,
+) -> Vec<FleetRow> {
+    let sums = sum_rows(reports);
+    let mut rows: Vec<FleetRow> = objectives
+        .iter()
+        .map(|objective| {
+            let counts = sums.get(&(objective.service.as_str(), objective.rank.as_str()));
+            judge(objective, &counts.copied().unwrap_or_default())
+        })
+        .collect();
+    rows.sort_by(|left, right| {
+        left.state
+            .cmp(&right.state)
+            .then(shortest_rate(right).total_cmp(&shortest_rate(left)))
+    });
+    rows
+}
+
+type WindowCounts = [RequestCount; WindowLength::ALL.len()];
+
+fn sum_rows<'a>(
+    reports: impl IntoIterator<Item = &'a LocalReport>,
+) -> BTreeMap<(&'a str, &'a str), WindowCounts> {
+    let mut sums: BTreeMap<(&str, &str), WindowCounts> = BTreeMap::new();
+    for row in reports.into_iter().flat_map(|report| &report.rows) {
+        let sum = sums
+            .entry((row.service.as_str(), row.rank.as_str()))
+            .or_default();
+        for (total, count) in sum.iter_mut().zip(row.counts) {
+            total.add(count);
+        }
+    }
+    sums
+}
+
+fn judge(objective: &BurnObjective, counts: &WindowCounts) -> FleetRow {
+    const ALL_MILLIPERCENT: u32 = 100_000;
+    let allowed_millipercent = ALL_MILLIPERCENT
+        .saturating_sub(objective.target_millipercent)
+        .max(1);
+    let allowed_share = f64::from(allowed_millipercent) / f64::from(ALL_MILLIPERCENT);
+    let windows: Vec<WindowBurn> = WindowLength::ALL
+        .into_iter()
+        .zip(counts)
+        .map(|(window, count)| WindowBurn {
+            window,
+            rate: count.bad_share() / allowed_share,
+            good: count.good,
+            total: count.total,
+        })
+        .collect();
+    FleetRow {
+        service: objective.service.clone(),
+        rank: objective.rank.clone(),
+        state: state_of(&windows),
+        windows,
+    }
+}
+
+fn state_of(windows: &[WindowBurn]) -> BurnState {
+    let exceeds = |window: WindowLength, bound: f64| {
+        let burn = windows.iter().find(|burn| burn.window == window);
+        burn.is_some_and(|burn| burn.rate >= bound)
+    };
+    if windows.iter().all(|burn| burn.total == 0) {
+        return BurnState::Idle;
+    }
+    if exceeds(WindowLength::FiveMinutes, FAST_BURN) && exceeds(WindowLength::OneHour, FAST_BURN) {
+        return BurnState::Burning;
+    }
+    if exceeds(WindowLength::SixHours, SLOW_BURN) && exceeds(WindowLength::ThreeDays, SLOW_BURN) {
+        return BurnState::Slow;
+    }
+    BurnState::Met
+}
+
+fn shortest_rate(row: &FleetRow) -> f64 {
+    row.windows.first().map_or(0.0, |burn| burn.rate)
+}
--- a/jayrackd/src/admin.rs
+++ b/jayrackd/src/admin.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Buf, BytesMut};
 use futures_core::Stream;
+use jayrack_config::record::Role;
 use jayrack_protocol::ResultCode;
 use tokio::sync::{mpsc, oneshot};
 use warp::{Filter, reply::Response};
@@ -15,7 +16,7 @@
 pub use answer::ApiAnswer;
 pub use route::{AdminCommand, PlanRequest};
 
-use crate::settings::{OperatorRole, OperatorSettings};
+use crate::settings::OperatorSettings;
 
 /// Who sent an administration request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,7 +24,7 @@
     /// Name of the team.
     pub team: String,
     /// What the token allows.
-    pub role: OperatorRole,
+    pub role: Role,
 }
 
 /// One administration request on its way to the control thread.
--- a/jayrackd/src/admin/route.rs
+++ b/jayrackd/src/admin/route.rs
@@ -1,11 +1,10 @@
 //! Paths and bodies of the administration API.
-use jayrack_config::object::ConfigChange;
+use jayrack_config::{object::ConfigChange, record::Role};
 use jayrack_protocol::ResultCode;
 use serde::Deserialize;
 use warp::http::Method;
 
 use super::ApiAnswer;
-use crate::settings::OperatorRole;
 
 /// Body of `POST /v1/plans`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -96,13 +95,13 @@
 }
 
 /// Refuses changes by tokens that only read.
-pub fn check_role(target: &RouteTarget, role: OperatorRole) -> Result<(), ApiAnswer> {
+pub fn check_role(target: &RouteTarget, role: Role) -> Result<(), ApiAnswer> {
     let changes = matches!(
         target,
         RouteTarget::Propose
             | RouteTarget::Command(AdminCommand::Confirm(_) | AdminCommand::Drop(_))
     );
-    if changes && role == OperatorRole::Viewer {
+    if changes && role == Role::Viewer {
         return Err(ApiAnswer::refusal(ResultCode::RoleInsufficient));
     }
     Ok(())
--- /dev/null
+++ b/jayrackd/src/control.rs
@@ -0,0 +1,2 @@
+//! The control thread.
+pub mod operations;
--- /dev/null
+++ b/jayrackd/src/control/operations.rs
@@ -0,0 +1,147 @@
+//! Requests of operators that wait for the log's verdict.
+//!
+//! An operation is answered once the fold has passed its record. When that takes too long it is
+//! answered as pending: its record may still reach the log.
+use jayrack_config::{
+    fold::ConfigState,
+    plan::{self, PlanState, PlanView},
+    record,
+};
+use jayrack_platform::log::LogEntry;
+use jayrack_protocol::ResultCode;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::admin::ApiAnswer;
+
+/// What an operation brings about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OperationKind {
+    /// States a plan.
+    Propose,
+    /// Confirms a plan.
+    Confirm,
+    /// Drops a plan.
+    Drop,
+}
+
+/// One operation whose record was handed to the log.
+#[derive(Debug)]
+pub struct PendingOperation {
+    /// What it brings about.
+    pub kind: OperationKind,
+    /// The plan concerned.
+    pub plan: String,
+    /// Identifier of the record.
+    pub record: String,
+    /// Offset of the record, once known.
+    pub offset: Option<u64>,
+    /// When it is answered as pending, in milliseconds of the daemon's clock.
+    pub deadline_ms: u64,
+    /// The plan as it was prepared, shown while nothing else is known.
+    pub prepared: Option<PlanView>,
+    /// Takes the answer.
+    pub reply: oneshot::Sender<ApiAnswer>,
+}
+
+/// All operations that wait.
+#[derive(Debug, Default)]
+pub struct OperationTable {
+    pending: Vec<PendingOperation>,
+}
+
+impl OperationTable {
+    /// Adds an operation whose append was started.
+    pub fn insert(&mut self, operation: PendingOperation) {
+        self.pending.push(operation);
+    }
+
+    /// Notes where the log put the record named.
+    pub fn appended(&mut self, record: &str, offset: u64) {
+        for operation in self
+            .pending
+            .iter_mut()
+            .filter(|operation| operation.record == record)
+        {
+            operation.offset = Some(offset);
+        }
+    }
+
+    /// Answers the operation of the record named with a refusal: nothing was appended.
+    pub fn refused(&mut self, record: &str, code: ResultCode) {
+        for operation in self.take(|operation| operation.record == record) {
+            let _ = operation.reply.send(ApiAnswer::refusal(code));
+        }
+    }
+
+    /// Looks for the records of waiting operations among `entries`.
+    pub fn observe(&mut self, entries: &[LogEntry]) {
+        if self.pending.is_empty() {
+            return;
+        }
+        for entry in entries {
+            if let Ok(decoded) = record::decode(&entry.data) {
+                self.appended(decoded.record_id(), entry.offset);
+            }
+        }
+    }
+
+    /// Answers the operations that `state` has passed.
+    pub fn settle(&mut self, state: &ConfigState) {
+        let next_offset = state.next_offset();
+        let is_settled = |operation: &PendingOperation| {
+            operation.offset.is_some_and(|offset| offset < next_offset)
+        };
+        for operation in self.take(is_settled) {
+            let answer = outcome(operation.kind, plan::view(state, &operation.plan));
+            let _ = operation.reply.send(answer);
+        }
+    }
+
+    /// Answers the operations whose time is over as pending.
+    pub fn expire(&mut self, now_ms: u64, state: &ConfigState) {
+        for operation in self.take(|operation| operation.deadline_ms <= now_ms) {
+            let view = plan::view(state, &operation.plan).or(operation.prepared);
+            let answer = ApiAnswer::refusal_with(ResultCode::PlanPending, json!({"plan": view}));
+            let _ = operation.reply.send(answer);
+        }
+    }
+
+    fn take(&mut self, is_due: impl Fn(&PendingOperation) -> bool) -> Vec<PendingOperation> {
+        let (due, rest) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(is_due);
+        self.pending = rest;
+        due
+    }
+}
+
+/// The answer to an operation whose plan is now in the state that `view` shows.
+fn outcome(kind: OperationKind, view: Option<PlanView>) -> ApiAnswer {
+    let Some(view) = view else {
+        return ApiAnswer::refusal(ResultCode::PlanUnknown);
+    };
+    let code = match (kind, view.state) {
+        (OperationKind::Propose, PlanState::Open) => ResultCode::Ok,
+        (OperationKind::Confirm, PlanState::Confirmed) => ResultCode::Ok,
+        (OperationKind::Drop, PlanState::Dropped) => ResultCode::Ok,
+        (_, state) => refusal_of(state),
+    };
+    match (code, kind) {
+        (ResultCode::Ok, OperationKind::Propose) => ApiAnswer::success(201, json!({"plan": view})),
+        (ResultCode::Ok, _) => ApiAnswer::success(200, json!({"plan": view})),
+        _ => ApiAnswer::refusal_with(code, json!({"reasons": view.reasons, "plan": view})),
+    }
+}
+
+/// The code that says why a plan in `state` did not come to the state wanted.
+fn refusal_of(state: PlanState) -> ResultCode {
+    match state {
+        PlanState::Pending | PlanState::Open => ResultCode::PlanPending,
+        PlanState::Confirmed => ResultCode::PlanAlreadyConfirmed,
+        PlanState::Dropped => ResultCode::PlanDropped,
+        PlanState::Conflict => ResultCode::PlanConflict,
+        PlanState::Expired => ResultCode::PlanExpired,
+        PlanState::Invalid => ResultCode::PlanInvalid,
+    }
+}
--- a/jayrackd/src/lib.rs
+++ b/jayrackd/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admin;
 pub mod announce;
 pub mod clock;
+pub mod control;
 pub mod logging;
 pub mod settings;
 pub mod shared;
--- a/jayrackd/src/settings.rs
+++ b/jayrackd/src/settings.rs
@@ -11,7 +11,7 @@
 
 pub use schema::{
     DaemonSettings, DistributionMode, FleetSettings, LimitSettings, ListenSettings, LogSettings,
-    OperatorRole, OperatorSettings, PolicyMode, TimeoutSettings,
+    OperatorSettings, PolicyMode, TimeoutSettings,
 };
 
 /// Why settings were refused.
--- a/jayrackd/src/settings/schema.rs
+++ b/jayrackd/src/settings/schema.rs
@@ -1,6 +1,7 @@
 //! The fields of the settings with their units and defaults.
 use std::net::SocketAddr;
 
+use jayrack_config::record::Role;
 use serde::Deserialize;
 
 /// Everything that a daemon is told at its start.
@@ -110,18 +111,6 @@
     }
 }
 
-/// What a token allows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum OperatorRole {
-    /// Reads.
-    Viewer,
-    /// Reads, and changes what its team owns.
-    Operator,
-    /// Reads, and changes everything.
-    Admin,
-}
-
 /// The token of one team.
 #[derive(Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -131,7 +120,7 @@
     /// Secret sent as `Authorization: Bearer TOKEN`.
     pub token: String,
     /// What the token allows.
-    pub role: OperatorRole,
+    pub role: Role,
 }
 
 impl std::fmt::Debug for OperatorSettings {
