--- /dev/null
+++ b/jayrack-config/src/budget.rs
@@ -0,0 +1,75 @@
+//! The share of the log's append quota that one daemon may use.
+//!
+//! The quota is one budget for the whole fleet. Each daemon holds an equal share by fleet size, and each
+//! attempt is charged, retries included, as the log counts attempts and not successes.
+
+/// Sizes of an [`AppendBudget`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Appends per second that the whole fleet may make.
+    pub fleet_per_second: u32,
+    /// Appends that a daemon may make at once after a quiet time.
+    pub burst: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            fleet_per_second: 200,
+            burst: 4,
+        }
+    }
+}
+
+const MILLION: u64 = 1_000_000;
+
+/// A token bucket with the daemon's share of the fleet's append rate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AppendBudget {
+    options: Options,
+    members: u64,
+    /// Millionths of an append.
+    credit: u64,
+    refilled_ms: u64,
+}
+
+impl AppendBudget {
+    /// A full budget of one daemon in a fleet of `members`.
+    pub fn new(options: Options, members: usize, now_ms: u64) -> Self {
+        Self {
+            options,
+            members: members.max(1) as u64,
+            credit: u64::from(options.burst) * MILLION,
+            refilled_ms: now_ms,
+        }
+    }
+
+    /// Takes over a new fleet size.
+    pub fn resize(&mut self, members: usize, now_ms: u64) {
+        self.refill(now_ms);
+        self.members = members.max(1) as u64;
+    }
+
+    /// Charges one attempt; on refusal tells after how many milliseconds to ask again.
+    pub fn charge(&mut self, now_ms: u64) -> Result<(), u64> {
+        self.refill(now_ms);
+        if self.credit >= MILLION {
+            self.credit -= MILLION;
+            return Ok(());
+        }
+        let missing = MILLION - self.credit;
+        Err(missing.div_ceil(self.credit_per_ms()).max(1))
+    }
+
+    fn refill(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.refilled_ms);
+        let limit = u64::from(self.options.burst) * MILLION;
+        let earned = elapsed_ms.saturating_mul(self.credit_per_ms());
+        self.credit = self.credit.saturating_add(earned).min(limit);
+        self.refilled_ms = self.refilled_ms.max(now_ms);
+    }
+
+    fn credit_per_ms(&self) -> u64 {
+        (u64::from(self.options.fleet_per_second) * MILLION / 1000 / self.members).max(1)
+    }
+}
--- a/jayrack-config/src/fold.rs
+++ b/jayrack-config/src/fold.rs
@@ -9,6 +9,7 @@
 };
 
 use jayrack_protocol::ResultCode;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -34,7 +35,7 @@
 const INITIAL_DIGEST: u64 = 0x6a61_7972_6163_6b01;
 
 /// A plan that is neither confirmed nor dropped nor expired.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenPlan {
     /// The record that stated the plan.
     pub proposed: ProposedRecord,
@@ -47,7 +48,8 @@
 }
 
 /// How a plan ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "lowercase")]
 pub enum Verdict {
     /// The change came into force.
     Confirmed {
@@ -75,7 +77,7 @@
 }
 
 /// A plan with its verdict.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClosedPlan {
     /// Identifier of the plan.
     pub plan: String,
@@ -96,7 +98,7 @@
 }
 
 /// Version at which an object was removed, kept as long as an older plan may be confirmed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Removal {
     /// Version that removed the object.
     pub version: Version,
--- a/jayrack-config/src/validate.rs
+++ b/jayrack-config/src/validate.rs
@@ -5,6 +5,8 @@
     sync::Arc,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     object::{ConfigChange, ConfigObject, ObjectKey, RankSpec, RouteSpec, ServiceSpec, Version},
     table::ServerEntry,
@@ -20,7 +22,7 @@
 pub const PATH_LIMIT_BYTES: usize = 1024;
 
 /// One stored object with its owner.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectEntry {
     /// The object.
     pub object: ConfigObject,
