--- a/jayrackd/src/control/operations.rs
+++ b/jayrackd/src/control/operations.rs
@@ -5,9 +5,7 @@
 use jayrack_config::{
     fold::ConfigState,
     plan::{self, PlanState, PlanView},
-    record,
 };
-use jayrack_platform::log::LogEntry;
 use jayrack_protocol::ResultCode;
 use serde_json::json;
 use tokio::sync::oneshot;
@@ -74,18 +72,6 @@
         }
     }
 
-    /// Looks for the records of waiting operations among `entries`.
-    pub fn observe(&mut self, entries: &[LogEntry]) {
-        if self.pending.is_empty() {
-            return;
-        }
-        for entry in entries {
-            if let Ok(decoded) = record::decode(&entry.data) {
-                self.appended(decoded.record_id(), entry.offset);
-            }
-        }
-    }
-
     /// Answers the operations that `state` has passed.
     pub fn settle(&mut self, state: &ConfigState) {
         let next_offset = state.next_offset();
