feat(membership): probe, join and disseminate records over UDP

The driver in the daemon owns the socket and publishes the view. Anti-entropy, aggregation of applied versions and contacts are not built yet. Checked: fmt, clippy, the driver's tests (join, departure, restart, foreign key).

--- /dev/null
+++ b/jayrack-membership/src/core/outgoing.rs
@@ -0,0 +1,229 @@
+//! Composition of datagrams.
+use std::net::SocketAddr;
+
+use jayrack_protocol::{
+    MemberId,
+    gossip::{self, Datagram, Ping, StatusUpdate, SyncPull, datagram::Body},
+};
+use prost::{Message, encoding::encoded_len_varint};
+use rand_pcg::rand_core::Rng;
+
+use super::{Action, CONTACTS_AFTER_RETRIES, MembershipCore};
+use crate::{
+    updates::UpdateKey,
+    view::{MemberEntry, MemberStatus},
+    wire::{self, MAX_PAYLOAD_BYTES},
+};
+
+/// Updates looked at for one datagram after the first that does not fit.
+const FIT_ATTEMPTS: usize = 4;
+/// Bytes of a field number from 16 on.
+const TAG_BYTES: usize = 2;
+/// Datagrams sent at most in answer to one request for records.
+const MAX_PULL_DATAGRAMS: usize = 3;
+
+impl MembershipCore {
+    /// Sends `body` with as many pending updates as fit.
+    pub(super) fn send(&mut self, now_ms: u64, to: SocketAddr, body: Option<Body>) {
+        let mut datagram = self.header(to, body);
+        self.add_updates(&mut datagram);
+        self.emit(now_ms, to, datagram);
+    }
+
+    fn emit(&mut self, _now_ms: u64, to: SocketAddr, datagram: Datagram) {
+        self.actions.push(Action::Send {
+            to,
+            datagram: Box::new(datagram),
+        });
+    }
+
+    fn header(&mut self, to: SocketAddr, body: Option<Body>) -> Datagram {
+        self.sequence += 1;
+        let receiver = MemberId::from_address(to);
+        let mut datagram = Datagram {
+            sender: self.local.id.0,
+            incarnation: self.local.incarnation,
+            sequence: self.sequence,
+            applied_version: self.applied.version,
+            config_digest: self.applied.digest,
+            next_offset: self.applied.next_offset,
+            floor: self.floor_to_tell(receiver),
+            body,
+            ..Datagram::default()
+        };
+        match self.view.get(receiver) {
+            Some(entry) if entry.status == MemberStatus::Alive => {}
+            Some(entry) => {
+                datagram.statuses.push(self.status_message(receiver, entry));
+                datagram.records.push(self.own_message());
+            }
+            None => datagram.records.push(self.own_message()),
+        }
+        datagram
+    }
+
+    fn floor_to_tell(&self, receiver: MemberId) -> u64 {
+        let floor = self.floors.get(receiver).applied_version;
+        let reported = self.view.get(receiver).map_or(0, |e| e.applied_version);
+        if floor > reported { floor } else { 0 }
+    }
+
+    fn own_message(&self) -> gossip::MemberRecord {
+        wire::to_message(&self.local, self.applied.version)
+    }
+
+    fn status_message(&self, id: MemberId, entry: &MemberEntry) -> StatusUpdate {
+        let source = match entry.status {
+            MemberStatus::Suspect => self.local.id.0,
+            _ => 0,
+        };
+        StatusUpdate {
+            id: id.0,
+            incarnation: entry.record.incarnation,
+            status: status_number(entry.status),
+            source,
+        }
+    }
+
+    fn add_updates(&mut self, datagram: &mut Datagram) {
+        let mut room = MAX_PAYLOAD_BYTES.saturating_sub(datagram.encoded_len());
+        let mut misses = 0;
+        let mut taken = Vec::new();
+        for key in self.updates.iter() {
+            let Some(size) = self.add_update(datagram, key, room) else {
+                misses += 1;
+                if misses > FIT_ATTEMPTS {
+                    break;
+                }
+                continue;
+            };
+            room -= size;
+            taken.push(key);
+        }
+        let limit = self.retransmit_limit();
+        for key in taken {
+            self.updates.count_transmission(key, limit);
+        }
+    }
+
+    /// Adds one update and returns its size, unless it exceeds `room`.
+    fn add_update(&self, datagram: &mut Datagram, key: UpdateKey, room: usize) -> Option<usize> {
+        match key {
+            UpdateKey::Status(id) => {
+                let message = self.status_message(id, self.view.get(id)?);
+                let size = field_len(&message);
+                (size <= room).then(|| datagram.statuses.push(message))?;
+                Some(size)
+            }
+            UpdateKey::Record(id) => {
+                let entry = self.view.get(id)?;
+                let message = wire::to_message(&entry.record, entry.applied_version);
+                let size = field_len(&message);
+                (size <= room).then(|| datagram.records.push(message))?;
+                Some(size)
+            }
+        }
+    }
+
+    pub(super) fn tick_gossip(&mut self, now_ms: u64) {
+        if now_ms >= self.schedule.next_gossip_ms && !self.updates.is_empty() {
+            self.schedule.next_gossip_ms = now_ms + self.options.gossip_interval_ms;
+            self.send_updates(now_ms);
+        }
+    }
+
+    /// Sends pending updates to a random running member.
+    pub(super) fn send_updates(&mut self, now_ms: u64) {
+        let Some(id) = self.random_running() else {
+            return;
+        };
+        let to = self.view.members[&id].record.gossip_address;
+        self.send(now_ms, to, None);
+    }
+
+    pub(super) fn tick_retry(&mut self, now_ms: u64) {
+        if now_ms < self.schedule.next_retry_ms {
+            return;
+        }
+        self.schedule.next_retry_ms = now_ms + self.options.retry_interval_ms;
+        let is_alone = self.view.alive().count() <= 1;
+        if is_alone {
+            self.schedule.retries += 1;
+        } else {
+            self.schedule.retries = 0;
+        }
+        if self.schedule.retries > CONTACTS_AFTER_RETRIES {
+            self.schedule.retries = 0;
+            self.actions.push(Action::NeedContacts);
+        }
+        let mut targets = self.ended_addresses();
+        if is_alone {
+            targets.extend(self.seeds.iter().copied());
+        }
+        if let Some(index) = self.random_index(targets.len()) {
+            let nonce = self.rng.next_u32();
+            self.send(now_ms, targets[index], Some(Body::Ping(Ping { nonce })));
+        }
+    }
+
+    fn ended_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.view.members.values();
+        entries
+            .filter(|entry| entry.status == MemberStatus::Dead)
+            .map(|entry| entry.record.gossip_address)
+            .collect()
+    }
+
+    pub(super) fn send_pulled(&mut self, now_ms: u64, to: SocketAddr, pull: &SyncPull) {
+        let mut datagram = self.header(to, None);
+        let mut sent = 0;
+        for id in &pull.ids {
+            let Some(entry) = self.view.get(MemberId(*id)) else {
+                continue;
+            };
+            if !entry.status.is_running() {
+                continue;
+            }
+            let message = wire::to_message(&entry.record, entry.applied_version);
+            if datagram.encoded_len() + field_len(&message) > MAX_PAYLOAD_BYTES {
+                sent += 1;
+                if sent == MAX_PULL_DATAGRAMS {
+                    return self.emit(now_ms, to, datagram);
+                }
+                let next = self.header(to, None);
+                self.emit(now_ms, to, std::mem::replace(&mut datagram, next));
+            }
+            datagram.records.push(message);
+        }
+        self.emit(now_ms, to, datagram);
+    }
+
+    fn random_running(&mut self) -> Option<MemberId> {
+        let local = self.local.id;
+        let ids: Vec<MemberId> = self.view.alive().map(|entry| entry.record.id).collect();
+        let others: Vec<MemberId> = ids.into_iter().filter(|id| *id != local).collect();
+        let index = self.random_index(others.len())?;
+        Some(others[index])
+    }
+
+    pub(super) fn random_index(&mut self, length: usize) -> Option<usize> {
+        let scaled = u64::from(self.rng.next_u32()) * length as u64;
+        (length > 0).then_some((scaled >> u32::BITS) as usize)
+    }
+}
+
+/// Bytes of a message as a field of a datagram.
+fn field_len(message: &impl Message) -> usize {
+    let length = message.encoded_len();
+    TAG_BYTES + encoded_len_varint(length as u64) + length
+}
+
+fn status_number(status: MemberStatus) -> i32 {
+    let status = match status {
+        MemberStatus::Alive => gossip::MemberStatus::Alive,
+        MemberStatus::Suspect => gossip::MemberStatus::Suspect,
+        MemberStatus::Dead => gossip::MemberStatus::Dead,
+        MemberStatus::Left => gossip::MemberStatus::Left,
+    };
+    status as i32
+}
--- /dev/null
+++ b/jayrack-membership/src/core/receive.rs
@@ -0,0 +1,84 @@
+//! What a datagram changes.
+use std::net::SocketAddr;
+
+use jayrack_protocol::{
+    MemberId,
+    gossip::{Ack, Datagram, SyncPull, datagram::Body},
+};
+
+use super::{Action, AppliedState, Departure, MembershipCore};
+
+impl MembershipCore {
+    pub(super) fn is_departing(&self) -> bool {
+        self.departure != Departure::Staying
+    }
+
+    pub(super) fn receive(&mut self, now_ms: u64, from: SocketAddr, datagram: &Datagram) {
+        let sender = MemberId(datagram.sender);
+        let is_authentic = sender == MemberId::from_address(from);
+        if !is_authentic || sender == self.local.id || self.departure == Departure::Done {
+            return;
+        }
+        let track = self.peers.entry(sender).or_default();
+        if !track.window.accept(datagram.incarnation, datagram.sequence) {
+            return;
+        }
+        track.heard_ms = Some(now_ms);
+        for record in &datagram.records {
+            self.merge_record(now_ms, record);
+        }
+        for status in &datagram.statuses {
+            self.merge_status(now_ms, status);
+        }
+        self.note_sender_state(now_ms, sender, datagram);
+        self.request_sender_record(now_ms, from, datagram);
+        self.answer(now_ms, from, datagram);
+    }
+
+    fn note_sender_state(&mut self, now_ms: u64, sender: MemberId, datagram: &Datagram) {
+        let is_present = self
+            .view
+            .get(sender)
+            .is_some_and(|entry| entry.record.incarnation == datagram.incarnation);
+        if is_present {
+            self.raise_applied(now_ms, sender, datagram.applied_version);
+        }
+        if datagram.floor > 0 {
+            self.actions.push(Action::Floor {
+                version: datagram.floor,
+            });
+        }
+        self.actions.push(Action::PeerState {
+            peer: sender,
+            state: AppliedState {
+                version: datagram.applied_version,
+                digest: datagram.config_digest,
+                next_offset: datagram.next_offset,
+            },
+        });
+    }
+
+    fn request_sender_record(&mut self, now_ms: u64, from: SocketAddr, datagram: &Datagram) {
+        let sender = MemberId(datagram.sender);
+        let known = self.view.get(sender).map(|entry| entry.record.incarnation);
+        let is_current = known.is_some_and(|incarnation| incarnation >= datagram.incarnation);
+        if !is_current {
+            let ids = vec![sender.0];
+            self.send(now_ms, from, Some(Body::SyncPull(SyncPull { ids })));
+        }
+    }
+
+    fn answer(&mut self, now_ms: u64, from: SocketAddr, datagram: &Datagram) {
+        match &datagram.body {
+            Some(Body::Ping(ping)) => {
+                let ack = Ack { nonce: ping.nonce };
+                self.send(now_ms, from, Some(Body::Ack(ack)));
+            }
+            Some(Body::PingRequest(request)) => self.relay_probe(now_ms, from, request),
+            Some(Body::Ack(ack)) => self.receive_ack(now_ms, ack.nonce),
+            Some(Body::Nack(nack)) => self.probe.note_nack(nack.nonce),
+            Some(Body::SyncPull(pull)) => self.send_pulled(now_ms, from, pull),
+            Some(Body::SyncDigest(_) | Body::SyncSummary(_)) | None => {}
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-membership/src/suspicion.rs
@@ -0,0 +1,53 @@
+//! Time left to a suspected member for its refutation.
+use std::collections::BTreeSet;
+
+use jayrack_protocol::MemberId;
+
+/// Independent suspecters that bring the time down to its minimum.
+pub const CONFIRMATIONS: usize = 3;
+
+/// Shortest and longest time for a refutation, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspicionBounds {
+    /// Time once [`CONFIRMATIONS`] members confirmed the suspicion.
+    pub min_ms: u64,
+    /// Time while only one member suspects.
+    pub max_ms: u64,
+}
+
+/// A suspicion that has not been refuted yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspicion {
+    started_ms: u64,
+    bounds: SuspicionBounds,
+    sources: BTreeSet<MemberId>,
+}
+
+impl Suspicion {
+    /// Starts the time that `source` gives the member.
+    pub fn new(now_ms: u64, bounds: SuspicionBounds, source: MemberId) -> Self {
+        Self {
+            started_ms: now_ms,
+            bounds,
+            sources: BTreeSet::from([source]),
+        }
+    }
+
+    /// Counts another suspecter; true when it is new and still shortens the time.
+    pub fn confirm(&mut self, source: MemberId) -> bool {
+        self.sources.len() <= CONFIRMATIONS && self.sources.insert(source)
+    }
+
+    /// Defers the end of the suspicion, after the daemon itself stood still.
+    pub fn extend(&mut self, by_ms: u64) {
+        self.started_ms += by_ms;
+    }
+
+    /// When the member is found dead.
+    pub fn deadline_ms(&self) -> u64 {
+        let confirmed = self.sources.len().saturating_sub(1).min(CONFIRMATIONS);
+        let share = ((confirmed + 1) as f64).ln() / ((CONFIRMATIONS + 1) as f64).ln();
+        let range = (self.bounds.max_ms - self.bounds.min_ms) as f64;
+        self.started_ms + self.bounds.max_ms - (range * share) as u64
+    }
+}
--- /dev/null
+++ b/jayrackd/tests/gossip.rs
@@ -0,0 +1,113 @@
+//! Gossip drivers find each other over UDP and tell crashes from departures.
+use std::{net::SocketAddr, time::Duration};
+
+use jayrack_membership::{MemberRecord, MemberStatus, MemberView, ServerRecord, core};
+use jayrack_protocol::{MemberId, seal::FleetKeys};
+use jayrackd::gossip::{self, GossipHandle};
+use tokio::{net::UdpSocket, time::timeout};
+
+const HANG_LIMIT: Duration = Duration::from_secs(120);
+
+async fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.local_addr().unwrap()
+}
+
+async fn start(address: SocketAddr, key: &str, incarnation: u64) -> GossipHandle {
+    let options = gossip::Options {
+        listen: address,
+        keys: FleetKeys::new(key.as_bytes(), None),
+        core: core::Options::default(),
+        local: MemberRecord::new(address, incarnation).with_place("wrecsam", "wales"),
+        seed: u64::from(address.port()),
+    };
+    gossip::start(options).await.unwrap()
+}
+
+async fn wait_for(handle: &GossipHandle, is_met: impl Fn(&MemberView) -> bool) {
+    let mut view = handle.view();
+    let met = view.wait_for(|view| is_met(view));
+    timeout(HANG_LIMIT, met).await.unwrap().unwrap();
+}
+
+fn status_of(view: &MemberView, address: SocketAddr) -> Option<MemberStatus> {
+    let entry = view.get(MemberId::from_address(address))?;
+    Some(entry.status)
+}
+
+fn server(name: &str) -> ServerRecord {
+    ServerRecord {
+        name: name.to_string(),
+        service: "bookings".to_string(),
+        slots: 12,
+        connections: 110,
+        draining: false,
+        warm_percent: 100,
+    }
+}
+
+#[tokio::test]
+async fn members_join_through_a_seed_and_see_servers() {
+    let first_address = free_address().await;
+    let second_address = free_address().await;
+    let first = start(first_address, "key", 1).await;
+    let second = start(second_address, "key", 1).await;
+
+    second.seeds(vec![first_address]);
+    second.servers(vec![server("bookings-1")]);
+
+    wait_for(&first, |view| {
+        view.alive().any(|entry| entry.record.servers.len() == 1)
+    })
+    .await;
+    wait_for(&second, |view| view.alive().count() == 2).await;
+    second.close().await;
+    wait_for(&first, |view| {
+        status_of(view, second_address) == Some(MemberStatus::Left)
+    })
+    .await;
+    first.close().await;
+}
+
+#[tokio::test]
+async fn restarted_member_is_alive_again() {
+    let first_address = free_address().await;
+    let second_address = free_address().await;
+    let first = start(first_address, "key", 1).await;
+    let second = start(second_address, "key", 1).await;
+    second.seeds(vec![first_address]);
+    wait_for(&first, |view| view.alive().count() == 2).await;
+
+    second.close_abruptly().await;
+    let second = start(second_address, "key", 2).await;
+    second.seeds(vec![first_address]);
+
+    wait_for(&first, |view| {
+        let entry = view.get(MemberId::from_address(second_address));
+        entry.is_some_and(|entry| {
+            entry.record.incarnation >= 2 && entry.status == MemberStatus::Alive
+        })
+    })
+    .await;
+    second.close().await;
+    first.close().await;
+}
+
+#[tokio::test]
+async fn datagrams_of_another_fleet_are_rejected() {
+    let first_address = free_address().await;
+    let first = start(first_address, "key", 1).await;
+    let second = start(free_address().await, "other key", 1).await;
+
+    second.seeds(vec![first_address]);
+    let rejected = async {
+        while first.counters().read().rejected_datagrams == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(HANG_LIMIT, rejected).await.unwrap();
+
+    assert_eq!(first.view().borrow().alive().count(), 1);
+    second.close().await;
+    first.close().await;
+}
