--- /dev/null
+++ b/jayrack-traffic/src/admission.rs
@@ -0,0 +1,250 @@
+//! The queue in front of one backend server, at its owner.
+//!
+//! * [`queue`]: waiting requests by rank, kind and customer, with fair shares.
+//! * [`limit`]: how many slots are used.
+//! * [`level`]: the share of each rank that ingresses shall refuse.
+//! * [`service`]: estimates of service times.
+mod level;
+mod limit;
+mod queue;
+mod service;
+
+use std::collections::BTreeMap;
+
+use jayrack_protocol::{RequestId, ResultCode};
+
+pub use level::LoadLevel;
+
+use crate::class::RequestClass;
+use level::LevelMeter;
+use limit::SlotLimit;
+use queue::{QueuedRequest, WaitingRequests};
+use service::ServiceEstimate;
+
+/// Settings of an [`AdmissionQueue`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Requests that the backend server runs at once.
+    pub slots: u32,
+    /// Greatest number of waiting requests.
+    pub max_queued: usize,
+    /// Whether slots are lowered when latency rises or the backend server sheds.
+    pub adaptive: bool,
+    /// Share of its time until the deadline that a customer request's first request may wait, in percent.
+    pub fresh_wait_percent: u8,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            slots: 12,
+            max_queued: 512,
+            adaptive: true,
+            fresh_wait_percent: 50,
+        }
+    }
+}
+
+/// How a dispatched request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Result {
+    /// The backend server answered.
+    Ok,
+    /// The backend server failed.
+    Failed,
+    /// The backend server refused the request as it has too much work.
+    ServerShed,
+    /// The request was abandoned.
+    Cancelled,
+}
+
+/// What the driver has to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Give it to the backend server.
+    Dispatch(RequestId),
+    /// Refuse it; it was not run.
+    Refuse(RequestId, ResultCode),
+}
+
+#[derive(Debug)]
+struct RunningRequest {
+    rank: u8,
+    kind: String,
+    estimate_us: u64,
+}
+
+/// Orders the requests for one backend server and decides which of them run.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    options: Options,
+    is_draining: bool,
+    waiting: WaitingRequests,
+    running: BTreeMap<RequestId, RunningRequest>,
+    estimate: ServiceEstimate,
+    limit: SlotLimit,
+    meter: LevelMeter,
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue.
+    pub fn new(options: Options) -> Self {
+        Self {
+            is_draining: false,
+            waiting: WaitingRequests::new(),
+            running: BTreeMap::new(),
+            estimate: ServiceEstimate::new(),
+            limit: SlotLimit::new(options.slots, options.adaptive),
+            meter: LevelMeter::new(),
+            options,
+        }
+    }
+
+    /// Takes a request that arrived, and returns the decisions due, perhaps about this one.
+    pub fn offer(&mut self, now_ms: u64, id: RequestId, class: RequestClass) -> Vec<Decision> {
+        let estimate_us = self.estimate.service_us(&class.kind);
+        self.meter.offered(now_ms, &class, estimate_us);
+        if self.is_draining {
+            return vec![Decision::Refuse(id, ResultCode::Draining)];
+        }
+        let wait_us = self.wait_us(&class);
+        if now_ms * 1_000 + wait_us + estimate_us > class.deadline_ms * 1_000 {
+            return vec![Decision::Refuse(id, ResultCode::DeadlinePassed)];
+        }
+        let request = QueuedRequest {
+            id,
+            latest_ms: self.latest_start_ms(now_ms, &class, estimate_us),
+            estimate_us,
+            class,
+        };
+        self.waiting.push(request);
+        let mut decisions = self.pump(now_ms);
+        self.drop_excess(&mut decisions);
+        decisions
+    }
+
+    /// Notes that a dispatched request ended after `service_us`.
+    pub fn finished(
+        &mut self,
+        now_ms: u64,
+        id: RequestId,
+        service_us: u64,
+        result: Result,
+    ) -> Vec<Decision> {
+        if let Some(running) = self.running.remove(&id) {
+            self.settle(now_ms, &running, service_us, result);
+        }
+        self.pump(now_ms)
+    }
+
+    /// Withdraws a request that has not been dispatched.
+    pub fn cancel(&mut self, now_ms: u64, id: RequestId) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        if self.waiting.remove(id) {
+            decisions.push(Decision::Refuse(id, ResultCode::Cancelled));
+        }
+        decisions.append(&mut self.pump(now_ms));
+        decisions
+    }
+
+    /// Refuses what has waited too long. To be called about every 10 ms while requests wait.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for id in self.waiting.take_overdue(now_ms) {
+            decisions.push(Decision::Refuse(id, ResultCode::DeadlinePassed));
+        }
+        decisions.append(&mut self.pump(now_ms));
+        decisions
+    }
+
+    /// Takes a changed number of slots from the backend server's announcement.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.options.slots = slots;
+        self.limit.set_slots(slots);
+    }
+
+    /// Starts or ends refusing all work that is not dispatched yet; the next call returns the refusals.
+    pub fn set_draining(&mut self, is_draining: bool) {
+        self.is_draining = is_draining;
+    }
+
+    /// The load to attach to answers.
+    pub fn load(&self) -> LoadLevel {
+        let mut level = self.meter.level();
+        level.slots = self.limit.slots();
+        level.running = self.running.len() as u32;
+        level.queued = self.waiting.len() as u32;
+        level
+    }
+
+    fn settle(&mut self, now_ms: u64, running: &RunningRequest, service_us: u64, result: Result) {
+        self.waiting
+            .correct(running.rank, running.estimate_us, service_us);
+        match result {
+            Result::Ok | Result::Failed => {
+                let stretch = self.estimate.observe(&running.kind, service_us);
+                self.limit.observe(now_ms, stretch);
+            }
+            Result::ServerShed => self.limit.shed(now_ms),
+            Result::Cancelled => {}
+        }
+    }
+
+    fn pump(&mut self, now_ms: u64) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        if self.is_draining {
+            for id in self.waiting.take_all() {
+                decisions.push(Decision::Refuse(id, ResultCode::Draining));
+            }
+        }
+        while (self.running.len() as u32) < self.limit.slots() {
+            let Some(request) = self.waiting.pop() else {
+                break;
+            };
+            decisions.push(self.start(now_ms, request));
+        }
+        self.meter.roll(now_ms, self.limit.slots());
+        decisions
+    }
+
+    fn start(&mut self, now_ms: u64, request: QueuedRequest) -> Decision {
+        if now_ms > request.latest_ms {
+            self.waiting.refund(&request);
+            return Decision::Refuse(request.id, ResultCode::DeadlinePassed);
+        }
+        let running = RunningRequest {
+            rank: request.class.rank,
+            kind: request.class.kind,
+            estimate_us: request.estimate_us,
+        };
+        self.running.insert(request.id, running);
+        Decision::Dispatch(request.id)
+    }
+
+    fn drop_excess(&mut self, decisions: &mut Vec<Decision>) {
+        while self.waiting.len() > self.options.max_queued {
+            let Some(id) = self.waiting.take_least_urgent(self.options.max_queued) else {
+                return;
+            };
+            decisions.push(Decision::Refuse(id, ResultCode::Shed));
+        }
+    }
+
+    /// Lower bound of the time until the request would be dispatched.
+    fn wait_us(&self, class: &RequestClass) -> u64 {
+        let slots = u64::from(self.limit.slots().max(1));
+        self.waiting.work_before_us(class) / slots
+    }
+
+    fn latest_start_ms(&self, now_ms: u64, class: &RequestClass, estimate_us: u64) -> u64 {
+        let latest_ms = class
+            .deadline_ms
+            .saturating_sub(estimate_us.div_ceil(1_000));
+        if class.depth > 0 {
+            return latest_ms;
+        }
+        let left_ms = class.deadline_ms.saturating_sub(now_ms);
+        let patience_ms = left_ms * u64::from(self.options.fresh_wait_percent) / 100;
+        latest_ms.min(now_ms + patience_ms)
+    }
+}
--- /dev/null
+++ b/jayrack-traffic/src/admission/level.rs
@@ -0,0 +1,153 @@
+//! The share of each rank that ingresses shall refuse.
+use std::collections::BTreeMap;
+
+use crate::class::RequestClass;
+
+/// Time between two levels, in milliseconds.
+const WINDOW_MS: u64 = 200;
+/// Work let through to the owner, in percent of its capacity, so that its slots stay busy.
+const SURPLUS_PERCENT: u64 = 130;
+/// Share of a rank's floor that is let through to the owner, in percent.
+const FLOOR_SURPLUS_PERCENT: u64 = 200;
+/// One whole in shares.
+const WHOLE_SHARE: u64 = 65_536;
+/// Least share assumed to have passed, for the estimate of the work that was refused.
+const LEAST_PASS_SHARE: u64 = WHOLE_SHARE / 50;
+
+/// State of an owner's queue, attached to each answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadLevel {
+    /// Requests that the backend server may run at once.
+    pub slots: u32,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Requests of a rank above this one are refused at the ingress, but for `kept_share`.
+    pub shed_rank: u8,
+    /// Share of the requests of the shed rank that are refused, 0 to 65535.
+    pub shed_share: u16,
+    /// Share of the requests of ranks above the shed rank that are admitted, 0 to 65535, so that
+    /// they get their floors.
+    pub kept_share: u16,
+}
+
+impl Default for LoadLevel {
+    fn default() -> Self {
+        Self {
+            slots: 0,
+            running: 0,
+            queued: 0,
+            shed_rank: u8::MAX,
+            shed_share: 0,
+            kept_share: 0,
+        }
+    }
+}
+
+impl LoadLevel {
+    /// Share of the requests of `rank` that the ingress refuses, 0 to 65535.
+    pub fn refused_share(&self, rank: u8) -> u16 {
+        match rank.cmp(&self.shed_rank) {
+            std::cmp::Ordering::Less => 0,
+            std::cmp::Ordering::Equal => self.shed_share,
+            std::cmp::Ordering::Greater => u16::MAX - self.kept_share,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RankDemand {
+    floor_percent: u8,
+    window_us: u64,
+    demand_us: u64,
+}
+
+/// Estimates the work offered by each rank, before refusal at ingresses, and sets the level.
+#[derive(Debug)]
+pub(super) struct LevelMeter {
+    ranks: BTreeMap<u8, RankDemand>,
+    window_start_ms: u64,
+    level: LoadLevel,
+}
+
+impl LevelMeter {
+    pub(super) fn new() -> Self {
+        Self {
+            ranks: BTreeMap::new(),
+            window_start_ms: 0,
+            level: LoadLevel::default(),
+        }
+    }
+
+    pub(super) fn level(&self) -> LoadLevel {
+        self.level
+    }
+
+    /// Counts the work that a request brings.
+    pub(super) fn offered(&mut self, _now_ms: u64, class: &RequestClass, estimate_us: u64) {
+        let demand = self.ranks.entry(class.rank).or_default();
+        demand.floor_percent = class.floor_percent;
+        demand.window_us += estimate_us;
+    }
+
+    /// Sets a new level if a window has passed.
+    pub(super) fn roll(&mut self, now_ms: u64, slots: u32) {
+        let elapsed_ms = now_ms.saturating_sub(self.window_start_ms);
+        if elapsed_ms < WINDOW_MS {
+            return;
+        }
+        self.window_start_ms = now_ms;
+        let capacity_us = elapsed_ms * 1_000 * u64::from(slots);
+        for (rank, demand) in &mut self.ranks {
+            let passed = WHOLE_SHARE - u64::from(self.level.refused_share(*rank));
+            let whole_us = demand.window_us * WHOLE_SHARE / passed.max(LEAST_PASS_SHARE);
+            let rate_us = whole_us * WINDOW_MS / elapsed_ms;
+            demand.demand_us = (demand.demand_us + rate_us) / 2;
+            demand.window_us = 0;
+        }
+        self.set_level(capacity_us * WINDOW_MS / elapsed_ms);
+    }
+
+    fn set_level(&mut self, capacity_us: u64) {
+        let mut left_us = capacity_us * SURPLUS_PERCENT / 100;
+        let floors: Vec<u64> = self
+            .ranks
+            .values()
+            .map(|rank| rank.kept_us(capacity_us))
+            .collect();
+        let mut kept_us: u64 = floors.iter().sum();
+        self.level.shed_rank = u8::MAX;
+        self.level.shed_share = 0;
+        self.level.kept_share = 0;
+        for ((rank, demand), floor_us) in self.ranks.iter().zip(floors) {
+            if self.level.shed_rank != u8::MAX {
+                let kept = share(floor_us, demand.demand_us);
+                self.level.kept_share = self.level.kept_share.max(kept);
+                continue;
+            }
+            kept_us -= floor_us;
+            let pass_us = left_us.saturating_sub(kept_us).max(floor_us);
+            if demand.demand_us > pass_us {
+                self.level.shed_rank = *rank;
+                self.level.shed_share = u16::MAX - share(pass_us, demand.demand_us);
+            }
+            left_us = left_us.saturating_sub(demand.demand_us.min(pass_us));
+        }
+    }
+}
+
+impl RankDemand {
+    /// Work that is let through in any case.
+    fn kept_us(&self, capacity_us: u64) -> u64 {
+        let percent = u64::from(self.floor_percent) * FLOOR_SURPLUS_PERCENT / 100;
+        self.demand_us.min(capacity_us * percent / 100)
+    }
+}
+
+fn share(part: u64, whole: u64) -> u16 {
+    if whole == 0 {
+        return u16::MAX;
+    }
+    (part * u64::from(u16::MAX) / whole).min(u64::from(u16::MAX)) as u16
+}
--- /dev/null
+++ b/jayrack-traffic/src/admission/queue.rs
@@ -0,0 +1,309 @@
+//! Waiting requests by rank, kind and customer, with fair shares.
+use std::collections::{BTreeMap, VecDeque};
+
+use jayrack_protocol::RequestId;
+
+use crate::class::RequestClass;
+
+/// Greatest credit that a rank collects towards its floor, in microseconds of slot time.
+const MAX_CREDIT_US: i64 = 1_000_000;
+/// Customers of one kind that are remembered while they have no waiting request.
+const MAX_CUSTOMERS: usize = 4_096;
+
+/// One request that waits.
+#[derive(Debug, Clone)]
+pub(super) struct QueuedRequest {
+    pub(super) id: RequestId,
+    pub(super) class: RequestClass,
+    pub(super) estimate_us: u64,
+    /// Last time at which it is worth starting.
+    pub(super) latest_ms: u64,
+}
+
+/// Requests of one customer within a kind: those of customer requests under way go first.
+#[derive(Debug, Default)]
+struct CustomerQueue {
+    under_way: VecDeque<RequestId>,
+    fresh: VecDeque<RequestId>,
+    used_us: u64,
+}
+
+#[derive(Debug, Default)]
+struct KindQueue {
+    customers: BTreeMap<String, CustomerQueue>,
+    base_us: u64,
+    used_us: u64,
+    len: usize,
+}
+
+#[derive(Debug, Default)]
+struct RankQueue {
+    kinds: BTreeMap<String, KindQueue>,
+    base_us: u64,
+    len: usize,
+    work_us: u64,
+    floor_percent: u8,
+    credit_us: i64,
+}
+
+/// All waiting requests of one backend server.
+#[derive(Debug)]
+pub(super) struct WaitingRequests {
+    ranks: BTreeMap<u8, RankQueue>,
+    requests: BTreeMap<RequestId, QueuedRequest>,
+}
+
+impl WaitingRequests {
+    pub(super) fn new() -> Self {
+        Self {
+            ranks: BTreeMap::new(),
+            requests: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn push(&mut self, request: QueuedRequest) {
+        let rank = self.ranks.entry(request.class.rank).or_default();
+        rank.push(&request);
+        self.requests.insert(request.id, request);
+    }
+
+    /// Takes the request that runs next: of a rank that is behind its floor, else of the most urgent.
+    pub(super) fn pop(&mut self) -> Option<QueuedRequest> {
+        let rank_order = self.next_rank()?;
+        let rank = self.ranks.get_mut(&rank_order)?;
+        let id = rank.next_id()?;
+        let request = self.requests.remove(&id)?;
+        rank.take(&request);
+        rank.charge(&request);
+        self.spread_credit(rank_order, request.estimate_us as i64);
+        Some(request)
+    }
+
+    /// Returns the charge of a request that was taken and is not run.
+    pub(super) fn refund(&mut self, request: &QueuedRequest) {
+        self.spread_credit(request.class.rank, -(request.estimate_us as i64));
+        if let Some(rank) = self.ranks.get_mut(&request.class.rank) {
+            rank.refund(request);
+        }
+    }
+
+    /// Replaces the estimate charged at dispatch by the measured service time.
+    pub(super) fn correct(&mut self, rank_order: u8, estimate_us: u64, service_us: u64) {
+        self.spread_credit(rank_order, service_us as i64 - estimate_us as i64);
+    }
+
+    pub(super) fn remove(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.remove(&id) else {
+            return false;
+        };
+        if let Some(rank) = self.ranks.get_mut(&request.class.rank) {
+            rank.take(&request);
+        }
+        true
+    }
+
+    pub(super) fn take_overdue(&mut self, now_ms: u64) -> Vec<RequestId> {
+        let overdue = self
+            .requests
+            .values()
+            .filter(|request| now_ms > request.latest_ms);
+        let ids: Vec<RequestId> = overdue.map(|request| request.id).collect();
+        for id in &ids {
+            self.remove(*id);
+        }
+        ids
+    }
+
+    pub(super) fn take_all(&mut self) -> Vec<RequestId> {
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in &ids {
+            self.remove(*id);
+        }
+        ids
+    }
+
+    /// Takes the newest request of the least urgent rank that fills more than its floor's share of
+    /// `max_queued` places, from the customer that waits with most.
+    pub(super) fn take_least_urgent(&mut self, max_queued: usize) -> Option<RequestId> {
+        let victim = self
+            .ranks
+            .values()
+            .rev()
+            .find(|rank| rank.len > max_queued * usize::from(rank.floor_percent) / 100)?;
+        let id = victim.newest_id()?;
+        self.remove(id);
+        Some(id)
+    }
+
+    /// Work that is going to run before a new request of `class`.
+    pub(super) fn work_before_us(&self, class: &RequestClass) -> u64 {
+        let more_urgent = self
+            .ranks
+            .range(..class.rank)
+            .map(|(_, rank)| rank.work_us)
+            .sum();
+        let floor = u64::from(class.floor_percent);
+        if floor == 0 {
+            return more_urgent;
+        }
+        let own = self.ranks.get(&class.rank).map_or(0, |rank| rank.work_us);
+        (own * 100 / floor).min(more_urgent)
+    }
+
+    fn next_rank(&self) -> Option<u8> {
+        let waiting = self.ranks.iter().filter(|(_, rank)| rank.len > 0);
+        let behind = waiting
+            .clone()
+            .filter(|(_, rank)| rank.is_behind_floor())
+            .max_by_key(|(_, rank)| rank.credit_us);
+        behind
+            .or_else(|| waiting.clone().next())
+            .map(|(order, _)| *order)
+    }
+
+    /// Gives each waiting rank its floor's share of `work_us`, which `served` has used.
+    fn spread_credit(&mut self, served: u8, work_us: i64) {
+        for (order, rank) in &mut self.ranks {
+            let mut credit_us = rank.credit_us;
+            if rank.len > 0 || *order == served {
+                credit_us += work_us * i64::from(rank.floor_percent) / 100;
+            }
+            if *order == served {
+                credit_us -= work_us;
+            }
+            rank.credit_us = credit_us.clamp(0, MAX_CREDIT_US);
+            if rank.len == 0 {
+                rank.credit_us = 0;
+            }
+        }
+    }
+}
+
+impl RankQueue {
+    /// Adds a request at the end of its customer's queue.
+    fn push(&mut self, request: &QueuedRequest) {
+        let class = &request.class;
+        self.floor_percent = class.floor_percent;
+        self.len += 1;
+        self.work_us += request.estimate_us;
+        if !self.kinds.contains_key(&class.kind) {
+            self.kinds.insert(class.kind.clone(), KindQueue::default());
+        }
+        let base_us = self.base_us;
+        if let Some(kind) = self.kinds.get_mut(&class.kind) {
+            if kind.len == 0 {
+                kind.used_us = kind.used_us.max(base_us);
+            }
+            kind.push(request);
+        }
+    }
+
+    fn is_behind_floor(&self) -> bool {
+        self.floor_percent > 0 && self.credit_us > 0
+    }
+
+    fn next_id(&self) -> Option<RequestId> {
+        let kind = self.kinds.values().min_by_key(|kind| kind.used_us)?;
+        let customer = kind
+            .customers
+            .values()
+            .min_by_key(|customer| customer.used_us)?;
+        customer
+            .under_way
+            .front()
+            .or(customer.fresh.front())
+            .copied()
+    }
+
+    fn newest_id(&self) -> Option<RequestId> {
+        let customers = self.kinds.values().flat_map(|kind| kind.customers.values());
+        let longest = customers.max_by_key(|customer| customer.len())?;
+        longest.fresh.back().or(longest.under_way.back()).copied()
+    }
+
+    /// Removes a request from its queue.
+    fn take(&mut self, request: &QueuedRequest) {
+        let class = &request.class;
+        self.len -= 1;
+        self.work_us -= request.estimate_us;
+        if let Some(kind) = self.kinds.get_mut(&class.kind)
+            && let Some(customer) = kind.customers.get_mut(&class.customer)
+        {
+            customer.remove(request.id);
+            kind.len -= 1;
+        }
+    }
+
+    /// Charges a request's kind and customer.
+    fn charge(&mut self, request: &QueuedRequest) {
+        let class = &request.class;
+        let Some(kind) = self.kinds.get_mut(&class.kind) else {
+            return;
+        };
+        self.base_us = self.base_us.max(kind.used_us);
+        kind.used_us += request.estimate_us;
+        kind.charge(&class.customer, request.estimate_us);
+    }
+
+    fn refund(&mut self, request: &QueuedRequest) {
+        if let Some(kind) = self.kinds.get_mut(&request.class.kind) {
+            kind.used_us = kind.used_us.saturating_sub(request.estimate_us);
+        }
+    }
+}
+
+impl KindQueue {
+    fn push(&mut self, request: &QueuedRequest) {
+        let class = &request.class;
+        if !self.customers.contains_key(&class.customer) {
+            self.forget_idle();
+            self.customers
+                .insert(class.customer.clone(), CustomerQueue::default());
+        }
+        let base_us = self.base_us;
+        if let Some(customer) = self.customers.get_mut(&class.customer) {
+            if customer.len() == 0 {
+                customer.used_us = customer.used_us.max(base_us);
+            }
+            customer.push(request);
+        }
+        self.len += 1;
+    }
+
+    /// Forgets customers without waiting requests when there are too many.
+    fn forget_idle(&mut self) {
+        if self.customers.len() >= MAX_CUSTOMERS {
+            self.customers.retain(|_, customer| customer.len() > 0);
+        }
+    }
+
+    fn charge(&mut self, customer: &str, work_us: u64) {
+        if let Some(queue) = self.customers.get_mut(customer) {
+            self.base_us = self.base_us.max(queue.used_us);
+            queue.used_us += work_us;
+        }
+    }
+}
+
+impl CustomerQueue {
+    fn push(&mut self, request: &QueuedRequest) {
+        if request.class.depth > 0 {
+            self.under_way.push_back(request.id);
+        } else {
+            self.fresh.push_back(request.id);
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.under_way.len() + self.fresh.len()
+    }
+
+    fn remove(&mut self, id: RequestId) {
+        self.under_way.retain(|waiting| *waiting != id);
+        self.fresh.retain(|waiting| *waiting != id);
+    }
+}
--- /dev/null
+++ b/jayrack-traffic/src/coordinate.rs
@@ -0,0 +1,366 @@
+//! The ingress side of a claim: asks the homes of a key and decides whether its request may run.
+use jayrack_protocol::{MemberId, RequestId, ResultCode};
+
+use crate::{
+    claim::{ClaimReply, ClaimRequest, ClaimState, HomeSet, KeyHolder},
+    ledger::Inquiry,
+};
+
+/// Settings of a [`ClaimCoordinator`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Time after which homes that are silent count as unreachable, in milliseconds.
+    pub home_timeout_ms: u64,
+    /// Time between two queries about the holder of the key, in milliseconds.
+    pub query_interval_ms: u64,
+    /// Time after which a holder that was not dispatched is fenced, in milliseconds.
+    pub fence_after_ms: u64,
+    /// Deadline, in milliseconds of the local monotonic clock.
+    pub deadline_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            home_timeout_ms: 500,
+            query_interval_ms: 50,
+            fence_after_ms: 1_000,
+            deadline_ms: 5_000,
+        }
+    }
+}
+
+/// What happened to the claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input<A> {
+    /// Begin.
+    Start,
+    /// A home answered.
+    Reply {
+        /// The home.
+        home: MemberId,
+        /// Its answer.
+        reply: ClaimReply,
+    },
+    /// A home cannot be reached, or the answer was lost.
+    HomeLost {
+        /// The home.
+        home: MemberId,
+    },
+    /// The request did not run at the owner before and may go to another.
+    Retry {
+        /// The other owner.
+        owner: MemberId,
+    },
+    /// A home answered [`Action::Record`].
+    Recorded {
+        /// The home.
+        home: MemberId,
+        /// Whether the request still holds the key there.
+        holds: bool,
+    },
+    /// The owner of the holder answered a query.
+    QueryReply(Inquiry<A>),
+    /// The owner of the holder cannot be reached, or the answer was lost.
+    QueryLost,
+    /// The time of the last [`Action::Wait`] was reached.
+    Timeout,
+}
+
+/// What the driver has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action<A> {
+    /// Send the claim to this home.
+    Ask {
+        /// The home.
+        home: MemberId,
+        /// The claim.
+        claim: ClaimRequest,
+    },
+    /// Record at this home that the request goes to another owner.
+    Record {
+        /// The home.
+        home: MemberId,
+        /// The other owner.
+        owner: MemberId,
+    },
+    /// The request may be sent to the owner named in the claim, or in the last [`Input::Retry`].
+    Run,
+    /// The request must not be sent to a further owner, as a repeat has taken the key.
+    Superseded,
+    /// Ask `owner` for the outcome of `request`, which holds the key.
+    AttachTo {
+        /// The request that holds the key.
+        request: RequestId,
+        /// The owner that it was going to be sent to.
+        owner: MemberId,
+        /// Whether it must not run if it has not been dispatched.
+        fence: bool,
+    },
+    /// Give the key back at the homes, as this request does not run.
+    Release {
+        /// The homes that granted it.
+        homes: Vec<MemberId>,
+    },
+    /// Give [`Input::Timeout`] at this time, in place of the time asked for before.
+    Wait {
+        /// Milliseconds of the local monotonic clock.
+        until_ms: u64,
+    },
+    /// Tell the caller the holder's answer; the coordinator has ended.
+    Attached(A),
+    /// Tell the caller a result code; the coordinator has ended.
+    Answer(ResultCode),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum HomeState {
+    Asked,
+    Granted,
+    Recorded,
+    Missing,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum ClaimPhase {
+    New,
+    Asking,
+    Attached,
+    Pausing,
+    Running,
+    Recording,
+    Ended,
+}
+
+/// One claim at the ingress.
+#[derive(Debug, Clone)]
+pub struct ClaimCoordinator {
+    options: Options,
+    claim: ClaimRequest,
+    homes: HomeSet,
+    states: Vec<HomeState>,
+    phase: ClaimPhase,
+    holder: Option<KeyHolder>,
+    started_ms: u64,
+}
+
+impl ClaimCoordinator {
+    /// Creates a coordinator that waits for [`Input::Start`].
+    pub fn new(options: Options, claim: ClaimRequest, homes: HomeSet) -> Self {
+        Self {
+            options,
+            states: vec![HomeState::Asked; homes.asked.len()],
+            claim,
+            homes,
+            phase: ClaimPhase::New,
+            holder: None,
+            started_ms: 0,
+        }
+    }
+
+    /// Takes an input that happened at `now_ms` and returns what to do, in order.
+    pub fn handle<A>(&mut self, now_ms: u64, input: Input<A>) -> Vec<Action<A>> {
+        match (self.phase, input) {
+            (ClaimPhase::New, Input::Start) => {
+                self.started_ms = now_ms;
+                self.ask(now_ms)
+            }
+            (ClaimPhase::Asking, Input::Reply { home, reply }) => {
+                self.replied(now_ms, home, &reply)
+            }
+            (ClaimPhase::Asking, Input::HomeLost { home }) => {
+                self.set_state(home, HomeState::Missing);
+                self.decide()
+            }
+            (ClaimPhase::Asking, Input::Timeout) => {
+                self.close_round();
+                self.decide()
+            }
+            (ClaimPhase::Running, Input::Retry { owner }) => self.record(now_ms, owner),
+            (ClaimPhase::Recording, Input::Recorded { home, holds }) => {
+                let state = if holds {
+                    HomeState::Recorded
+                } else {
+                    HomeState::Missing
+                };
+                self.set_state(home, state);
+                self.decide_record()
+            }
+            (ClaimPhase::Recording, Input::HomeLost { home }) => {
+                self.set_state(home, HomeState::Missing);
+                self.decide_record()
+            }
+            (ClaimPhase::Recording, Input::Timeout) => {
+                self.close_round();
+                self.decide_record()
+            }
+            (ClaimPhase::Attached, Input::QueryReply(inquiry)) => self.told(now_ms, inquiry),
+            (ClaimPhase::Attached, Input::QueryLost | Input::Timeout) => self.pause(now_ms),
+            (ClaimPhase::Pausing, Input::Timeout) => self.attach(now_ms),
+            _ => Vec::new(),
+        }
+    }
+
+    fn ask<A>(&mut self, now_ms: u64) -> Vec<Action<A>> {
+        self.phase = ClaimPhase::Asking;
+        self.states.fill(HomeState::Asked);
+        let mut actions: Vec<Action<A>> = Vec::with_capacity(self.states.len() + 1);
+        for home in &self.homes.asked {
+            actions.push(Action::Ask {
+                home: *home,
+                claim: self.claim.clone(),
+            });
+        }
+        actions.push(Action::Wait {
+            until_ms: now_ms + self.options.home_timeout_ms,
+        });
+        if self.states.is_empty() {
+            return self.decide();
+        }
+        actions
+    }
+
+    fn replied<A>(&mut self, now_ms: u64, home: MemberId, reply: &ClaimReply) -> Vec<Action<A>> {
+        match reply {
+            ClaimReply::Granted => self.set_state(home, HomeState::Granted),
+            ClaimReply::CannotVouch => self.set_state(home, HomeState::Recorded),
+            ClaimReply::Full => self.set_state(home, HomeState::Missing),
+            ClaimReply::Mismatch => return self.give_back(ResultCode::KeyMismatch),
+            ClaimReply::Held { holder, state } => {
+                self.holder = Some(*holder);
+                return self.held(now_ms, *state);
+            }
+        }
+        self.decide()
+    }
+
+    fn held<A>(&mut self, now_ms: u64, state: ClaimState) -> Vec<Action<A>> {
+        if state == ClaimState::Unknown {
+            return self.give_back(ResultCode::OutcomeUnknown);
+        }
+        self.attach(now_ms)
+    }
+
+    fn record<A>(&mut self, now_ms: u64, owner: MemberId) -> Vec<Action<A>> {
+        self.phase = ClaimPhase::Recording;
+        self.claim.owner = owner;
+        self.states.fill(HomeState::Asked);
+        let mut actions: Vec<Action<A>> = Vec::with_capacity(self.states.len() + 1);
+        for home in &self.homes.asked {
+            actions.push(Action::Record { home: *home, owner });
+        }
+        actions.push(Action::Wait {
+            until_ms: now_ms + self.options.home_timeout_ms,
+        });
+        actions
+    }
+
+    fn decide_record<A>(&mut self) -> Vec<Action<A>> {
+        if self.is_recorded() {
+            self.phase = ClaimPhase::Running;
+            return vec![Action::Run];
+        }
+        if self.states.contains(&HomeState::Asked) {
+            return Vec::new();
+        }
+        self.phase = ClaimPhase::Ended;
+        vec![Action::Superseded]
+    }
+
+    fn close_round(&mut self) {
+        for state in &mut self.states {
+            if *state == HomeState::Asked {
+                *state = HomeState::Missing;
+            }
+        }
+    }
+
+    fn decide<A>(&mut self) -> Vec<Action<A>> {
+        if self.is_granted() {
+            self.phase = ClaimPhase::Running;
+            return vec![Action::Run];
+        }
+        if self.states.contains(&HomeState::Asked) {
+            return Vec::new();
+        }
+        self.give_back(ResultCode::OutcomeUnknown)
+    }
+
+    fn is_granted(&self) -> bool {
+        let vouching = self.count(&self.homes.vouching, |state| state == HomeState::Granted);
+        vouching > self.homes.vouching.len() / 2 && self.is_recorded()
+    }
+
+    fn is_recorded(&self) -> bool {
+        let recording = self.count(&self.homes.recording, |state| {
+            matches!(state, HomeState::Granted | HomeState::Recorded)
+        });
+        recording > self.homes.recording.len() / 2
+    }
+
+    fn count(&self, members: &[MemberId], accepts: impl Fn(HomeState) -> bool) -> usize {
+        let asked = self.homes.asked.iter().zip(&self.states);
+        asked
+            .filter(|(home, state)| members.contains(home) && accepts(**state))
+            .count()
+    }
+
+    fn attach<A>(&mut self, now_ms: u64) -> Vec<Action<A>> {
+        let Some(holder) = self.holder else {
+            return self.give_back(ResultCode::OutcomeUnknown);
+        };
+        if now_ms >= self.options.deadline_ms {
+            return self.give_back(ResultCode::KeyInProgress);
+        }
+        self.phase = ClaimPhase::Attached;
+        vec![
+            Action::AttachTo {
+                request: holder.request,
+                owner: holder.owner,
+                fence: now_ms >= self.started_ms + self.options.fence_after_ms,
+            },
+            Action::Wait {
+                until_ms: now_ms + self.options.home_timeout_ms,
+            },
+        ]
+    }
+
+    fn told<A>(&mut self, now_ms: u64, inquiry: Inquiry<A>) -> Vec<Action<A>> {
+        match inquiry {
+            Inquiry::Done(answer) => {
+                self.phase = ClaimPhase::Ended;
+                vec![self.release(), Action::Attached(answer)]
+            }
+            Inquiry::Unknown(code) => self.give_back(code),
+            Inquiry::InProgress => self.pause(now_ms),
+            Inquiry::NotRun(_) => {
+                self.claim.replaces = self.holder.take();
+                self.ask(now_ms)
+            }
+        }
+    }
+
+    fn pause<A>(&mut self, now_ms: u64) -> Vec<Action<A>> {
+        self.phase = ClaimPhase::Pausing;
+        vec![Action::Wait {
+            until_ms: now_ms + self.options.query_interval_ms,
+        }]
+    }
+
+    fn give_back<A>(&mut self, code: ResultCode) -> Vec<Action<A>> {
+        self.phase = ClaimPhase::Ended;
+        vec![self.release(), Action::Answer(code)]
+    }
+
+    fn release<A>(&self) -> Action<A> {
+        Action::Release {
+            homes: self.homes.asked.clone(),
+        }
+    }
+
+    fn set_state(&mut self, home: MemberId, state: HomeState) {
+        if let Some(place) = self.homes.asked.iter().position(|asked| *asked == home) {
+            self.states[place] = state;
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-traffic/src/ledger.rs
@@ -0,0 +1,255 @@
+//! The outcome of every request that reached an owner.
+//!
+//! An identifier that was never seen, or was evicted, is answered by its first-sent time: requests
+//! sent before the daemon started, or no later than an evicted one, may have run and are unknown.
+//!
+//! A request that arrives for the first time with such an identifier is not run: its sender may have
+//! been paused while a repeat of it was fenced here and run elsewhere. An arrival over a connection
+//! to this daemon cannot have run before the daemon's start, so it is told "not run".
+use std::collections::BTreeMap;
+
+use jayrack_protocol::{RequestId, ResultCode};
+
+use crate::class::sent_unix_ms;
+
+/// Settings of an [`OutcomeLedger`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// When the daemon started, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Greatest difference between the clocks of two daemons, in milliseconds.
+    pub clock_skew_ms: u64,
+    /// Greatest number of records; requests that still run are kept beyond it.
+    pub max_records: usize,
+    /// Greatest sum of the sizes of stored answers, in bytes.
+    pub max_bytes: u64,
+    /// Time that a settled record is kept, in milliseconds.
+    pub retention_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            started_unix_ms: 0,
+            clock_skew_ms: 1_000,
+            max_records: 50_000,
+            max_bytes: 8 << 20,
+            retention_ms: 60_000,
+        }
+    }
+}
+
+/// What is known about one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome<A> {
+    /// Waits for a slot.
+    Queued,
+    /// Was given to the backend server.
+    Dispatched,
+    /// The backend server answered.
+    Done(A),
+    /// The backend server answered, and the answer is no longer stored.
+    AnswerEvicted,
+    /// Did not run and never will.
+    NotRun(ResultCode),
+    /// May have run.
+    Unknown(ResultCode),
+}
+
+/// Whether a request that arrived may be offered to admission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin<A> {
+    /// The request is new and stands as [`Outcome::Queued`].
+    New,
+    /// The request must not be run; this is known about it.
+    Existing(Outcome<A>),
+}
+
+/// Answer to a query about one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Inquiry<A> {
+    /// It ran, with this answer.
+    Done(A),
+    /// It did not run and never will.
+    NotRun(ResultCode),
+    /// It is queued or runs; or, without a fence, has not arrived.
+    InProgress,
+    /// It may have run.
+    Unknown(ResultCode),
+}
+
+#[derive(Debug)]
+struct OutcomeRecord<A> {
+    outcome: Outcome<A>,
+    bytes: u64,
+    settled_ms: Option<u64>,
+}
+
+/// The outcomes of all requests that reached one owner.
+#[derive(Debug)]
+pub struct OutcomeLedger<A: Clone> {
+    options: Options,
+    records: BTreeMap<RequestId, OutcomeRecord<A>>,
+    bytes: u64,
+    evicted_unix_ms: Option<u64>,
+}
+
+impl<A: Clone> OutcomeLedger<A> {
+    /// Creates the empty ledger of a daemon that has just started.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            records: BTreeMap::new(),
+            bytes: 0,
+            evicted_unix_ms: None,
+        }
+    }
+
+    /// Registers a request that arrived over a connection to this daemon.
+    pub fn begin(&mut self, now_ms: u64, id: RequestId) -> Begin<A> {
+        self.evict(now_ms);
+        if let Some(record) = self.records.get(&id) {
+            return Begin::Existing(record.outcome.clone());
+        }
+        if self.may_be_evicted(id) {
+            return Begin::Existing(Outcome::Unknown(ResultCode::OutcomeUnknown));
+        }
+        if self.is_before_start(id) {
+            return Begin::Existing(Outcome::NotRun(ResultCode::Fenced));
+        }
+        self.insert(id, Outcome::Queued, None);
+        Begin::New
+    }
+
+    /// Notes that the request is about to be given to the backend server.
+    ///
+    /// Returns whether it may: a request fenced in the meantime must not run.
+    pub fn dispatched(&mut self, _now_ms: u64, id: RequestId) -> bool {
+        match self.records.get_mut(&id) {
+            Some(record) if record.outcome_is_queued() => {
+                record.outcome = Outcome::Dispatched;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Stores the backend server's answer of `bytes` bytes.
+    pub fn done(&mut self, now_ms: u64, id: RequestId, answer: A, bytes: u64) {
+        self.settle(now_ms, id, Outcome::Done(answer), bytes);
+    }
+
+    /// Notes that a queued request was refused with `code`, or that a dispatched one certainly never
+    /// reached the backend server.
+    pub fn not_run(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
+        self.settle(now_ms, id, Outcome::NotRun(code), 0);
+    }
+
+    /// Notes that the backend server took the request and failed.
+    pub fn failed(&mut self, now_ms: u64, id: RequestId) {
+        self.settle(now_ms, id, Outcome::Unknown(ResultCode::ServerFailed), 0);
+    }
+
+    /// Notes that it cannot be known whether the backend server ran the request.
+    pub fn unknown(&mut self, now_ms: u64, id: RequestId) {
+        self.settle(now_ms, id, Outcome::Unknown(ResultCode::OutcomeUnknown), 0);
+    }
+
+    /// Tells the outcome of a request. With `fence`, one that has not been dispatched never will be.
+    ///
+    /// A request that this call fenced while it was queued must be cancelled in admission.
+    pub fn query(&mut self, now_ms: u64, id: RequestId, fence: bool) -> Inquiry<A> {
+        self.evict(now_ms);
+        match self.records.get(&id).map(|record| record.outcome.clone()) {
+            Some(Outcome::Done(answer)) => Inquiry::Done(answer),
+            Some(Outcome::NotRun(code)) => Inquiry::NotRun(code),
+            Some(Outcome::Unknown(code)) => Inquiry::Unknown(code),
+            Some(Outcome::AnswerEvicted) => Inquiry::Unknown(ResultCode::OutcomeUnknown),
+            Some(Outcome::Dispatched) => Inquiry::InProgress,
+            Some(Outcome::Queued) if !fence => Inquiry::InProgress,
+            Some(Outcome::Queued) => self.fence(now_ms, id),
+            None if self.may_have_run(id) => Inquiry::Unknown(ResultCode::OutcomeUnknown),
+            None if !fence => Inquiry::InProgress,
+            None => self.fence(now_ms, id),
+        }
+    }
+
+    /// Number of records and the bytes of stored answers.
+    pub fn size(&self) -> (usize, u64) {
+        (self.records.len(), self.bytes)
+    }
+
+    fn fence(&mut self, now_ms: u64, id: RequestId) -> Inquiry<A> {
+        self.insert(id, Outcome::NotRun(ResultCode::Fenced), Some(now_ms));
+        Inquiry::NotRun(ResultCode::Fenced)
+    }
+
+    fn insert(&mut self, id: RequestId, outcome: Outcome<A>, settled_ms: Option<u64>) {
+        let record = OutcomeRecord {
+            outcome,
+            bytes: 0,
+            settled_ms,
+        };
+        self.records.insert(id, record);
+    }
+
+    fn settle(&mut self, now_ms: u64, id: RequestId, outcome: Outcome<A>, bytes: u64) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        if record.settled_ms.is_some() {
+            return;
+        }
+        record.outcome = outcome;
+        record.bytes = bytes;
+        record.settled_ms = Some(now_ms);
+        self.bytes += bytes;
+        self.evict(now_ms);
+    }
+
+    /// Whether a record of `id` may have been evicted since the daemon started.
+    fn may_be_evicted(&self, id: RequestId) -> bool {
+        self.evicted_unix_ms
+            .is_some_and(|horizon_ms| sent_unix_ms(id) <= horizon_ms)
+    }
+
+    /// Whether a request without a record may have been dispatched, now or before a restart.
+    fn may_have_run(&self, id: RequestId) -> bool {
+        self.may_be_evicted(id) || self.is_before_start(id)
+    }
+
+    fn is_before_start(&self, id: RequestId) -> bool {
+        let horizon_ms = self.options.started_unix_ms + self.options.clock_skew_ms;
+        sent_unix_ms(id) < horizon_ms
+    }
+
+    fn evict(&mut self, now_ms: u64) {
+        while let Some(id) = self.oldest_excess(now_ms) {
+            let Some(record) = self.records.remove(&id) else {
+                return;
+            };
+            self.bytes -= record.bytes;
+            let horizon_ms = self.evicted_unix_ms.get_or_insert(0);
+            *horizon_ms = (*horizon_ms).max(sent_unix_ms(id));
+        }
+    }
+
+    /// The settled record sent first, if it is over the limits or past its retention.
+    fn oldest_excess(&self, now_ms: u64) -> Option<RequestId> {
+        let is_over =
+            self.records.len() > self.options.max_records || self.bytes > self.options.max_bytes;
+        let mut settled = self
+            .records
+            .iter()
+            .filter_map(|(id, record)| record.settled_ms.map(|settled_ms| (*id, settled_ms)));
+        let (id, settled_ms) = settled.next()?;
+        let is_old = now_ms.saturating_sub(settled_ms) > self.options.retention_ms;
+        (is_over || is_old).then_some(id)
+    }
+}
+
+impl<A> OutcomeRecord<A> {
+    fn outcome_is_queued(&self) -> bool {
+        matches!(self.outcome, Outcome::Queued)
+    }
+}
