feat: number the owners that a key's holder goes to (KeyHolder in claims, AttachTo and record_owner)

A record of an earlier owner that arrives late must not replace that of a later one, and a claim that arrives twice must not reset it: a repeat would fence the wrong owner and run beside the holder. ResultCode gets Hash, for the visited set of model checking.

--- a/jayrack-protocol/src/code.rs
+++ b/jayrack-protocol/src/code.rs
@@ -5,7 +5,7 @@
 macro_rules! result_codes {
     ($($number:literal $name:ident $meaning:literal,)*) => {
         /// A numbered outcome; each keeps its number in all later releases.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub enum ResultCode {
             $(#[doc = $meaning] $name,)*
         }
--- a/jayrack-traffic/src/claim.rs
+++ b/jayrack-traffic/src/claim.rs
@@ -15,9 +15,11 @@
 
 /// Homes of each key.
 pub const HOMES: usize = 3;
+/// Passes over all claims within the time that they are kept.
+const PURGES_PER_RETENTION: u64 = 4;
 
 /// Settings of a [`ClaimRegistry`].
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Options {
     /// Time that a claim is kept after its last change, in milliseconds.
     pub retention_ms: u64,
@@ -29,7 +31,7 @@
     fn default() -> Self {
         Self {
             retention_ms: 60_000,
-            max_claims: 100_000,
+            max_claims: 20_000,
         }
     }
 }
@@ -48,7 +50,7 @@
 }
 
 /// The homes of one key in one view of the members.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct HomeSet {
     /// Homes among all members known within the retention time; a majority must vouch.
     pub vouching: Vec<MemberId>,
@@ -59,7 +61,7 @@
 }
 
 /// A request's claim to a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClaimRequest {
     /// Hash of the Idempotency-Key and what scopes it.
     pub key_hash: u128,
@@ -82,6 +84,8 @@
     pub request: RequestId,
     /// The owner that it was going to be sent to last.
     pub owner: MemberId,
+    /// Number of owners that it was going to be sent to before.
+    pub attempt: u32,
 }
 
 /// How far a claim's request is known to have come.
@@ -96,7 +100,7 @@
 }
 
 /// How a claim's request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ClaimOutcome {
     /// Ran; its owner has the answer.
     Done,
@@ -107,7 +111,7 @@
 }
 
 /// A home's answer to a claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ClaimReply {
     /// The claim is recorded, and no other was forgotten.
     Granted,
@@ -135,10 +139,11 @@
 }
 
 /// The claims at one home.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ClaimRegistry {
     options: Options,
     started_ms: u64,
+    purged_ms: u64,
     claims: BTreeMap<u128, ClaimRecord>,
 }
 
@@ -148,25 +153,33 @@
         Self {
             options,
             started_ms: now_ms,
+            purged_ms: now_ms,
             claims: BTreeMap::new(),
         }
     }
 
     /// Records `claim` unless another request holds its key.
+    ///
+    /// A claim that arrives again leaves the record as it is, since the holder may have gone on to
+    /// another owner since.
     pub fn claim(&mut self, now_ms: u64, claim: &ClaimRequest) -> ClaimReply {
-        if let Some(record) = self.claims.get_mut(&claim.key_hash) {
-            if record.request_digest != claim.request_digest {
+        self.purge(now_ms);
+        let is_full = self.claims.len() >= self.options.max_claims;
+        match self.claims.get_mut(&claim.key_hash) {
+            Some(record) if record.request_digest != claim.request_digest => {
                 return ClaimReply::Mismatch;
             }
-            let is_own = record.holder.request == claim.request;
-            if !is_own && Some(record.holder) != claim.replaces {
-                return record.held();
+            Some(record) if record.holder.request == claim.request => {}
+            Some(record) if Some(record.holder) == claim.replaces => {
+                *record = ClaimRecord::new(now_ms, claim);
+            }
+            Some(record) => return record.held(),
+            None if is_full => return ClaimReply::Full,
+            None => {
+                let record = ClaimRecord::new(now_ms, claim);
+                self.claims.insert(claim.key_hash, record);
             }
-        } else if self.is_full(now_ms) {
-            return ClaimReply::Full;
         }
-        self.claims
-            .insert(claim.key_hash, ClaimRecord::new(now_ms, claim));
         if self.can_vouch(now_ms) {
             ClaimReply::Granted
         } else {
@@ -174,20 +187,16 @@
         }
     }
 
-    /// Notes the owner that the holder is going to be sent to next. Returns whether `request` still
-    /// holds the key; if not, it must not be sent.
-    pub fn record_owner(
-        &mut self,
-        now_ms: u64,
-        key_hash: u128,
-        request: RequestId,
-        owner: MemberId,
-    ) -> bool {
+    /// Notes the owner that `holder.request` is going to be sent to next. Returns whether that
+    /// request still holds the key; if not, it must not be sent.
+    pub fn record_owner(&mut self, now_ms: u64, key_hash: u128, holder: KeyHolder) -> bool {
         match self.claims.get_mut(&key_hash) {
-            Some(record) if record.holder.request == request => {
-                record.holder.owner = owner;
-                record.changed_ms = now_ms;
-                true
+            Some(record) if record.holder.request == holder.request => {
+                if holder.attempt > record.holder.attempt {
+                    record.holder = holder;
+                    record.changed_ms = now_ms;
+                }
+                record.holder == holder
             }
             _ => false,
         }
@@ -231,13 +240,15 @@
         now_ms.saturating_sub(self.started_ms) >= self.options.retention_ms
     }
 
-    fn is_full(&mut self, now_ms: u64) -> bool {
-        if self.claims.len() >= self.options.max_claims {
-            let retention_ms = self.options.retention_ms;
-            self.claims
-                .retain(|_, record| now_ms.saturating_sub(record.changed_ms) <= retention_ms);
+    /// Forgets claims past their retention, a few times within it.
+    fn purge(&mut self, now_ms: u64) {
+        let retention_ms = self.options.retention_ms;
+        if now_ms.saturating_sub(self.purged_ms) < retention_ms / PURGES_PER_RETENTION {
+            return;
         }
-        self.claims.len() >= self.options.max_claims
+        self.purged_ms = now_ms;
+        self.claims
+            .retain(|_, record| now_ms.saturating_sub(record.changed_ms) <= retention_ms);
     }
 }
 
@@ -248,6 +259,7 @@
             holder: KeyHolder {
                 request: claim.request,
                 owner: claim.owner,
+                attempt: 0,
             },
             state: ClaimState::Open,
             changed_ms: now_ms,
--- a/jayrack-traffic/src/coordinate.rs
+++ b/jayrack-traffic/src/coordinate.rs
@@ -1,5 +1,5 @@
 //! The ingress side of a claim: asks the homes of a key and decides whether its request may run.
-use jayrack_protocol::{MemberId, RequestId, ResultCode};
+use jayrack_protocol::{MemberId, ResultCode};
 
 use crate::{
     claim::{ClaimReply, ClaimRequest, ClaimState, HomeSet, KeyHolder},
@@ -7,7 +7,7 @@
 };
 
 /// Settings of a [`ClaimCoordinator`].
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Options {
     /// Time after which homes that are silent count as unreachable, in milliseconds.
     pub home_timeout_ms: u64,
@@ -56,6 +56,8 @@
     Recorded {
         /// The home.
         home: MemberId,
+        /// The record that was asked for.
+        holder: KeyHolder,
         /// Whether the request still holds the key there.
         holds: bool,
     },
@@ -81,19 +83,17 @@
     Record {
         /// The home.
         home: MemberId,
-        /// The other owner.
-        owner: MemberId,
+        /// This request and the other owner.
+        holder: KeyHolder,
     },
     /// The request may be sent to the owner named in the claim, or in the last [`Input::Retry`].
     Run,
     /// The request must not be sent to a further owner, as a repeat has taken the key.
     Superseded,
-    /// Ask `owner` for the outcome of `request`, which holds the key.
+    /// Ask the owner of the request that holds the key for its outcome.
     AttachTo {
-        /// The request that holds the key.
-        request: RequestId,
-        /// The owner that it was going to be sent to.
-        owner: MemberId,
+        /// That request and its owner.
+        holder: KeyHolder,
         /// Whether it must not run if it has not been dispatched.
         fence: bool,
     },
@@ -133,7 +133,7 @@
 }
 
 /// One claim at the ingress.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ClaimCoordinator {
     options: Options,
     claim: ClaimRequest,
@@ -141,6 +141,7 @@
     states: Vec<HomeState>,
     phase: ClaimPhase,
     holder: Option<KeyHolder>,
+    attempt: u32,
     started_ms: u64,
 }
 
@@ -154,10 +155,20 @@
             homes,
             phase: ClaimPhase::New,
             holder: None,
+            attempt: 0,
             started_ms: 0,
         }
     }
 
+    /// This request and the owner that it was last allowed to go to.
+    fn own_holder(&self) -> KeyHolder {
+        KeyHolder {
+            request: self.claim.request,
+            owner: self.claim.owner,
+            attempt: self.attempt,
+        }
+    }
+
     /// Takes an input that happened at `now_ms` and returns what to do, in order.
     pub fn handle<A>(&mut self, now_ms: u64, input: Input<A>) -> Vec<Action<A>> {
         match (self.phase, input) {
@@ -177,7 +188,14 @@
                 self.decide()
             }
             (ClaimPhase::Running, Input::Retry { owner }) => self.record(now_ms, owner),
-            (ClaimPhase::Recording, Input::Recorded { home, holds }) => {
+            (
+                ClaimPhase::Recording,
+                Input::Recorded {
+                    home,
+                    holder,
+                    holds,
+                },
+            ) if holder == self.own_holder() => {
                 let state = if holds {
                     HomeState::Recorded
                 } else {
@@ -244,10 +262,15 @@
     fn record<A>(&mut self, now_ms: u64, owner: MemberId) -> Vec<Action<A>> {
         self.phase = ClaimPhase::Recording;
         self.claim.owner = owner;
+        self.attempt += 1;
+        let holder = self.own_holder();
         self.states.fill(HomeState::Asked);
         let mut actions: Vec<Action<A>> = Vec::with_capacity(self.states.len() + 1);
         for home in &self.homes.asked {
-            actions.push(Action::Record { home: *home, owner });
+            actions.push(Action::Record {
+                home: *home,
+                holder,
+            });
         }
         actions.push(Action::Wait {
             until_ms: now_ms + self.options.home_timeout_ms,
@@ -315,8 +338,7 @@
         self.phase = ClaimPhase::Attached;
         vec![
             Action::AttachTo {
-                request: holder.request,
-                owner: holder.owner,
+                holder,
                 fence: now_ms >= self.started_ms + self.options.fence_after_ms,
             },
             Action::Wait {
--- a/jayrack-traffic/src/ledger.rs
+++ b/jayrack-traffic/src/ledger.rs
@@ -13,7 +13,7 @@
 use crate::class::sent_unix_ms;
 
 /// Settings of an [`OutcomeLedger`].
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Options {
     /// When the daemon started, in milliseconds since the Unix epoch.
     pub started_unix_ms: u64,
@@ -40,7 +40,7 @@
 }
 
 /// What is known about one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Outcome<A> {
     /// Waits for a slot.
     Queued,
@@ -66,7 +66,7 @@
 }
 
 /// Answer to a query about one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Inquiry<A> {
     /// It ran, with this answer.
     Done(A),
@@ -78,7 +78,7 @@
     Unknown(ResultCode),
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct OutcomeRecord<A> {
     outcome: Outcome<A>,
     bytes: u64,
@@ -86,7 +86,7 @@
 }
 
 /// The outcomes of all requests that reached one owner.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct OutcomeLedger<A: Clone> {
     options: Options,
     records: BTreeMap<RequestId, OutcomeRecord<A>>,
--- a/jayrack-traffic/src/request.rs
+++ b/jayrack-traffic/src/request.rs
@@ -8,7 +8,7 @@
 use crate::{ledger::Inquiry, retry::may_retry};
 
 /// Settings of a [`RequestFlow`].
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Options {
     /// Whether the request may be run more than once.
     pub idempotent: bool,
@@ -131,7 +131,7 @@
 }
 
 /// One request at its ingress.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestFlow {
     options: Options,
     state: FlowState,
