feat(jayrackd): forward requests from ingress to owner over QUIC

Callers speak HTTP/1.1 to any daemon; the request travels on a QUIC stream of its own, under mutual TLS, to the daemon beside the backend server, and bodies are streamed both ways. Routes and owners are chosen by stand-ins so far.

--- /dev/null
+++ b/jayrackd/src/ingress/answer.rs
@@ -0,0 +1,90 @@
+//! Answers to callers.
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{self, HeaderName, HeaderValue},
+};
+use jayrack_protocol::ResultCode;
+
+use crate::transport::body::RelayBody;
+
+const CODE_HEADER: HeaderName = HeaderName::from_static("x-jayrack-code");
+const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-jayrack-outcome");
+
+/// What a caller is told about the execution of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum OutcomeKind {
+    /// The backend server answered.
+    Done,
+    /// The request did not run and never will.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// The backend server took the request and failed.
+    Failed,
+}
+
+impl OutcomeKind {
+    /// The kind that `code` stands for.
+    pub(crate) fn of(code: ResultCode) -> Self {
+        match code {
+            ResultCode::Ok => OutcomeKind::Done,
+            ResultCode::ServerFailed => OutcomeKind::Failed,
+            ResultCode::NotReady => OutcomeKind::NotRun,
+            code if code.is_not_run() => OutcomeKind::NotRun,
+            _ => OutcomeKind::Unknown,
+        }
+    }
+
+    /// The value of the outcome header.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            OutcomeKind::Done => "done",
+            OutcomeKind::NotRun => "not-run",
+            OutcomeKind::Unknown => "unknown",
+            OutcomeKind::Failed => "failed",
+        }
+    }
+}
+
+/// The HTTP status that goes with `code`.
+fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::RouteUnknown => StatusCode::NOT_FOUND,
+        ResultCode::RequestMalformed => StatusCode::BAD_REQUEST,
+        ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::HeadTimeout => StatusCode::REQUEST_TIMEOUT,
+        ResultCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        code => match OutcomeKind::of(code) {
+            OutcomeKind::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_GATEWAY,
+        },
+    }
+}
+
+/// Makes the answer that carries `code`.
+pub(crate) fn refuse(code: ResultCode) -> Response<RelayBody> {
+    let outcome = OutcomeKind::of(code).as_str();
+    let text = format!(
+        "{{\"code\":{},\"name\":\"{}\",\"outcome\":\"{outcome}\",\"message\":\"{}\"}}\n",
+        code.number(),
+        code.name(),
+        code.meaning()
+    );
+    let mut response = Response::new(RelayBody::whole(Bytes::from(text)));
+    *response.status_mut() = status_of(code);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    mark(headers, code);
+    response
+}
+
+/// Sets the code and the outcome.
+pub(crate) fn mark(headers: &mut HeaderMap, code: ResultCode) {
+    let outcome = OutcomeKind::of(code).as_str();
+    headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
+}
--- /dev/null
+++ b/jayrackd/src/owner/headers.rs
@@ -0,0 +1,114 @@
+//! Conversion between HTTP messages and the messages of the inner protocol.
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Version,
+    header::{self, HeaderName, HeaderValue},
+    http,
+};
+use jayrack_protocol::forward::{Header, RequestHead, ResponseHead};
+
+use super::OwnerAnswer;
+use crate::transport::body::RelayBody;
+
+/// Header that tells a backend server how long the caller waits, in milliseconds.
+pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-jayrack-deadline-ms");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the headers that concern one connection only, with those that `Connection` names.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != header::CONTENT_LENGTH && *name != header::HOST)
+        .collect()
+}
+
+/// Copies HTTP headers into messages.
+pub(crate) fn to_messages(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .map(|(name, value)| Header {
+            name: name.as_str().to_string(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+/// Copies messages into HTTP headers; `None` when one is not well formed.
+pub(crate) fn to_headers(messages: Vec<Header>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(messages.len() + 4);
+    for message in messages {
+        let name = HeaderName::from_bytes(message.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_maybe_shared(bytes::Bytes::from(message.value)).ok()?;
+        headers.append(name, value);
+    }
+    Some(headers)
+}
+
+/// The body's length that the headers state.
+pub(crate) fn content_length(messages: &[Header]) -> Option<u64> {
+    let message = messages
+        .iter()
+        .find(|message| message.name.eq_ignore_ascii_case("content-length"))?;
+    std::str::from_utf8(&message.value).ok()?.parse().ok()
+}
+
+/// Makes the request for the backend server; `None` when it is not well formed.
+pub(crate) fn to_request(head: RequestHead, body: RelayBody) -> Option<Request<RelayBody>> {
+    let mut headers = to_headers(head.headers)?;
+    strip_hop_by_hop(&mut headers);
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(head.deadline_ms));
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.parse().ok()?;
+    *request.uri_mut() = head.target.parse::<http::Uri>().ok()?;
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Makes the answer to the ingress from that of the backend server.
+pub(crate) fn to_answer(response: Response<RelayBody>) -> OwnerAnswer {
+    let (mut parts, body) = response.into_parts();
+    strip_hop_by_hop(&mut parts.headers);
+    OwnerAnswer {
+        head: ResponseHead {
+            status: u32::from(parts.status.as_u16()),
+            headers: to_messages(&parts.headers),
+            code: 0,
+            load: None,
+        },
+        body,
+    }
+}
+
+/// Makes the answer to the caller; `None` when the owner's is not well formed.
+pub(crate) fn to_response(answer: OwnerAnswer) -> Option<Response<RelayBody>> {
+    let headers = to_headers(answer.head.headers)?;
+    let status = u16::try_from(answer.head.status).ok()?;
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = StatusCode::from_u16(status).ok()?;
+    *response.headers_mut() = headers;
+    Some(response)
+}
--- /dev/null
+++ b/jayrackd/src/traffic.rs
@@ -0,0 +1,185 @@
+//! The traffic threads as one unit: started with [`Options`], driven by the shared state, ended by
+//! [`TrafficHandle::close`].
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{runtime::Runtime, sync::mpsc};
+
+use crate::{
+    ingress,
+    shared::SharedState,
+    transport::{self, PeerPool, SyncCall},
+};
+
+#[allow(dead_code)]
+mod clock;
+mod options;
+#[allow(dead_code)]
+mod state;
+
+pub use options::{Limits, Options, Timeouts};
+pub(crate) use {clock::Clock, state::TrafficState};
+
+/// Pause between two looks at the number of requests in flight while closing.
+const CLOSE_POLL_MS: u64 = 5;
+
+/// Why the traffic threads could not be started.
+#[derive(Debug)]
+pub enum Error {
+    /// The worker threads could not be started.
+    Runtime(std::io::Error),
+    /// The callers' address could not be bound.
+    Callers(std::io::Error),
+    /// The QUIC side could not be set up.
+    Transport(transport::Error),
+    /// The set-up was ended before it was complete.
+    Interrupted,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Runtime(error) => write!(f, "worker threads cannot be started: {error}"),
+            Error::Callers(error) => write!(f, "callers' address cannot be bound: {error}"),
+            Error::Transport(error) => write!(f, "QUIC cannot be set up: {error}"),
+            Error::Interrupted => write!(f, "the start was interrupted"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The running traffic threads.
+#[derive(Debug)]
+pub struct TrafficHandle {
+    threads: WorkerThreads,
+    state: Arc<TrafficState>,
+    callers: SocketAddr,
+    forward: SocketAddr,
+}
+
+/// Binds the listeners and starts the worker threads.
+///
+/// Configuration pulls and pushes from peers are handed to `sync_calls`.
+///
+/// # Errors
+///
+/// Returns [`Error`] when a thread, an address or the certificates cannot be used.
+pub async fn start(
+    options: Options,
+    shared: Arc<SharedState>,
+    sync_calls: mpsc::Sender<SyncCall>,
+) -> Result<TrafficHandle, Error> {
+    let runtime = new_runtime(options.worker_threads).map_err(Error::Runtime)?;
+    let opening = runtime.spawn(open(options, shared, sync_calls));
+    let opened = opening.await.unwrap_or(Err(Error::Interrupted));
+    match opened {
+        Ok(opened) => Ok(TrafficHandle {
+            threads: WorkerThreads {
+                runtime: Some(runtime),
+            },
+            state: opened.state,
+            callers: opened.callers,
+            forward: opened.forward,
+        }),
+        Err(error) => {
+            runtime.shutdown_background();
+            Err(error)
+        }
+    }
+}
+
+struct Opened {
+    state: Arc<TrafficState>,
+    callers: SocketAddr,
+    forward: SocketAddr,
+}
+
+async fn open(
+    options: Options,
+    shared: Arc<SharedState>,
+    sync_calls: mpsc::Sender<SyncCall>,
+) -> Result<Opened, Error> {
+    let endpoint = transport::Endpoint::bind(&options).map_err(Error::Transport)?;
+    let forward = endpoint.local_address();
+    let listener = ingress::bind(options.callers)
+        .await
+        .map_err(Error::Callers)?;
+    let callers = listener.local_addr().map_err(Error::Callers)?;
+    let state = Arc::new(TrafficState::new(options, shared, endpoint.pool()));
+    tokio::spawn(endpoint.accept(state.clone(), sync_calls));
+    tokio::spawn(ingress::accept(listener, state.clone()));
+    Ok(Opened {
+        state,
+        callers,
+        forward,
+    })
+}
+
+fn new_runtime(worker_threads: usize) -> std::io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(worker_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+}
+
+/// The runtime of the traffic threads; dropping it stops them without a farewell to anyone.
+#[derive(Debug)]
+struct WorkerThreads {
+    runtime: Option<Runtime>,
+}
+
+impl WorkerThreads {
+    async fn run(&self, task: impl Future<Output = ()> + Send + 'static) {
+        if let Some(runtime) = &self.runtime {
+            let _ = runtime.spawn(task).await;
+        }
+    }
+}
+
+impl Drop for WorkerThreads {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl TrafficHandle {
+    /// Address of the callers' listener.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address of the QUIC listener.
+    pub fn forward_address(&self) -> SocketAddr {
+        self.forward
+    }
+
+    /// Connections to other daemons.
+    pub fn peers(&self) -> PeerPool {
+        self.state.peers.clone()
+    }
+
+    /// Requests taken and not answered yet, as ingress and as owner.
+    pub fn in_flight(&self) -> usize {
+        self.state.in_flight.count()
+    }
+
+    /// Refuses new work as not run; requests in flight complete.
+    pub fn drain(&self) {
+        self.state.shared.set_leaving();
+    }
+
+    /// Drains, waits for the requests in flight up to the grace time, and closes all sockets.
+    pub async fn close(self) {
+        self.drain();
+        let deadline = tokio::time::Instant::now() + self.state.options.timeouts.grace;
+        while self.in_flight() > 0 && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
+        }
+        self.state.stopping.cancel();
+        let peers = self.state.peers.clone();
+        self.threads.run(async move { peers.close().await }).await;
+    }
+}
--- /dev/null
+++ b/jayrackd/src/traffic/state.rs
@@ -0,0 +1,96 @@
+//! What all traffic tasks share.
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+use tokio::sync::Notify;
+
+use crate::{
+    owner::OwnerGate,
+    shared::SharedState,
+    traffic::{Clock, Options},
+    transport::PeerPool,
+};
+
+/// What all traffic tasks share.
+#[derive(Debug)]
+pub(crate) struct TrafficState {
+    pub(crate) options: Options,
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) peers: PeerPool,
+    pub(crate) owner: OwnerGate,
+    pub(crate) clock: Clock,
+    pub(crate) in_flight: FlightCount,
+    pub(crate) stopping: StopSignal,
+}
+
+impl TrafficState {
+    pub(crate) fn new(options: Options, shared: Arc<SharedState>, peers: PeerPool) -> Self {
+        Self {
+            owner: OwnerGate::new(&options),
+            options,
+            shared,
+            peers,
+            clock: Clock::new(),
+            in_flight: FlightCount::default(),
+            stopping: StopSignal::default(),
+        }
+    }
+}
+
+/// Counts the requests in flight.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FlightCount {
+    count: Arc<AtomicUsize>,
+}
+
+impl FlightCount {
+    /// Counts one request until the guard is dropped.
+    pub(crate) fn enter(&self) -> FlightGuard {
+        self.count.fetch_add(1, Ordering::AcqRel);
+        FlightGuard {
+            count: self.count.clone(),
+        }
+    }
+
+    /// Requests in flight.
+    pub(crate) fn count(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub(crate) struct FlightGuard {
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Tells the accepting tasks to end.
+#[derive(Debug, Default)]
+pub(crate) struct StopSignal {
+    is_set: AtomicBool,
+    notify: Notify,
+}
+
+impl StopSignal {
+    /// Ends the accepting tasks.
+    pub(crate) fn cancel(&self) {
+        self.is_set.store(true, Ordering::Release);
+        self.notify.notify_waiters();
+    }
+
+    /// Waits for [`Self::cancel`].
+    pub(crate) async fn cancelled(&self) {
+        let notified = self.notify.notified();
+        if !self.is_set.load(Ordering::Acquire) {
+            notified.await;
+        }
+    }
+}
--- /dev/null
+++ b/jayrackd/src/transport/pool.rs
@@ -0,0 +1,161 @@
+//! Connections to peers, one for each peer in use.
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use quinn::{Connection, ConnectionError, RecvStream, SendStream};
+
+use super::{Error, wire};
+
+/// Name in every daemon's certificate.
+const SERVER_NAME: &str = "jayrack";
+
+/// Connections to peers; clones share them.
+#[derive(Debug, Clone)]
+pub struct PeerPool {
+    inner: Arc<PoolInner>,
+}
+
+#[derive(Debug)]
+struct PoolInner {
+    config: quinn::ClientConfig,
+    bind_ip: IpAddr,
+    connect_timeout: Duration,
+    /// Socket of new connections; replaced when a connection of it went silent.
+    endpoint: ArcSwap<quinn::Endpoint>,
+    peers: Mutex<BTreeMap<SocketAddr, Arc<PeerSlot>>>,
+    runtime: tokio::runtime::Handle,
+}
+
+#[derive(Debug, Default)]
+struct PeerSlot {
+    connection: ArcSwapOption<Connection>,
+    opening: tokio::sync::Mutex<()>,
+}
+
+impl PeerPool {
+    /// Opens the first socket; must run on the traffic runtime.
+    pub(super) fn new(
+        config: quinn::ClientConfig,
+        bind_ip: IpAddr,
+        connect_timeout: Duration,
+    ) -> Result<Self, Error> {
+        let endpoint = new_endpoint(bind_ip)?;
+        Ok(Self {
+            inner: Arc::new(PoolInner {
+                config,
+                bind_ip,
+                connect_timeout,
+                endpoint: ArcSwap::from_pointee(endpoint),
+                peers: Mutex::default(),
+                runtime: tokio::runtime::Handle::current(),
+            }),
+        })
+    }
+
+    /// The runtime that drives the connections.
+    pub(super) fn runtime(&self) -> &tokio::runtime::Handle {
+        &self.inner.runtime
+    }
+
+    /// Opens a stream to the daemon at `address`, over the pooled connection or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unreachable`] when no connection can be had; nothing was sent then.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(SendStream, RecvStream), Error> {
+        let connection = self.connection(address).await?;
+        match connection.open_bi().await {
+            Ok(streams) => Ok(streams),
+            Err(_) => {
+                self.forget(address, &connection);
+                Err(Error::Unreachable)
+            }
+        }
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let slot = self.slot(address);
+        if let Some(connection) = slot.live() {
+            return Ok(connection);
+        }
+        let _opening = slot.opening.lock().await;
+        if let Some(connection) = slot.live() {
+            return Ok(connection);
+        }
+        self.replace_silent_endpoint(&slot);
+        let connection = self.connect(address).await?;
+        slot.connection.store(Some(Arc::new(connection.clone())));
+        Ok(connection)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        let endpoint = self.inner.endpoint.load_full();
+        let connecting = endpoint
+            .connect_with(self.inner.config.clone(), address, SERVER_NAME)
+            .map_err(|_| Error::Unreachable)?;
+        match tokio::time::timeout(self.inner.connect_timeout, connecting).await {
+            Ok(Ok(connection)) => Ok(connection),
+            _ => Err(Error::Unreachable),
+        }
+    }
+
+    /// Takes a new local port when the last connection went silent: a device on the path may have
+    /// lost track of the old one.
+    fn replace_silent_endpoint(&self, slot: &PeerSlot) {
+        let Some(last) = slot.connection.load_full() else {
+            return;
+        };
+        if !matches!(last.close_reason(), Some(ConnectionError::TimedOut)) {
+            return;
+        }
+        if let Ok(endpoint) = new_endpoint(self.inner.bind_ip) {
+            self.inner.endpoint.store(Arc::new(endpoint));
+        }
+    }
+
+    fn forget(&self, address: SocketAddr, connection: &Connection) {
+        let slot = self.slot(address);
+        let current = slot.connection.load_full();
+        if current.is_some_and(|current| current.stable_id() == connection.stable_id()) {
+            slot.connection.store(None);
+        }
+    }
+
+    fn slot(&self, address: SocketAddr) -> Arc<PeerSlot> {
+        let mut peers = self
+            .inner
+            .peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        peers.entry(address).or_default().clone()
+    }
+
+    /// Closes all connections.
+    pub(crate) async fn close(self) {
+        let endpoint = self.inner.endpoint.load_full();
+        endpoint.close(wire::CLOSE_STOPPED, b"stopped");
+        endpoint.wait_idle().await;
+    }
+}
+
+impl PeerSlot {
+    fn live(&self) -> Option<Connection> {
+        let connection = self.connection.load_full()?;
+        connection
+            .close_reason()
+            .is_none()
+            .then(|| connection.as_ref().clone())
+    }
+}
+
+fn new_endpoint(ip: IpAddr) -> Result<quinn::Endpoint, Error> {
+    quinn::Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)
+}
--- /dev/null
+++ b/jayrackd/src/transport/sync.rs
@@ -0,0 +1,114 @@
+//! Configuration pulls and pushes between daemons.
+use std::net::SocketAddr;
+
+use jayrack_protocol::{
+    frame::MAX_FRAME_BYTES,
+    sync::{PullReply, PullRequest, PushReply, PushRequest},
+};
+use prost::Message;
+use quinn::{RecvStream, SendStream};
+use tokio::sync::oneshot;
+
+use super::{Error, PeerContext, PeerPool, SyncCall, SyncReply, SyncRequest, wire};
+
+impl PeerPool {
+    /// Asks the daemon at `address` for records or a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the peer cannot be reached or its answer is lost.
+    pub async fn pull(
+        &self,
+        address: SocketAddr,
+        request: PullRequest,
+    ) -> Result<PullReply, Error> {
+        self.call(address, wire::StreamKind::Pull, request).await
+    }
+
+    /// Hands records on to the daemon at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the peer cannot be reached or its answer is lost.
+    pub async fn push(
+        &self,
+        address: SocketAddr,
+        request: PushRequest,
+    ) -> Result<PushReply, Error> {
+        self.call(address, wire::StreamKind::Push, request).await
+    }
+
+    /// Sends one message and reads one back, on the traffic threads.
+    pub(crate) async fn call<Q, A>(
+        &self,
+        address: SocketAddr,
+        kind: wire::StreamKind,
+        request: Q,
+    ) -> Result<A, Error>
+    where
+        Q: Message + 'static,
+        A: Message + Default + 'static,
+    {
+        let pool = self.clone();
+        let calling = self
+            .runtime()
+            .spawn(async move { exchange(pool, address, kind, request).await });
+        calling.await.unwrap_or(Err(Error::Lost))
+    }
+}
+
+async fn exchange<Q: Message, A: Message + Default>(
+    pool: PeerPool,
+    address: SocketAddr,
+    kind: wire::StreamKind,
+    request: Q,
+) -> Result<A, Error> {
+    let (mut send, mut receive) = pool.open(address).await?;
+    send.write_chunk(wire::encode_start(kind, &request))
+        .await
+        .map_err(|_| Error::Lost)?;
+    send.finish().map_err(|_| Error::Lost)?;
+    wire::read_message(&mut receive, MAX_FRAME_BYTES).await
+}
+
+/// Answers a pull through the control thread.
+pub(super) async fn serve_pull(
+    send: &mut SendStream,
+    mut receive: RecvStream,
+    peer: &PeerContext,
+) -> Result<(), Error> {
+    let request = wire::read_message(&mut receive, MAX_FRAME_BYTES).await?;
+    match hand_over(peer, SyncRequest::Pull(request)).await? {
+        SyncReply::Pull(reply) => answer(send, &reply).await,
+        SyncReply::Push(_) => Err(Error::Malformed),
+    }
+}
+
+/// Answers a push through the control thread.
+pub(super) async fn serve_push(
+    send: &mut SendStream,
+    mut receive: RecvStream,
+    peer: &PeerContext,
+) -> Result<(), Error> {
+    let request = wire::read_message(&mut receive, MAX_FRAME_BYTES).await?;
+    match hand_over(peer, SyncRequest::Push(request)).await? {
+        SyncReply::Push(reply) => answer(send, &reply).await,
+        SyncReply::Pull(_) => Err(Error::Malformed),
+    }
+}
+
+async fn hand_over(peer: &PeerContext, request: SyncRequest) -> Result<SyncReply, Error> {
+    let (reply, replied) = oneshot::channel();
+    let call = SyncCall {
+        from: peer.from,
+        request,
+        reply,
+    };
+    peer.sync_calls.send(call).await.map_err(|_| Error::Lost)?;
+    replied.await.map_err(|_| Error::Lost)
+}
+
+async fn answer(send: &mut SendStream, reply: &impl Message) -> Result<(), Error> {
+    wire::write_message(send, reply).await?;
+    send.finish().map_err(|_| Error::Lost)
+}
--- /dev/null
+++ b/jayrackd/src/transport/wire.rs
@@ -0,0 +1,85 @@
+//! Reading and writing of the parts of a stream.
+use bytes::{BufMut, Bytes, BytesMut};
+use jayrack_protocol::frame;
+use prost::Message;
+use quinn::{RecvStream, SendStream, VarInt};
+
+use super::Error;
+
+/// Close code of an endpoint that stops.
+pub(crate) const CLOSE_STOPPED: VarInt = VarInt::from_u32(1);
+/// Reset code of a stream whose sender could not complete it.
+pub(crate) const RESET_FAILED: VarInt = VarInt::from_u32(2);
+/// Reset and stop code of a stream whose request was cancelled.
+pub(crate) const RESET_CANCELLED: VarInt = VarInt::from_u32(3);
+
+/// What a stream is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamKind {
+    /// `RequestHead` and body; answered by `ResponseHead` and body.
+    Forward = 1,
+    /// `OutcomeQuery`; answered by `OutcomeReply` and the body of a kept answer.
+    Outcome = 2,
+    /// `PullRequest`; answered by `PullReply`.
+    Pull = 4,
+    /// `PushRequest`; answered by `PushReply`.
+    Push = 5,
+}
+
+/// Reads the first byte of a stream.
+pub(crate) async fn read_kind(receive: &mut RecvStream) -> Result<StreamKind, Error> {
+    let mut kind = [0];
+    receive
+        .read_exact(&mut kind)
+        .await
+        .map_err(|_| Error::Lost)?;
+    match kind[0] {
+        1 => Ok(StreamKind::Forward),
+        2 => Ok(StreamKind::Outcome),
+        4 => Ok(StreamKind::Pull),
+        5 => Ok(StreamKind::Push),
+        _ => Err(Error::Malformed),
+    }
+}
+
+/// Encodes the start of a stream: its kind and its first message.
+pub(crate) fn encode_start(kind: StreamKind, message: &impl Message) -> Bytes {
+    let length = message.encoded_len();
+    let mut buffer = BytesMut::with_capacity(1 + frame::LENGTH_BYTES + length);
+    buffer.put_u8(kind as u8);
+    buffer.put_u32(length as u32);
+    message
+        .encode(&mut buffer)
+        .expect("the buffer has room for the message");
+    buffer.freeze()
+}
+
+/// Reads one message of at most `limit` bytes.
+pub(crate) async fn read_message<M: Message + Default>(
+    receive: &mut RecvStream,
+    limit: usize,
+) -> Result<M, Error> {
+    let mut prefix = [0; frame::LENGTH_BYTES];
+    read_exact(receive, &mut prefix).await?;
+    let length = frame::body_length(prefix).map_err(|_| Error::Malformed)?;
+    if length > limit {
+        return Err(Error::Malformed);
+    }
+    let mut body = vec![0; length];
+    read_exact(receive, &mut body).await?;
+    M::decode(body.as_slice()).map_err(|_| Error::Malformed)
+}
+
+async fn read_exact(receive: &mut RecvStream, buffer: &mut [u8]) -> Result<(), Error> {
+    receive.read_exact(buffer).await.map_err(|_| Error::Lost)
+}
+
+/// Writes one message.
+pub(crate) async fn write_message(
+    send: &mut SendStream,
+    message: &impl Message,
+) -> Result<(), Error> {
+    send.write_chunk(frame::encode(message).freeze())
+        .await
+        .map_err(|_| Error::Lost)
+}
--- /dev/null
+++ b/jayrackd/tests/support/backend.rs
@@ -0,0 +1,165 @@
+//! A backend server that counts the executions of each request.
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, sync::watch};
+
+/// Header that names a request in the counts.
+pub const MARK_HEADER: &str = "x-mark";
+/// Header: the server waits this long before it answers.
+pub const SLEEP_HEADER: &str = "x-sleep-ms";
+/// Header: bytes of the answer; the request's body is echoed without it.
+pub const ANSWER_HEADER: &str = "x-answer-bytes";
+/// Header: the server runs the request, then cuts the connection.
+pub const CUT_HEADER: &str = "x-cut";
+/// Header: the server runs the request, then waits for [`Backend::release`].
+pub const HOLD_HEADER: &str = "x-hold";
+
+/// What the server saw of one mark.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub started: usize,
+    pub completed: usize,
+    pub deadline_ms: Option<u64>,
+    pub headers: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    seen: Mutex<BTreeMap<String, Seen>>,
+}
+
+/// A running backend server.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    pub address: SocketAddr,
+    log: Arc<Log>,
+    release: watch::Sender<bool>,
+}
+
+impl Backend {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let backend = Self {
+            address: listener.local_addr().unwrap(),
+            log: Arc::default(),
+            release: watch::Sender::new(false),
+        };
+        tokio::spawn(accept(listener, backend.clone()));
+        backend
+    }
+
+    /// What was seen of the requests marked `mark`.
+    pub fn seen(&self, mark: &str) -> Seen {
+        let seen = self.log.seen.lock().unwrap();
+        seen.get(mark).cloned().unwrap_or_default()
+    }
+
+    /// Executions of all requests.
+    pub fn started(&self) -> usize {
+        let seen = self.log.seen.lock().unwrap();
+        seen.values().map(|seen| seen.started).sum()
+    }
+
+    /// Lets the requests that are held go on.
+    pub fn release(&self) {
+        self.release.send_replace(true);
+    }
+}
+
+async fn accept(listener: TcpListener, backend: Backend) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        let backend = backend.clone();
+        let service = service_fn(move |request| run(backend.clone(), request));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+/// Ends the connection without an answer.
+#[derive(Debug)]
+struct ConnectionCut;
+
+impl std::fmt::Display for ConnectionCut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "cut")
+    }
+}
+
+impl std::error::Error for ConnectionCut {}
+
+impl From<Infallible> for ConnectionCut {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+async fn run(
+    backend: Backend,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, ConnectionCut> {
+    let mark = text(&request, MARK_HEADER).unwrap_or_default();
+    let answer_bytes = number(&request, ANSWER_HEADER);
+    let sleep_ms = number(&request, SLEEP_HEADER).unwrap_or(0);
+    let is_cut = request.headers().contains_key(CUT_HEADER);
+    let is_held = request.headers().contains_key(HOLD_HEADER);
+    record(&backend, &mark, |seen| {
+        seen.started += 1;
+        seen.deadline_ms = number(&request, "x-jayrack-deadline-ms");
+        seen.headers = request.headers().keys().map(ToString::to_string).collect();
+    });
+    let body = request.into_body().collect().await;
+    let Ok(body) = body else {
+        return Err(ConnectionCut);
+    };
+    if is_held {
+        let mut released = backend.release.subscribe();
+        released.wait_for(|released| *released).await.unwrap();
+    }
+    if sleep_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(sleep_ms)).await;
+    }
+    record(&backend, &mark, |seen| seen.completed += 1);
+    if is_cut {
+        return Err(ConnectionCut);
+    }
+    let answer = match answer_bytes {
+        Some(bytes) => pattern(&mark, bytes as usize),
+        None => body.to_bytes(),
+    };
+    let mut response = Response::new(Full::new(answer));
+    let mark = hyper::header::HeaderValue::from_str(&mark).unwrap();
+    response.headers_mut().insert(MARK_HEADER, mark);
+    Ok(response)
+}
+
+/// The answer body that belongs to `mark`.
+pub fn pattern(mark: &str, bytes: usize) -> Bytes {
+    let text = format!("{mark};");
+    text.bytes().cycle().take(bytes).collect::<Vec<u8>>().into()
+}
+
+fn record(backend: &Backend, mark: &str, change: impl FnOnce(&mut Seen)) {
+    let mut seen = backend.log.seen.lock().unwrap();
+    change(seen.entry(mark.to_string()).or_default());
+}
+
+fn text(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?;
+    Some(value.to_str().unwrap().to_string())
+}
+
+fn number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    text(request, name).map(|text| text.parse().unwrap())
+}
