--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -1,2 +1,106 @@
-//! The control thread.
+//! The control thread: configuration, membership, announcements and the administration API.
+//!
+//! One loop owns all control state and takes one event at a time. Calls to the log and to peers run
+//! in tasks that report back as events; what traffic needs is published through [`SharedState`].
+mod admin_calls;
+pub mod log_calls;
 pub mod operations;
+pub mod peer_calls;
+pub mod publish;
+mod start;
+mod state;
+pub mod views;
+
+use std::sync::Arc;
+
+use jayrack_config::sync::Input;
+use jayrack_membership::MemberView;
+use tokio::sync::{mpsc, watch};
+
+pub use start::{Error, start};
+use state::ControlState;
+
+use crate::{
+    admin::AdminCall,
+    announce::api::AnnounceCall,
+    gossip::{GossipEvent, GossipHandle},
+    shared::SharedState,
+    traffic::TrafficHandle,
+    transport::SyncCall,
+};
+
+/// Time between two ticks of the control state, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// A result that a task reports to the loop.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// The log answered a read.
+    Log(Input),
+    /// A peer answered a pull.
+    Peer(Input),
+    /// The log answered the append of an operator's record.
+    Appended {
+        /// Identifier of the record.
+        record: String,
+        /// What the log answered.
+        result: log_calls::AppendResult,
+    },
+}
+
+/// Queues that the loop takes its events from.
+#[derive(Debug)]
+struct EventQueues {
+    events: mpsc::Receiver<ControlEvent>,
+    admin: mpsc::Receiver<AdminCall>,
+    announcements: mpsc::Receiver<AnnounceCall>,
+    sync: mpsc::Receiver<SyncCall>,
+    view: watch::Receiver<Arc<MemberView>>,
+}
+
+/// The running control side of a daemon, with the traffic side under it.
+#[derive(Debug)]
+pub struct ControlLoop {
+    state: ControlState,
+    queues: EventQueues,
+    gossip: GossipHandle,
+    traffic: TrafficHandle,
+    shared: Arc<SharedState>,
+}
+
+impl ControlLoop {
+    /// Runs until `stop` completes, then refuses new work, lets requests in flight complete and closes.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = std::pin::pin!(stop);
+        let mut ticks = tokio::time::interval(std::time::Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = &mut stop => break,
+                _ = ticks.tick() => self.state.tick(&self.gossip),
+                Some(event) = self.queues.events.recv() => self.state.event(&self.gossip, event),
+                Some(call) = self.queues.admin.recv() => self.state.admin(&self.gossip, call),
+                Some(call) = self.queues.announcements.recv() => self.state.announcement(&self.gossip, call),
+                Some(call) = self.queues.sync.recv() => self.state.sync_call(&self.gossip, call),
+                Ok(()) = self.queues.view.changed() => {
+                    let view = self.queues.view.borrow_and_update().clone();
+                    self.state.view_changed(&self.gossip, view);
+                }
+                Some(event) = self.gossip.events.recv() => self.gossip_event(event),
+            }
+        }
+        self.close().await;
+    }
+
+    fn gossip_event(&mut self, event: GossipEvent) {
+        self.state.gossip_event(&self.gossip, event);
+    }
+
+    async fn close(self) {
+        log::info!("stopping");
+        self.shared.set_leaving();
+        self.gossip.close().await;
+        self.traffic.close().await;
+        log::info!("stopped");
+    }
+}
--- /dev/null
+++ b/jayrackd/src/control/admin_calls.rs
@@ -0,0 +1,260 @@
+//! What each administration command does.
+use jayrack_config::{
+    plan::{self, Operator, PlanState, PlanView, ProposeRequest},
+    record::Role,
+};
+use jayrack_platform::log;
+use jayrack_protocol::ResultCode;
+use rand_pcg::rand_core::Rng;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use super::{
+    log_calls::{AppendResult, IntentRead},
+    operations::{OperationKind, PendingOperation},
+    publish,
+    state::ControlState,
+    views::{self, LocalFacts},
+};
+use crate::{
+    admin::{AdminCall, AdminCommand, ApiAnswer, OperatorIdentity, PlanRequest},
+    gossip::GossipHandle,
+};
+
+/// Most records read at once to reach an operator's own record.
+const CATCH_UP_RECORDS: usize = 256;
+
+/// A record that is ready to be appended for an operator.
+struct PreparedRecord {
+    kind: OperationKind,
+    plan: String,
+    record: String,
+    text: String,
+    view: Option<PlanView>,
+}
+
+impl ControlState {
+    /// Carries out one administration request.
+    pub fn admin(&mut self, _gossip: &GossipHandle, call: AdminCall) {
+        let reader = OperatorIdentity {
+            team: String::new(),
+            role: Role::Viewer,
+        };
+        let identity = call.operator.unwrap_or(reader);
+        let operator = Operator {
+            team: &identity.team,
+            role: identity.role,
+        };
+        let prepared = match call.command {
+            AdminCommand::Propose(request) => self.prepare_proposal(&operator, request),
+            AdminCommand::Confirm(plan) => self.prepare_confirm(&operator, plan),
+            AdminCommand::Drop(plan) => self.prepare_drop(&operator, plan),
+            command => {
+                let _ = call.reply.send(self.read(command));
+                return;
+            }
+        };
+        match prepared {
+            Ok(prepared) => self.append(prepared, call.reply),
+            Err(refusal) => {
+                let _ = call.reply.send(refusal);
+            }
+        }
+    }
+
+    /// The log answered the append of an operator's record.
+    pub fn appended(&mut self, record: &str, result: AppendResult) {
+        match result {
+            Ok(appended) => {
+                self.operations.appended(record, appended.offset);
+                self.operations.settle(self.parts.sync.state());
+                self.catch_up();
+            }
+            Err(log::Error::Ambiguous) => {
+                ::log::warn!(code = ResultCode::PlanPending.number(), record; "append is ambiguous");
+                self.catch_up();
+            }
+            Err(error) => {
+                ::log::warn!(code = error.code().number(), record; "append refused: {error}");
+                self.tracker.refused(record);
+                self.operations.refused(record, error.code());
+            }
+        }
+    }
+
+    /// Reads the log up to its end, so that an operator's record is folded without waiting for a reader.
+    fn catch_up(&self) {
+        self.parts.log.read_intents(IntentRead {
+            from: self.parts.sync.state().next_offset(),
+            max: CATCH_UP_RECORDS,
+            wait_ms: 0,
+            delay_ms: 0,
+        });
+    }
+
+    fn append(&mut self, prepared: PreparedRecord, reply: oneshot::Sender<ApiAnswer>) {
+        let now_ms = self.now_ms();
+        if let Err(retry_after_ms) = self.budget.charge(now_ms) {
+            let body = json!({"retry_after_ms": retry_after_ms});
+            let _ = reply.send(ApiAnswer::refusal_with(ResultCode::LogThrottled, body));
+            return;
+        }
+        self.tracker.start(&prepared.record, &prepared.plan, now_ms);
+        self.operations.insert(PendingOperation {
+            kind: prepared.kind,
+            plan: prepared.plan,
+            record: prepared.record.clone(),
+            offset: None,
+            deadline_ms: now_ms + self.parts.settings.timeouts.confirm_ms,
+            prepared: prepared.view,
+            reply,
+        });
+        self.parts.log.append_intent(prepared.record, prepared.text);
+    }
+
+    fn prepare_proposal(
+        &mut self,
+        operator: &Operator<'_>,
+        request: PlanRequest,
+    ) -> Result<PreparedRecord, ApiAnswer> {
+        self.check_ready()?;
+        let plan = self.new_id("p");
+        let record = self.new_id("r");
+        let servers = publish::server_entries(&self.view);
+        let request = ProposeRequest {
+            plan_id: &plan,
+            record_id: &record,
+            change: request.change,
+            note: &request.note,
+            servers: &servers,
+            now_ms: self.unix_ms(),
+        };
+        let proposal = plan::propose(self.parts.sync.state(), operator, request);
+        let proposal = proposal.map_err(|error| refusal(&error))?;
+        Ok(PreparedRecord {
+            kind: OperationKind::Propose,
+            plan: proposal.plan.id.clone(),
+            record,
+            text: proposal.record_json,
+            view: Some(proposal.plan),
+        })
+    }
+
+    fn prepare_confirm(
+        &mut self,
+        operator: &Operator<'_>,
+        plan: String,
+    ) -> Result<PreparedRecord, ApiAnswer> {
+        self.check_ready()?;
+        let record = self.new_id("r");
+        let text = plan::confirm(self.parts.sync.state(), operator, &plan, &record);
+        self.decision(OperationKind::Confirm, plan, record, text)
+    }
+
+    fn prepare_drop(
+        &mut self,
+        operator: &Operator<'_>,
+        plan: String,
+    ) -> Result<PreparedRecord, ApiAnswer> {
+        self.check_ready()?;
+        let record = self.new_id("r");
+        let text = match plan::drop_plan(self.parts.sync.state(), operator, &plan, &record) {
+            Err(plan::Error::Unknown) if self.tracker.is_pending(&plan) => {
+                plan::fence(operator, &plan, &record)
+            }
+            result => result,
+        };
+        self.decision(OperationKind::Drop, plan, record, text)
+    }
+
+    fn decision(
+        &self,
+        kind: OperationKind,
+        plan: String,
+        record: String,
+        text: Result<String, plan::Error>,
+    ) -> Result<PreparedRecord, ApiAnswer> {
+        let view = plan::view(self.parts.sync.state(), &plan);
+        match text {
+            Ok(text) => Ok(PreparedRecord {
+                kind,
+                plan,
+                record,
+                text,
+                view,
+            }),
+            Err(error) if is_repeat(kind, view.as_ref()) => {
+                ::log::info!(plan, code = error.code().number(); "repeat changes nothing");
+                Err(ApiAnswer::success(200, json!({"plan": view})))
+            }
+            Err(error) => Err(refusal(&error)),
+        }
+    }
+
+    fn check_ready(&self) -> Result<(), ApiAnswer> {
+        match self.parts.sync.is_ready() {
+            true => Ok(()),
+            false => Err(ApiAnswer::refusal(ResultCode::NotReady)),
+        }
+    }
+
+    fn read(&self, command: AdminCommand) -> ApiAnswer {
+        match command {
+            AdminCommand::ShowPlan(plan) => self.show(&plan),
+            AdminCommand::ListPlans => {
+                let plans = plan::list(self.parts.sync.state(), self.unix_ms());
+                ApiAnswer::success(200, json!({"plans": plans}))
+            }
+            AdminCommand::Status => {
+                let body = views::status(self.parts.sync.state(), &self.view, self.facts());
+                ApiAnswer::success(200, body)
+            }
+            AdminCommand::Members => ApiAnswer::success(200, views::members(&self.view)),
+            AdminCommand::Health => ApiAnswer::success(200, json!({})),
+            AdminCommand::Readiness => self.readiness(),
+            _ => ApiAnswer::refusal(ResultCode::PathUnknown),
+        }
+    }
+
+    fn show(&self, plan: &str) -> ApiAnswer {
+        match plan::view(self.parts.sync.state(), plan) {
+            Some(view) => ApiAnswer::success(200, json!({"plan": view})),
+            None if self.tracker.is_pending(plan) => ApiAnswer::refusal(ResultCode::PlanPending),
+            None => ApiAnswer::refusal(ResultCode::PlanUnknown),
+        }
+    }
+
+    fn readiness(&self) -> ApiAnswer {
+        match self.parts.sync.is_ready() && !self.parts.shared.is_leaving() {
+            true => ApiAnswer::success(200, json!({"version": self.parts.sync.state().version()})),
+            false => ApiAnswer::refusal(ResultCode::NotReady),
+        }
+    }
+
+    fn facts(&self) -> LocalFacts {
+        LocalFacts {
+            is_ready: self.parts.sync.is_ready(),
+            log_is_up: self.log_is_up,
+            is_reader: self.parts.sync.is_reader(),
+            unix_ms: self.unix_ms(),
+        }
+    }
+
+    fn new_id(&mut self, prefix: &str) -> String {
+        format!("{prefix}{:016x}", self.rng.next_u64())
+    }
+}
+
+/// Whether the plan is already in the state that the operation wants.
+fn is_repeat(kind: OperationKind, view: Option<&PlanView>) -> bool {
+    let state = view.map(|view| view.state);
+    matches!(
+        (kind, state),
+        (OperationKind::Confirm, Some(PlanState::Confirmed))
+            | (OperationKind::Drop, Some(PlanState::Dropped))
+    )
+}
+
+fn refusal(error: &plan::Error) -> ApiAnswer {
+    ApiAnswer::refusal_with(error.code(), json!({"reasons": error.reasons()}))
+}
--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -53,7 +53,10 @@
         let caller = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(std::time::Duration::from_millis(read.delay_ms)).await;
-            let result = caller.log.read(INTENTS, read.from, read.max, read.wait_ms).await;
+            let result = caller
+                .log
+                .read(INTENTS, read.from, read.max, read.wait_ms)
+                .await;
             caller.report(ControlEvent::Log(read_input(result))).await;
         });
     }
@@ -75,8 +78,12 @@
         let caller = self.clone();
         tokio::spawn(async move {
             match caller.log.append(SNAPSHOTS, &text).await {
-                Ok(appended) => ::log::info!(offset = appended.offset, bytes = text.len(); "snapshot appended"),
-                Err(error) => ::log::warn!(code = error.code().number(); "snapshot not appended: {error}"),
+                Ok(appended) => {
+                    ::log::info!(offset = appended.offset, bytes = text.len(); "snapshot appended")
+                }
+                Err(error) => {
+                    ::log::warn!(code = error.code().number(); "snapshot not appended: {error}")
+                }
             }
         });
     }
@@ -86,7 +93,9 @@
         let caller = self.clone();
         tokio::spawn(async move {
             let result = caller.log.append(INTENTS, &text).await;
-            caller.report(ControlEvent::Appended { record, result }).await;
+            caller
+                .report(ControlEvent::Appended { record, result })
+                .await;
         });
     }
 
@@ -107,7 +116,15 @@
             now_ms: batch.now_ms,
             records: stored(batch.records),
         }),
-        Err(log::Error::Expired { first, next, now_ms }) => Input::LogExpired { first, next, now_ms },
+        Err(log::Error::Expired {
+            first,
+            next,
+            now_ms,
+        }) => Input::LogExpired {
+            first,
+            next,
+            now_ms,
+        },
         Err(_) => Input::LogFailed,
     }
 }
@@ -123,7 +140,9 @@
     if from >= next {
         return Ok(Vec::new());
     }
-    let batch = log.read(SNAPSHOTS, from, SNAPSHOTS_READ as usize, 0).await?;
+    let batch = log
+        .read(SNAPSHOTS, from, SNAPSHOTS_READ as usize, 0)
+        .await?;
     Ok(stored(batch.records))
 }
 
--- a/jayrackd/src/control/peer_calls.rs
+++ b/jayrackd/src/control/peer_calls.rs
@@ -38,7 +38,11 @@
 impl PeerCaller {
     /// Creates a caller for the daemon `local` that reports to `events`.
     pub fn new(peers: PeerPool, events: mpsc::Sender<ControlEvent>, local: MemberId) -> Self {
-        Self { peers, events, local }
+        Self {
+            peers,
+            events,
+            local,
+        }
     }
 
     /// Asks a peer for records.
--- a/jayrackd/src/control/publish.rs
+++ b/jayrackd/src/control/publish.rs
@@ -25,7 +25,13 @@
 pub fn server_entries(view: &MemberView) -> Vec<ServerEntry> {
     view.alive()
         .filter(|entry| entry.record.ready)
-        .flat_map(|entry| entry.record.servers.iter().map(|server| server_entry(&entry.record, server)))
+        .flat_map(|entry| {
+            entry
+                .record
+                .servers
+                .iter()
+                .map(|server| server_entry(&entry.record, server))
+        })
         .collect()
 }
 
@@ -47,7 +53,11 @@
 /// Publishes the daemons of `view`; `earlier` tells since when each was seen alive.
 pub fn publish_peers(shared: &SharedState, view: &MemberView) {
     let earlier = shared.peers.load();
-    let peers = view.members.values().map(|entry| peer_entry(entry, &earlier)).collect();
+    let peers = view
+        .members
+        .values()
+        .map(|entry| peer_entry(entry, &earlier))
+        .collect();
     shared.peers.store(Arc::new(peers));
 }
 
--- /dev/null
+++ b/jayrackd/src/control/state.rs
@@ -0,0 +1,329 @@
+//! The control state and what each event does to it.
+use std::sync::Arc;
+
+use jayrack_config::{
+    budget::{self, AppendBudget},
+    sync::{Action, ConfigSync, Input, PeerDigest},
+    tracker::AppendTracker,
+};
+use jayrack_membership::MemberView;
+use jayrack_protocol::{MemberId, ResultCode};
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
+
+use super::{
+    ControlEvent,
+    log_calls::{IntentRead, LogCaller},
+    operations::OperationTable,
+    peer_calls::{self, PeerCaller, PullCall},
+    publish,
+};
+use crate::{
+    announce::{ServerRegistry, api::AnnounceCall},
+    clock::{DaemonClock, unix_ms},
+    gossip::{GossipEvent, GossipHandle},
+    settings::{DaemonSettings, DistributionMode},
+    shared::{LocalServer, SharedState},
+    transport::{SyncCall, SyncReply, SyncRequest},
+};
+
+/// Time between two reads of the log in the polling baseline, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 1_000;
+
+/// What a control state is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// Settings of the daemon.
+    pub settings: Arc<DaemonSettings>,
+    /// The daemon's clock.
+    pub clock: DaemonClock,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Distribution of configuration.
+    pub sync: ConfigSync,
+    /// Calls to the log.
+    pub log: LogCaller,
+    /// Calls to peers.
+    pub peers: PeerCaller,
+    /// What traffic reads.
+    pub shared: Arc<SharedState>,
+}
+
+/// All control state of one daemon.
+#[derive(Debug)]
+pub struct ControlState {
+    pub(super) parts: Parts,
+    pub(super) operations: OperationTable,
+    pub(super) tracker: AppendTracker,
+    pub(super) budget: AppendBudget,
+    pub(super) view: Arc<MemberView>,
+    pub(super) log_is_up: bool,
+    pub(super) rng: Pcg64,
+    registry: ServerRegistry,
+    servers: Vec<LocalServer>,
+    published: AppliedMark,
+    table_is_stale: bool,
+}
+
+/// What was last told to gossip about the configuration.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct AppliedMark {
+    version: u64,
+    digest: u64,
+    next_offset: u64,
+}
+
+impl ControlState {
+    /// Puts the state together.
+    pub fn new(parts: Parts) -> Self {
+        let budget_options = budget::Options {
+            fleet_per_second: parts.settings.log.appends_per_second,
+            ..budget::Options::default()
+        };
+        Self {
+            operations: OperationTable::default(),
+            tracker: AppendTracker::new(),
+            budget: AppendBudget::new(budget_options, 1, parts.clock.now_ms()),
+            view: Arc::new(MemberView::default()),
+            log_is_up: false,
+            rng: Pcg64::seed_from_u64(parts.seed),
+            registry: ServerRegistry::new(parts.settings.timeouts.announce_ms),
+            servers: Vec::new(),
+            published: AppliedMark::default(),
+            table_is_stale: false,
+            parts,
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, gossip: &GossipHandle) {
+        let now_ms = self.now_ms();
+        self.registry.expire(now_ms);
+        self.publish_servers(gossip);
+        self.step(gossip, Input::Tick);
+        self.operations.expire(now_ms, self.parts.sync.state());
+        if std::mem::take(&mut self.table_is_stale) {
+            publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
+        }
+    }
+
+    /// A task reports a result.
+    pub fn event(&mut self, gossip: &GossipHandle, event: ControlEvent) {
+        match event {
+            ControlEvent::Log(input) => {
+                self.log_is_up = !matches!(input, Input::LogFailed);
+                self.step(gossip, input);
+            }
+            ControlEvent::Peer(input) => self.step(gossip, input),
+            ControlEvent::Appended { record, result } => self.appended(&record, result),
+        }
+    }
+
+    /// A backend server announces itself.
+    pub fn announcement(&mut self, gossip: &GossipHandle, call: AnnounceCall) {
+        let result = self.registry.announce(self.now_ms(), call.announcement);
+        let _ = call.reply.send(result);
+        self.publish_servers(gossip);
+    }
+
+    /// A peer pulls or pushes configuration.
+    pub fn sync_call(&mut self, gossip: &GossipHandle, call: SyncCall) {
+        let reply = match call.request {
+            SyncRequest::Pull(request) => {
+                let floor = self.floor_of(MemberId(request.sender));
+                let max = request.max_records as usize;
+                let answer = self.parts.sync.answer_pull(request.from, max, floor);
+                SyncReply::Pull(peer_calls::reply_of(answer))
+            }
+            SyncRequest::Push(request) => {
+                let input = Input::Pushed {
+                    peer: self.peer_at(call.from),
+                    records: peer_calls::from_wire(request.records),
+                    hops: request.hops,
+                };
+                self.step(gossip, input);
+                SyncReply::Push(peer_calls::push_reply(
+                    self.parts.sync.state().next_offset(),
+                ))
+            }
+        };
+        let _ = call.reply.send(reply);
+    }
+
+    /// The membership view changed.
+    pub fn view_changed(&mut self, gossip: &GossipHandle, view: Arc<MemberView>) {
+        let is_new = view.generation != self.view.generation;
+        self.view = view;
+        if !is_new {
+            return;
+        }
+        let now_ms = self.now_ms();
+        self.budget.resize(self.view.alive().count(), now_ms);
+        publish::publish_peers(&self.parts.shared, &self.view);
+        self.table_is_stale = true;
+        self.step(gossip, Input::Members(publish::fleet_members(&self.view)));
+    }
+
+    /// A peer told its state or this daemon's floor.
+    pub fn gossip_event(&mut self, gossip: &GossipHandle, event: GossipEvent) {
+        let input = match event {
+            GossipEvent::Floor(version) => Input::Floor(version),
+            GossipEvent::Peer(report) => Input::PeerDigest(PeerDigest {
+                peer: report.peer,
+                version: report.state.version,
+                digest: report.state.digest,
+                next_offset: Some(report.state.next_offset),
+                log_now_ms: None,
+            }),
+        };
+        self.step(gossip, input);
+    }
+
+    /// Milliseconds of the daemon's clock.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.parts.clock.now_ms()
+    }
+
+    /// Hands one input to the configuration's state machine and carries out what it wants.
+    pub(super) fn step(&mut self, gossip: &GossipHandle, input: Input) {
+        let now_ms = self.now_ms();
+        let actions = self.parts.sync.handle(now_ms, input);
+        for action in actions {
+            self.act(gossip, action);
+        }
+        self.operations.settle(self.parts.sync.state());
+        self.publish_applied(gossip);
+    }
+
+    fn act(&mut self, gossip: &GossipHandle, action: Action) {
+        match action {
+            Action::ReadLog { from, max, wait_ms } => self.read_log(from, max, wait_ms),
+            Action::ReadSnapshots => self.parts.log.read_snapshots(),
+            Action::AppendSnapshot { text } => self.append_snapshot(text),
+            Action::Push {
+                peers,
+                records,
+                hops,
+            } => self.push(&peers, records, hops),
+            Action::Pull { peer, from, max } => self.pull(peer, from, max),
+            Action::Folded {
+                offset,
+                record_id,
+                outcome,
+                ..
+            } => {
+                log::info!(offset, record = record_id.as_str(), outcome:? = outcome; "record folded");
+                self.tracker.folded(&record_id, offset, &outcome);
+                self.operations.appended(&record_id, offset);
+            }
+            Action::Installed { version } => {
+                log::info!(version; "configuration in force");
+                publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
+            }
+            Action::Ready => {
+                log::info!(version = self.parts.sync.state().version(); "ready");
+                publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
+                self.parts.shared.set_ready();
+                gossip.ready(true);
+            }
+            Action::Report { code, detail } => log::warn!(code = code.number(); "{detail}"),
+        }
+    }
+
+    fn is_polling(&self) -> bool {
+        self.parts.settings.distribution == DistributionMode::Poll
+    }
+
+    fn read_log(&self, from: u64, max: usize, wait_ms: u64) {
+        let delay_ms = if self.is_polling() {
+            POLL_INTERVAL_MS
+        } else {
+            0
+        };
+        let read = IntentRead {
+            from,
+            max,
+            wait_ms,
+            delay_ms,
+        };
+        self.parts.log.read_intents(read);
+    }
+
+    fn append_snapshot(&mut self, text: String) {
+        match self.budget.charge(self.now_ms()) {
+            Ok(()) => self.parts.log.append_snapshot(text),
+            Err(_) => log::warn!(code = ResultCode::LogThrottled.number(); "snapshot not appended"),
+        }
+    }
+
+    fn push(
+        &self,
+        peers: &[MemberId],
+        records: Vec<jayrack_config::record::StoredRecord>,
+        hops: u32,
+    ) {
+        if self.is_polling() {
+            return;
+        }
+        for peer in peers {
+            if let Some(address) = publish::forward_address(&self.view, *peer) {
+                self.parts.peers.push(address, records.clone(), hops);
+            }
+        }
+    }
+
+    fn pull(&mut self, peer: MemberId, from: u64, max: usize) {
+        if let Some(address) = publish::forward_address(&self.view, peer) {
+            self.parts.peers.pull(PullCall {
+                peer,
+                address,
+                from,
+                max,
+            });
+        }
+    }
+
+    fn publish_servers(&mut self, gossip: &GossipHandle) {
+        let servers = self.registry.servers(self.now_ms());
+        if servers == self.servers {
+            return;
+        }
+        log::info!(servers = servers.len(); "backend servers changed");
+        gossip.servers(publish::server_records(&servers));
+        self.parts.shared.servers.store(Arc::new(servers.clone()));
+        self.servers = servers;
+    }
+
+    fn publish_applied(&mut self, gossip: &GossipHandle) {
+        let (version, digest) = self.parts.sync.announced();
+        let mark = AppliedMark {
+            version,
+            digest,
+            next_offset: self.parts.sync.state().next_offset(),
+        };
+        if mark != self.published {
+            self.published = mark;
+            gossip.applied(mark.version, mark.digest, mark.next_offset);
+        }
+    }
+
+    fn floor_of(&self, member: MemberId) -> u64 {
+        self.view
+            .get(member)
+            .map_or(0, |entry| entry.applied_version)
+    }
+
+    fn peer_at(&self, address: std::net::SocketAddr) -> Option<MemberId> {
+        let found = self
+            .view
+            .alive()
+            .find(|entry| entry.record.forward_address == address);
+        found.map(|entry| entry.record.id)
+    }
+
+    pub(super) fn unix_ms(&self) -> u64 {
+        match self.parts.sync.log_now_ms() {
+            0 => unix_ms(),
+            log_now_ms => log_now_ms,
+        }
+    }
+}
--- a/jayrackd/src/control/views.rs
+++ b/jayrackd/src/control/views.rs
@@ -22,7 +22,11 @@
 pub fn status(state: &ConfigState, view: &MemberView, facts: LocalFacts) -> Value {
     let version = state.version();
     let force = in_force::in_force(view, version);
-    let behind = force.behind.iter().filter_map(|id| view.get(*id)).map(behind_row);
+    let behind = force
+        .behind
+        .iter()
+        .filter_map(|id| view.get(*id))
+        .map(behind_row);
     let behind: Vec<Value> = behind.collect();
     json!({
         "version": version,
@@ -58,7 +62,10 @@
     view.by_data_centre()
         .into_iter()
         .map(|(name, group)| {
-            let on = group.iter().filter(|entry| entry.applied_version >= version).count();
+            let on = group
+                .iter()
+                .filter(|entry| entry.applied_version >= version)
+                .count();
             let lowest = group.iter().map(|entry| entry.applied_version).min();
             json!({"name": name, "on": on, "of": group.len(), "lowest": lowest.unwrap_or(0)})
         })
@@ -67,7 +74,10 @@
 
 fn open_plans(state: &ConfigState, unix_ms: u64) -> usize {
     let plans = plan::list(state, unix_ms);
-    plans.iter().filter(|plan| plan.state == plan::PlanState::Open).count()
+    plans
+        .iter()
+        .filter(|plan| plan.state == plan::PlanState::Open)
+        .count()
 }
 
 fn member_row(entry: &MemberEntry) -> Value {
