--- a/jayrack-config/src/fold.rs
+++ b/jayrack-config/src/fold.rs
@@ -302,21 +302,37 @@
         })
     }
 
+    /// Goes on at `offset` without the records before it, which expired in the log before any member
+    /// folded them.
+    ///
+    /// All open plans end as expired, as decisions about them may have been lost, and later copies of
+    /// records written before `offset` are refused.
+    pub fn skip_to(&mut self, offset: u64, log_now_ms: u64) {
+        if offset <= self.next_offset {
+            return;
+        }
+        self.next_offset = offset;
+        self.log_time_ms = self.log_time_ms.max(log_now_ms);
+        self.close_expired(u64::MAX);
+        self.horizon = self.horizon.max(offset - 1);
+    }
+
     fn advance(&mut self, stored: &StoredRecord) {
         self.next_offset = stored.offset + 1;
         self.log_time_ms = self.log_time_ms.max(stored.time_ms);
         let now_ms = self.log_time_ms;
         self.removals
             .retain(|_, removal| removal.expires_ms > now_ms);
-        let mut expired: Vec<Arc<OpenPlan>> = self
-            .plans
-            .values()
-            .filter(|plan| plan.expires_ms <= now_ms)
-            .cloned()
-            .collect();
+        self.close_expired(now_ms);
+    }
+
+    fn close_expired(&mut self, now_ms: u64) {
+        let plans = self.plans.values();
+        let expired = plans.filter(|plan| plan.expires_ms <= now_ms);
+        let mut expired: Vec<Arc<OpenPlan>> = expired.cloned().collect();
         expired.sort_by_key(|plan| plan.offset);
         for plan in expired {
-            self.close_plan(&plan, stored.offset, Verdict::Expired);
+            self.close_plan(&plan, self.next_offset - 1, Verdict::Expired);
         }
     }
 
@@ -328,7 +344,7 @@
             };
         }
         if let Some(closed) = self.find_closed(&proposed.plan) {
-            return closed.verdict.repeated();
+            return closed.verdict.outcome();
         }
         if let Some(reason) = self.refuse_plan(stored, &proposed) {
             return invalid(reason);
@@ -364,7 +380,7 @@
     fn confirm_plan(&mut self, stored: &StoredRecord, decision: &DecisionRecord) -> Outcome {
         let Some(plan) = self.plans.get(&decision.plan).cloned() else {
             return match self.find_closed(&decision.plan) {
-                Some(closed) => closed.verdict.repeated(),
+                Some(closed) => closed.verdict.outcome(),
                 None => invalid(Reason::UnknownPlan(decision.plan.clone())),
             };
         };
@@ -372,7 +388,7 @@
             return invalid(Reason::NotAuthor(plan.proposed.team.clone()));
         }
         if let Some(conflict) = self.find_conflict(&plan.proposed) {
-            let outcome = conflict.repeated();
+            let outcome = conflict.outcome();
             self.close_plan(&plan, stored.offset, conflict);
             return outcome;
         }
@@ -427,7 +443,7 @@
 
     fn drop_plan(&mut self, stored: &StoredRecord, decision: &DecisionRecord) -> Outcome {
         if let Some(closed) = self.find_closed(&decision.plan) {
-            return closed.verdict.repeated();
+            return closed.verdict.outcome();
         }
         let Some(plan) = self.plans.get(&decision.plan).cloned() else {
             self.push_closed(fence(stored, decision));
@@ -466,7 +482,8 @@
 }
 
 impl Verdict {
-    fn repeated(&self) -> Outcome {
+    /// The outcome of a further record about the plan.
+    pub fn outcome(&self) -> Outcome {
         match self {
             Verdict::Confirmed { version } => Outcome::Repeated { version: *version },
             Verdict::Dropped => Outcome::Dropped,
--- a/jayrack-config/src/lib.rs
+++ b/jayrack-config/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`tail`]: the latest records, for peers that pull.
 //! * [`tracker`]: appends whose outcome is not known yet.
 //! * [`budget`]: the daemon's share of the log's append quota.
+//! * [`sync`]: who reads the log, and how records reach every member.
 //! * [`table`]: the immutable route table that traffic uses.
 #![deny(missing_docs, unsafe_code)]
 
@@ -18,6 +19,7 @@
 pub mod plan;
 pub mod record;
 pub mod snapshot;
+pub mod sync;
 pub mod table;
 pub mod tail;
 pub mod tracker;
--- /dev/null
+++ b/jayrack-config/src/sync.rs
@@ -0,0 +1,241 @@
+//! Distribution of configuration: who reads the log, and how records reach every member.
+//!
+//! A constant number of readers in each data centre follow the log and hand new records to a few random
+//! members, which hand them on once. Digests in datagrams show a member that it is behind; it then pulls
+//! from the one ahead. The state never goes to a lower version.
+mod exchange;
+mod fleet;
+mod follow;
+mod log_reader;
+mod message;
+mod options;
+mod readiness;
+mod restore;
+mod schedule;
+
+use std::collections::BTreeSet;
+
+use jayrack_protocol::ResultCode;
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
+
+use self::{fleet::below, log_reader::LogReader};
+pub use self::{
+    fleet::{FleetMember, FleetView},
+    message::{Action, Input, LogAnswer, PeerDigest, PullAnswer, RecordPush},
+    options::{Options, OptionsBuilder},
+    readiness::Readiness,
+    schedule::{ScheduleView, SnapshotMark, SnapshotSchedule},
+};
+use crate::{
+    fold::ConfigState,
+    object::Version,
+    snapshot,
+    tail::{self, RecordTail},
+};
+
+/// Time without a tick after which the daemon takes itself to have been paused, in milliseconds.
+const PAUSE_MS: u64 = 5_000;
+
+/// Limit on the number of distinct reports that are remembered as made.
+const REPORT_LIMIT: usize = 64;
+
+/// What the log last told about itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct LogView {
+    /// Offset of the first record kept.
+    first: u64,
+    /// Offset of the next record; 0 when unknown.
+    next: u64,
+    now_ms: u64,
+    /// Local time at which `now_ms` was told.
+    heard_ms: u64,
+}
+
+/// Keeps one daemon's configuration up to date.
+#[derive(Debug, Clone)]
+pub struct ConfigSync {
+    options: Options,
+    rng: Pcg64,
+    state: ConfigState,
+    tail: RecordTail,
+    fleet: FleetView,
+    readiness: Readiness,
+    reader: LogReader,
+    schedule: SnapshotSchedule,
+    search: Option<restore::SnapshotSearch>,
+    /// Whether the latest snapshot is still to be looked for after the start.
+    is_unrestored: bool,
+    gap: Option<restore::ExpiredGap>,
+    pull: Option<exchange::PullInFlight>,
+    next_pull_ms: u64,
+    /// Whether the log is to be read once in place of the readers.
+    is_read_wanted: bool,
+    log: LogView,
+    /// Offset of a record that needs a newer release.
+    halted: Option<u64>,
+    /// Local time of the last sign that some member reads the log.
+    evidence_ms: u64,
+    last_tick_ms: u64,
+    reported: BTreeSet<(ResultCode, u64)>,
+    snapshot_cache: Option<(u64, String)>,
+}
+
+impl ConfigSync {
+    /// A daemon with an empty memory.
+    pub fn new(options: Options, me: FleetMember, now_ms: u64) -> Self {
+        let mut rng = Pcg64::seed_from_u64(options.seed);
+        let delay_ms = below(&mut rng, options.start_spread_ms);
+        let state = ConfigState::new();
+        Self {
+            tail: RecordTail::new(tail::Options::default(), state.next_offset()),
+            fleet: FleetView::new(me, options.readers_per_data_centre),
+            readiness: Readiness::default(),
+            reader: LogReader::new(now_ms + delay_ms),
+            schedule: SnapshotSchedule::new(options.retention_ms),
+            search: None,
+            is_unrestored: true,
+            gap: None,
+            pull: None,
+            next_pull_ms: now_ms,
+            is_read_wanted: false,
+            log: LogView::default(),
+            halted: None,
+            evidence_ms: now_ms,
+            last_tick_ms: now_ms,
+            reported: BTreeSet::new(),
+            snapshot_cache: None,
+            options,
+            rng,
+            state,
+        }
+    }
+
+    /// The configuration after all folded records.
+    pub fn state(&self) -> &ConfigState {
+        &self.state
+    }
+
+    /// Whether the daemon may serve.
+    pub fn is_ready(&self) -> bool {
+        self.readiness.is_ready()
+    }
+
+    /// The daemon's view of the fleet.
+    pub fn fleet(&self) -> &FleetView {
+        &self.fleet
+    }
+
+    /// Offset of a record that needs a newer release and at which the daemon stopped.
+    pub fn halted(&self) -> Option<u64> {
+        self.halted
+    }
+
+    /// Version and digest to tell peers; both are 0 until the daemon is ready.
+    pub fn announced(&self) -> (Version, u64) {
+        match self.is_ready() {
+            true => (self.state.version(), self.state.digest()),
+            false => (0, 0),
+        }
+    }
+
+    /// Latest log time known, in milliseconds since the Unix epoch; 0 when unknown.
+    pub fn log_now_ms(&self) -> u64 {
+        self.log.now_ms
+    }
+
+    /// Takes one step.
+    pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Action> {
+        let version = self.state.version();
+        let mut actions = Vec::new();
+        self.take(now_ms, input, &mut actions);
+        self.close_gap();
+        if self.state.version() != version {
+            let version = self.state.version();
+            actions.push(Action::Installed { version });
+        }
+        if self.readiness.check(self.state.version(), &self.fleet) {
+            actions.push(Action::Ready);
+        }
+        self.search_snapshots(now_ms, &mut actions);
+        self.read_log(now_ms, &mut actions);
+        self.pull_in_turn(now_ms, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, now_ms: u64, input: Input, actions: &mut Vec<Action>) {
+        match input {
+            Input::Tick => self.tick(now_ms),
+            Input::LogRead(answer) => self.log_read(now_ms, &answer, actions),
+            Input::LogExpired {
+                first,
+                next,
+                now_ms: log_now_ms,
+            } => {
+                self.log_told(now_ms, first, next, log_now_ms);
+                self.log_expired(now_ms);
+            }
+            Input::LogFailed => self.log_failed(now_ms, actions),
+            Input::SnapshotsRead { records } => self.snapshots_read(now_ms, &records, actions),
+            Input::SnapshotsFailed => self.snapshots_failed(now_ms, actions),
+            Input::Pushed(push) => self.pushed(now_ms, &push, actions),
+            Input::Pulled { peer, answer } => self.pulled(now_ms, peer, &answer, actions),
+            Input::PullFailed { peer } => self.pull_ended(peer),
+            Input::PeerDigest(digest) => self.peer_digest(now_ms, &digest, actions),
+            Input::Members(members) => self.fleet.replace(members),
+            Input::Floor(version) => self.readiness.raise_floor(version),
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if elapsed_ms >= PAUSE_MS {
+            self.wake(now_ms);
+        }
+        self.expire_search(now_ms);
+        if self.reader.expire(now_ms, &mut self.rng) {
+            self.readiness.log_silent();
+        }
+        self.expire_pull(now_ms);
+        self.consider_reading(now_ms, elapsed_ms);
+    }
+
+    /// Forgets what a paused daemon took for current.
+    fn wake(&mut self, now_ms: u64) {
+        self.reader = LogReader::new(now_ms);
+        self.search = None;
+        self.pull = None;
+        self.log.next = 0;
+        self.evidence_ms = now_ms;
+        self.schedule.restart_wait();
+        self.forget_gap_witnesses(now_ms);
+    }
+
+    /// Adds a report unless it was made before; `subject` tells apart reports with the same code.
+    fn report(
+        &mut self,
+        code: ResultCode,
+        subject: u64,
+        detail: String,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.reported.len() >= REPORT_LIMIT {
+            self.reported.clear();
+        }
+        if self.reported.insert((code, subject)) {
+            actions.push(Action::Report { code, detail });
+        }
+    }
+
+    fn snapshot_text(&mut self) -> String {
+        let offset = self.state.next_offset();
+        match &self.snapshot_cache {
+            Some((cached, text)) if *cached == offset => text.clone(),
+            _ => {
+                let text = snapshot::encode(&self.state);
+                self.snapshot_cache = Some((offset, text.clone()));
+                text
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-config/src/sync/log_reader.rs
@@ -0,0 +1,70 @@
+//! Paces the reads of the log: one at a time, with back-off and jitter after failures.
+use rand_pcg::Pcg64;
+
+use super::fleet::below;
+
+const RETRY_MIN_MS: u64 = 200;
+const RETRY_MAX_MS: u64 = 10_000;
+
+/// Time after the end of a long poll at which an unanswered read counts as lost, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 3_000;
+
+/// When the log may be read next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogReader {
+    /// Time at which the outstanding read counts as lost.
+    deadline_ms: Option<u64>,
+    not_before_ms: u64,
+    failures: u32,
+}
+
+impl LogReader {
+    /// A reader that may read from `not_before_ms` on.
+    pub fn new(not_before_ms: u64) -> Self {
+        Self {
+            deadline_ms: None,
+            not_before_ms,
+            failures: 0,
+        }
+    }
+
+    /// Whether the last reads failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Starts a read if none is outstanding and the time has come.
+    pub fn start(&mut self, now_ms: u64, wait_ms: u64) -> bool {
+        if self.deadline_ms.is_some() || now_ms < self.not_before_ms {
+            return false;
+        }
+        self.deadline_ms = Some(now_ms + wait_ms + ANSWER_TIMEOUT_MS);
+        true
+    }
+
+    /// Notes that the outstanding read was answered.
+    pub fn answered(&mut self, now_ms: u64) {
+        self.deadline_ms = None;
+        self.not_before_ms = now_ms;
+        self.failures = 0;
+    }
+
+    /// Notes that the outstanding read failed, and waits before the next.
+    pub fn failed(&mut self, now_ms: u64, rng: &mut Pcg64) {
+        self.deadline_ms = None;
+        let delay_ms = (RETRY_MIN_MS << self.failures.min(16)).min(RETRY_MAX_MS);
+        self.failures = self.failures.saturating_add(1).min(16);
+        self.not_before_ms = now_ms + delay_ms / 2 + below(rng, delay_ms / 2);
+    }
+
+    /// Gives up an outstanding read that is overdue; true if there was one.
+    pub fn expire(&mut self, now_ms: u64, rng: &mut Pcg64) -> bool {
+        match self.deadline_ms {
+            Some(deadline_ms) if now_ms >= deadline_ms => {
+                self.failed(now_ms, rng);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-config/src/sync/readiness.rs
@@ -0,0 +1,92 @@
+//! Decides when a started daemon knows enough to serve.
+//!
+//! The end of the log is the best evidence. When the log cannot tell, peers from different data centres
+//! that are ready themselves take its place. In both cases the version must not be below any version
+//! that peers have, or that they remember for the daemon's address.
+use std::collections::BTreeMap;
+
+use jayrack_protocol::MemberId;
+
+use super::fleet::FleetView;
+use crate::object::Version;
+
+/// Number of data centres whose peers together take the place of the log.
+const WITNESS_DATA_CENTRES: usize = 2;
+
+/// Number of peers that together take the place of the log.
+const WITNESSES: usize = 2;
+
+/// Evidence gathered since the daemon started.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Readiness {
+    is_ready: bool,
+    is_log_read: bool,
+    is_log_silent: bool,
+    floor: Version,
+    witnesses: BTreeMap<MemberId, String>,
+}
+
+impl Readiness {
+    /// Whether the daemon may serve.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    /// The lowest version with which the daemon may serve.
+    pub fn floor(&self) -> Version {
+        self.floor
+    }
+
+    /// Whether peers are asked to take the place of the log.
+    pub fn needs_witnesses(&self) -> bool {
+        self.is_log_silent && !self.is_log_read
+    }
+
+    /// Whether the peer has been heard as a witness.
+    pub fn has_witness(&self, peer: MemberId) -> bool {
+        self.witnesses.contains_key(&peer)
+    }
+
+    /// Notes that all records up to the end of the log were folded.
+    pub fn log_read(&mut self) {
+        self.is_log_read = true;
+    }
+
+    /// Notes that the log does not answer or has expired the records needed.
+    pub fn log_silent(&mut self) {
+        self.is_log_silent = true;
+    }
+
+    /// Raises the lowest version with which the daemon may serve.
+    pub fn raise_floor(&mut self, version: Version) {
+        self.floor = self.floor.max(version);
+    }
+
+    /// Notes that a ready peer told its state, which is folded here as well.
+    pub fn heard_witness(&mut self, peer: MemberId, data_centre: &str) {
+        if !self.is_ready {
+            self.witnesses.insert(peer, data_centre.to_string());
+        }
+    }
+
+    /// Becomes ready if the evidence suffices; true on the change only.
+    pub fn check(&mut self, version: Version, fleet: &FleetView) -> bool {
+        if self.is_ready || version < self.floor {
+            return false;
+        }
+        self.is_ready = self.is_log_read || self.has_quorum(fleet);
+        self.is_ready
+    }
+
+    fn has_quorum(&self, fleet: &FleetView) -> bool {
+        let mut centres: Vec<&String> = self.witnesses.values().collect();
+        centres.sort();
+        centres.dedup();
+        let peers = WITNESSES.min(fleet.len() - 1);
+        let data_centres = WITNESS_DATA_CENTRES.min(fleet.other_data_centres());
+        self.is_log_silent
+            && !self.witnesses.is_empty()
+            && self.witnesses.len() >= peers
+            && centres.len() >= data_centres
+    }
+}
--- a/jayrack-config/src/tail.rs
+++ b/jayrack-config/src/tail.rs
@@ -66,9 +66,10 @@
         self.next_offset - self.records.len() as u64
     }
 
-    /// Time of the first record kept, in milliseconds since the Unix epoch.
-    pub fn first_time_ms(&self) -> Option<u64> {
-        self.records.front().map(|record| record.time_ms)
+    /// The record at `offset`, if it is kept.
+    pub fn get(&self, offset: u64) -> Option<&StoredRecord> {
+        let index = offset.checked_sub(self.first_offset())?;
+        self.records.get(usize::try_from(index).ok()?)
     }
 
     /// Adds a record; one after a gap replaces all earlier ones, one below the next offset is ignored.
--- a/jayrack-config/src/tracker.rs
+++ b/jayrack-config/src/tracker.rs
@@ -4,7 +4,7 @@
 //! its record, or a decision that makes it void, has been folded.
 use std::collections::BTreeMap;
 
-use crate::fold;
+use crate::fold::{self, ConfigState, Outcome};
 
 /// Limit on the number of tracked appends.
 pub const TRACKED_LIMIT: usize = 1024;
@@ -24,7 +24,7 @@
         /// Offset of the record.
         offset: u64,
         /// What the fold made of it.
-        outcome: fold::Outcome,
+        outcome: Outcome,
     },
 }
 
@@ -68,7 +68,7 @@
     }
 
     /// Notes that the record was folded; the first of several copies counts.
-    pub fn folded(&mut self, record_id: &str, offset: u64, outcome: &fold::Outcome) {
+    pub fn folded(&mut self, record_id: &str, offset: u64, outcome: &Outcome) {
         let Some(tracked) = self.appends.get_mut(record_id) else {
             return;
         };
@@ -80,6 +80,20 @@
         }
     }
 
+    /// Looks up pending appends in a state that was restored and not folded record by record.
+    pub fn reconcile(&mut self, state: &ConfigState) {
+        for (record_id, tracked) in &mut self.appends {
+            if tracked.state == AppendState::Refused
+                || matches!(tracked.state, AppendState::Folded { .. })
+            {
+                continue;
+            }
+            if let Some((offset, outcome)) = find_outcome(state, record_id, &tracked.plan) {
+                tracked.state = AppendState::Folded { offset, outcome };
+            }
+        }
+    }
+
     /// What is known about the append of `record_id`.
     pub fn state(&self, record_id: &str) -> Option<&AppendState> {
         self.appends.get(record_id).map(|tracked| &tracked.state)
@@ -117,3 +131,11 @@
         }
     }
 }
+
+fn find_outcome(state: &ConfigState, record_id: &str, plan_id: &str) -> Option<(u64, Outcome)> {
+    if let Some(closed) = state.find_closed(plan_id) {
+        return Some((closed.offset, closed.verdict.outcome()));
+    }
+    let plan = state.plans().get(plan_id)?;
+    (plan.proposed.record == record_id).then_some((plan.offset, Outcome::Proposed))
+}
