--- a/jayrack-testkit/src/binaries.rs
+++ b/jayrack-testkit/src/binaries.rs
@@ -24,6 +24,14 @@
 }
 
 impl Program {
+    /// All executables.
+    pub const ALL: [Program; 4] = [
+        Program::Daemon,
+        Program::Tool,
+        Program::LogStandin,
+        Program::BackendStandin,
+    ];
+
     /// File name of the executable.
     pub fn file_name(self) -> &'static str {
         match self {
@@ -64,18 +72,13 @@
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command
-        .args(["build", "--quiet", "--bins"])
-        .args(["-p", "jayrackd", "-p", "jayrack"])
+        .args(["build", "--quiet"])
+        .args(["-p", "jayrackd", "-p", "jayrack", "-p", "jayrack-testkit"])
         .arg("--manifest-path")
         .arg(Path::new(WORKSPACE).join("Cargo.toml"))
         .stdin(Stdio::null());
-    // The running executable may be one of the kit's own, which cannot be written while it runs.
-    if !directory.join(Program::LogStandin.file_name()).is_file()
-        || !directory
-            .join(Program::BackendStandin.file_name())
-            .is_file()
-    {
-        command.args(["-p", "jayrack-testkit"]);
+    for program in Program::ALL {
+        command.args(["--bin", program.file_name()]);
     }
     if directory.ends_with("release") {
         command.arg("--release");
--- a/jayrack-testkit/src/lib.rs
+++ b/jayrack-testkit/src/lib.rs
@@ -4,7 +4,9 @@
 //! * [`backend_standin`]: takes the place of a backend server.
 //! * [`link`]: relays that drop, delay or forget.
 //! * [`fleet`]: a whole fleet of real processes on loopback.
+//! * [`deployment`]: the users' two deployments.
 //! * [`operator`]: an operator at the administration API.
+//! * [`tool`]: runs the operators' tool.
 //! * [`observe`]: waits on observed state.
 //! * [`process`], [`binaries`], [`address`], [`certificates`]: what the fleet is made of.
 //! * [`standin_process`]: what the stand-in processes have in common.
@@ -15,6 +17,7 @@
 pub mod backend_standin;
 pub mod binaries;
 pub mod certificates;
+pub mod deployment;
 pub mod fleet;
 pub mod http_client;
 pub mod http_server;
@@ -24,3 +27,4 @@
 pub mod operator;
 pub mod process;
 pub mod standin_process;
+pub mod tool;
--- a/jayrack-testkit/src/standin_process.rs
+++ b/jayrack-testkit/src/standin_process.rs
@@ -32,3 +32,15 @@
     let mut buffer = [0; 64];
     while stdin.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
 }
+
+/// Returns at the first interrupt or request to stop.
+pub async fn wait_for_interrupt() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
