--- a/jayrackd/src/control/admin_calls.rs
+++ b/jayrackd/src/control/admin_calls.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    log_calls::{AppendResult, IntentRead},
+    log_calls::AppendResult,
     operations::{OperationKind, PendingOperation},
     publish,
     state::ControlState,
@@ -82,14 +82,11 @@
         }
     }
 
-    /// Reads the log up to its end, so that an operator's record is folded without waiting for a reader.
+    /// Reads the log up to its end, so that an operator's record is folded and handed on without
+    /// waiting for a reader.
     fn catch_up(&self) {
-        self.parts.log.read_intents(IntentRead {
-            from: self.parts.sync.state().next_offset(),
-            max: CATCH_UP_RECORDS,
-            wait_ms: 0,
-            delay_ms: 0,
-        });
+        let from = self.parts.sync.state().next_offset();
+        self.parts.log.read_ahead(from, CATCH_UP_RECORDS);
     }
 
     fn append(&mut self, prepared: PreparedRecord, reply: oneshot::Sender<ApiAnswer>) {
@@ -235,7 +232,7 @@
         LocalFacts {
             is_ready: self.parts.sync.is_ready(),
             log_is_up: self.log_is_up,
-            is_reader: self.parts.sync.is_reader(),
+            is_reader: self.parts.sync.fleet().is_reader(),
             unix_ms: self.unix_ms(),
         }
     }
--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -3,7 +3,7 @@
 
 use jayrack_config::{
     record::StoredRecord,
-    sync::{Input, LogAnswer},
+    sync::{Input, LogAnswer, RecordPush},
 };
 use jayrack_platform::{
     HttpLog, LogService,
@@ -22,6 +22,9 @@
 /// Number of the newest snapshots that are read.
 const SNAPSHOTS_READ: u64 = 3;
 
+/// Number of times records read ahead may be handed on.
+const READ_AHEAD_HOPS: u32 = 12;
+
 /// What to read of the `intents` stream.
 #[derive(Debug, Clone, Copy)]
 pub struct IntentRead {
@@ -61,13 +64,29 @@
         });
     }
 
+    /// Reads records beside the regular reads; they are taken and handed on like a peer's push.
+    pub fn read_ahead(&self, from: u64, max: usize) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let Ok(batch) = caller.log.read(INTENTS, from, max, 0).await else {
+                return;
+            };
+            let push = RecordPush {
+                peer: None,
+                records: stored(batch.records),
+                hops: READ_AHEAD_HOPS,
+            };
+            caller.report(ControlEvent::Log(Input::Pushed(push))).await;
+        });
+    }
+
     /// Reads the newest records of the `snapshots` stream.
     pub fn read_snapshots(&self) {
         let caller = self.clone();
         tokio::spawn(async move {
             let input = match newest_snapshots(&caller.log).await {
                 Ok(records) => Input::SnapshotsRead { records },
-                Err(_) => Input::LogFailed,
+                Err(_) => Input::SnapshotsFailed,
             };
             caller.report(ControlEvent::Log(input)).await;
         });
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -3,7 +3,7 @@
 
 use jayrack_config::{
     budget::{self, AppendBudget},
-    sync::{Action, ConfigSync, Input, PeerDigest},
+    sync::{Action, ConfigSync, Input, PeerDigest, RecordPush},
     tracker::AppendTracker,
 };
 use jayrack_membership::MemberView;
@@ -110,7 +110,7 @@
     pub fn event(&mut self, gossip: &GossipHandle, event: ControlEvent) {
         match event {
             ControlEvent::Log(input) => {
-                self.log_is_up = !matches!(input, Input::LogFailed);
+                self.log_is_up = !matches!(input, Input::LogFailed | Input::SnapshotsFailed);
                 self.step(gossip, input);
             }
             ControlEvent::Peer(input) => self.step(gossip, input),
@@ -135,12 +135,12 @@
                 SyncReply::Pull(peer_calls::reply_of(answer))
             }
             SyncRequest::Push(request) => {
-                let input = Input::Pushed {
+                let push = RecordPush {
                     peer: self.peer_at(call.from),
                     records: peer_calls::from_wire(request.records),
                     hops: request.hops,
                 };
-                self.step(gossip, input);
+                self.step(gossip, Input::Pushed(push));
                 SyncReply::Push(peer_calls::push_reply(
                     self.parts.sync.state().next_offset(),
                 ))
