--- a/jayrack-config/src/sync.rs
+++ b/jayrack-config/src/sync.rs
@@ -154,6 +154,7 @@
             actions.push(Action::Installed { version });
         }
         if self.readiness.check(self.state.version(), &self.fleet) {
+            self.next_pull_ms = now_ms + below(&mut self.rng, exchange::PULL_INTERVAL_MS);
             actions.push(Action::Ready);
         }
         self.search_snapshots(now_ms, &mut actions);
@@ -193,7 +194,7 @@
             self.wake(now_ms);
         }
         self.expire_search(now_ms);
-        if self.reader.expire(now_ms, &mut self.rng) {
+        if self.reader.expire(now_ms, self.fleet.len(), &mut self.rng) {
             self.readiness.log_silent();
         }
         self.expire_pull(now_ms);
--- a/jayrack-config/src/sync/exchange.rs
+++ b/jayrack-config/src/sync/exchange.rs
@@ -8,7 +8,7 @@
 const PUSH_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Time between two pulls without a sign of being behind, in milliseconds.
-const PULL_INTERVAL_MS: u64 = 60_000;
+pub(super) const PULL_INTERVAL_MS: u64 = 60_000;
 
 /// Time between two pulls of a daemon that is not ready, in milliseconds.
 const WITNESS_INTERVAL_MS: u64 = 400;
--- a/jayrack-config/src/sync/follow.rs
+++ b/jayrack-config/src/sync/follow.rs
@@ -21,7 +21,8 @@
     }
 
     pub(super) fn log_failed(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        self.reader.failed(now_ms, &mut self.rng);
+        self.reader.failed(now_ms, self.fleet.len(), &mut self.rng);
+        self.is_read_wanted = false;
         self.readiness.log_silent();
         let detail = "the log does not answer".to_string();
         self.report(ResultCode::LogUnavailable, 0, detail, actions);
--- a/jayrack-config/src/sync/log_reader.rs
+++ b/jayrack-config/src/sync/log_reader.rs
@@ -6,6 +6,9 @@
 const RETRY_MIN_MS: u64 = 200;
 const RETRY_MAX_MS: u64 = 10_000;
 
+/// Part of the longest delay that grows with the fleet, in milliseconds for each member.
+const RETRY_MEMBER_MS: u64 = 20;
+
 /// Time after the end of a long poll at which an unanswered read counts as lost, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 3_000;
 
@@ -50,18 +53,19 @@
     }
 
     /// Notes that the outstanding read failed, and waits before the next.
-    pub fn failed(&mut self, now_ms: u64, rng: &mut Pcg64) {
+    pub fn failed(&mut self, now_ms: u64, members: usize, rng: &mut Pcg64) {
         self.deadline_ms = None;
-        let delay_ms = (RETRY_MIN_MS << self.failures.min(16)).min(RETRY_MAX_MS);
+        let limit_ms = RETRY_MAX_MS + RETRY_MEMBER_MS * members as u64;
+        let delay_ms = (RETRY_MIN_MS << self.failures.min(16)).min(limit_ms);
         self.failures = self.failures.saturating_add(1).min(16);
         self.not_before_ms = now_ms + delay_ms / 2 + below(rng, delay_ms / 2);
     }
 
     /// Gives up an outstanding read that is overdue; true if there was one.
-    pub fn expire(&mut self, now_ms: u64, rng: &mut Pcg64) -> bool {
+    pub fn expire(&mut self, now_ms: u64, members: usize, rng: &mut Pcg64) -> bool {
         match self.deadline_ms {
             Some(deadline_ms) if now_ms >= deadline_ms => {
-                self.failed(now_ms, rng);
+                self.failed(now_ms, members, rng);
                 true
             }
             _ => false,
