--- a/jayrack-config/src/budget.rs
+++ b/jayrack-config/src/budget.rs
@@ -34,12 +34,14 @@
 }
 
 impl AppendBudget {
-    /// A full budget of one daemon in a fleet of `members`.
+    /// The budget of one daemon in a fleet of `members`.
+    ///
+    /// It starts without credit, so that a fleet that restarts at once does not exceed the quota.
     pub fn new(options: Options, members: usize, now_ms: u64) -> Self {
         Self {
             options,
             members: members.max(1) as u64,
-            credit: u64::from(options.burst) * MILLION,
+            credit: 0,
             refilled_ms: now_ms,
         }
     }
