feat(membership): anti-entropy, aggregation of applied versions and tries of silent addresses

Views are compared by 64 buckets of digests, so that an exchange costs the same at any fleet size. Versions in force travel as one bit a member. Updates are sent within a budget of bytes.

--- /dev/null
+++ b/jayrack-membership/src/core/applied.rs
@@ -0,0 +1,121 @@
+//! Aggregation of the versions in force at the members.
+//!
+//! A row of a report holds one bit for each running member of a bucket: whether the member has the
+//! report's version in force. Rows are merged only by daemons that see the same members there.
+use jayrack_protocol::{
+    MemberId,
+    gossip::{AppliedReport, Datagram},
+};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::MembershipCore;
+use crate::{
+    digest::{BUCKETS, bucket_of, bucket_range},
+    updates::UpdateKey,
+    view::MemberEntry,
+};
+
+/// Members of a bucket that a row can tell of.
+const ROW_MEMBERS: usize = u64::BITS as usize;
+/// Longest row of a report, in bytes.
+pub(super) const MAX_ROW_BYTES: usize = 15;
+/// Bytes of a report besides its rows.
+pub(super) const REPORT_BYTES: usize = 24;
+
+/// What one bucket says of the highest version.
+struct AppliedRow {
+    members: u32,
+    bits: u64,
+}
+
+impl MembershipCore {
+    /// Raises the version known in force at a member, in the view and in the memory of its address.
+    pub(super) fn raise_applied(&mut self, now_ms: u64, id: MemberId, version: u64) {
+        let Some(entry) = self.view.members.get_mut(&id) else {
+            return;
+        };
+        if version <= entry.applied_version {
+            return;
+        }
+        entry.applied_version = version;
+        self.is_applied_changed = true;
+        self.floors.raise_version(now_ms, id, version);
+        if version > self.highest_applied {
+            self.highest_applied = version;
+            for bucket in 0..BUCKETS as u8 {
+                self.updates.remove(UpdateKey::Applied(bucket));
+            }
+        }
+        if version == self.highest_applied {
+            self.updates.push(UpdateKey::Applied(bucket_of(id) as u8));
+        }
+    }
+
+    /// Adds the row of a bucket to the report of a datagram.
+    pub(super) fn add_applied(&self, datagram: &mut Datagram, bucket: u8) {
+        let row = self.applied_row(usize::from(bucket), self.highest_applied);
+        let report = datagram.applied.get_or_insert_with(|| AppliedReport {
+            version: self.highest_applied,
+            ..AppliedReport::default()
+        });
+        report.buckets.push(bucket);
+        report.members.push(row.members);
+        report.bits.push(row.bits);
+    }
+
+    pub(super) fn merge_applied(&mut self, now_ms: u64, report: &AppliedReport) {
+        let rows = report.buckets.iter().zip(&report.members).zip(&report.bits);
+        for ((bucket, members), bits) in rows {
+            let bucket = usize::from(*bucket);
+            if bucket < BUCKETS {
+                let row = AppliedRow {
+                    members: *members,
+                    bits: *bits,
+                };
+                self.merge_row(now_ms, bucket, row, report.version);
+            }
+        }
+    }
+
+    fn merge_row(&mut self, now_ms: u64, bucket: usize, row: AppliedRow, version: u64) {
+        let own = self.applied_row(bucket, version);
+        if own.members != row.members {
+            return;
+        }
+        let news = row.bits & !own.bits;
+        let ids: Vec<MemberId> = self.row_members(bucket).map(|e| e.record.id).collect();
+        for (index, id) in ids.into_iter().enumerate() {
+            if news & (1 << index) != 0 && id != self.local.id {
+                self.raise_applied(now_ms, id, version);
+            }
+        }
+        if row.bits == own.bits && version == self.highest_applied {
+            let limit = self.retransmit_limit();
+            let key = UpdateKey::Applied(bucket as u8);
+            self.updates.count_transmission(key, limit);
+        }
+    }
+
+    fn applied_row(&self, bucket: usize, version: u64) -> AppliedRow {
+        let mut hash = Xxh3::new();
+        let mut bits = 0;
+        for (index, entry) in self.row_members(bucket).enumerate() {
+            hash.update(&entry.record.id.0.to_le_bytes());
+            hash.update(&entry.record.incarnation.to_le_bytes());
+            bits |= u64::from(entry.applied_version >= version) << index;
+        }
+        AppliedRow {
+            members: hash.digest() as u32,
+            bits,
+        }
+    }
+
+    fn row_members(&self, bucket: usize) -> impl Iterator<Item = &MemberEntry> {
+        self.view
+            .members
+            .range(bucket_range(bucket))
+            .map(|(_, entry)| entry)
+            .filter(|entry| entry.status.is_running())
+            .take(ROW_MEMBERS)
+    }
+}
--- a/jayrack-membership/src/core/merge.rs
+++ b/jayrack-membership/src/core/merge.rs
@@ -20,8 +20,22 @@
 const SUSPICION_MIN_PROBES: f64 = 2.0;
 const SUSPICION_MAX_FACTOR: u64 = 4;
 
+/// How a record reached this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RecordOrigin {
+    /// As news, to be passed on.
+    Update,
+    /// In an anti-entropy exchange.
+    Sync,
+}
+
 impl MembershipCore {
-    pub(super) fn merge_record(&mut self, now_ms: u64, message: &gossip::MemberRecord) {
+    pub(super) fn merge_record(
+        &mut self,
+        now_ms: u64,
+        message: &gossip::MemberRecord,
+        origin: RecordOrigin,
+    ) {
         let Some(record) = wire::from_message(message) else {
             return;
         };
@@ -33,16 +47,35 @@
         match known.map(|age| record.age().cmp(&age)) {
             None if record.incarnation <= self.floors.get(id).ended_incarnation => {}
             None | Some(Ordering::Greater) => {
-                self.store_record(now_ms, record, message.applied_version)
+                self.store_record(now_ms, record);
+                self.raise_applied(now_ms, id, message.applied_version);
+                if origin == RecordOrigin::Update {
+                    self.updates.push(UpdateKey::Record(id));
+                }
             }
-            Some(Ordering::Equal) => {
+            Some(Ordering::Equal) => self.merge_equal_record(now_ms, id, message, origin),
+            Some(Ordering::Less) => {}
+        }
+    }
+
+    fn merge_equal_record(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        message: &gossip::MemberRecord,
+        origin: RecordOrigin,
+    ) {
+        match origin {
+            RecordOrigin::Update => {
                 let limit = self.retransmit_limit();
                 self.updates
                     .count_transmission(UpdateKey::Record(id), limit);
-                self.raise_applied(now_ms, id, message.applied_version);
             }
-            Some(Ordering::Less) => {}
+            RecordOrigin::Sync => {
+                self.rechecks.insert(id);
+            }
         }
+        self.raise_applied(now_ms, id, message.applied_version);
     }
 
     fn merge_own_record(&mut self, now_ms: u64, record: &MemberRecord) {
@@ -51,46 +84,30 @@
         }
     }
 
-    fn store_record(&mut self, now_ms: u64, record: MemberRecord, applied_version: u64) {
+    fn store_record(&mut self, now_ms: u64, record: MemberRecord) {
         let id = record.id;
-        let previous = self.view.get(id);
-        let is_same_life =
-            previous.is_some_and(|entry| entry.record.incarnation == record.incarnation);
-        let (status, since_ms) = match previous {
-            Some(entry) if is_same_life => (entry.status, entry.since_ms),
-            Some(entry) if entry.status.is_running() => (MemberStatus::Alive, entry.since_ms),
-            _ => (MemberStatus::Alive, now_ms),
-        };
-        if !is_same_life {
-            self.suspicions.remove(&id);
-            self.updates.remove(UpdateKey::Status(id));
-        }
-        let entry = MemberEntry {
+        let mut entry = MemberEntry {
             record: Arc::new(record),
-            status,
-            since_ms,
+            status: MemberStatus::Alive,
+            since_ms: now_ms,
             applied_version: 0,
         };
-        let applied_before = match previous {
-            Some(entry) if is_same_life => entry.applied_version,
-            _ => 0,
-        };
-        self.view.members.insert(id, entry);
-        self.raise_applied(now_ms, id, applied_version.max(applied_before));
-        self.updates.push(UpdateKey::Record(id));
-        self.note_change();
-    }
-
-    /// Raises the version known in force at a member, in the view and in the memory of its address.
-    pub(super) fn raise_applied(&mut self, now_ms: u64, id: MemberId, version: u64) {
-        let Some(entry) = self.view.members.get_mut(&id) else {
-            return;
-        };
-        if version <= entry.applied_version {
-            return;
+        match self.view.get(id) {
+            Some(previous) if previous.record.incarnation == entry.record.incarnation => {
+                entry.status = previous.status;
+                entry.since_ms = previous.since_ms;
+                entry.applied_version = previous.applied_version;
+            }
+            Some(previous) => {
+                if previous.status.is_running() {
+                    entry.since_ms = previous.since_ms;
+                }
+                self.suspicions.remove(&id);
+                self.updates.remove(UpdateKey::Status(id));
+            }
+            None => self.note_learned(now_ms),
         }
-        entry.applied_version = version;
-        self.floors.raise_version(now_ms, id, version);
+        self.put(entry);
     }
 
     pub(super) fn merge_status(&mut self, now_ms: u64, update: &StatusUpdate) {
@@ -180,10 +197,13 @@
     }
 
     pub(super) fn set_status(&mut self, now_ms: u64, id: MemberId, status: MemberStatus) {
-        if let Some(entry) = self.view.members.get_mut(&id) {
-            entry.status = status;
-            entry.since_ms = now_ms;
-            self.note_change();
+        if let Some(previous) = self.view.get(id) {
+            let entry = MemberEntry {
+                status,
+                since_ms: now_ms,
+                ..previous.clone()
+            };
+            self.put(entry);
         }
     }
 
--- a/jayrack-membership/src/core/mod.rs
+++ b/jayrack-membership/src/core/mod.rs
@@ -5,26 +5,40 @@
 //! * `merge`: what records and beliefs of others change.
 //! * `probe`: failure detection.
 //! * `outgoing`: composition of datagrams.
+//! * `sync`: anti-entropy.
+//! * `retry`: tries of addresses at which no running member is known.
+//! * `applied`: aggregation of the versions in force.
+mod applied;
 mod merge;
 mod options;
 mod outgoing;
 mod probe;
 mod receive;
+mod retry;
+mod sync;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use jayrack_protocol::{MemberId, gossip::Datagram};
+use prost::Message;
 use rand_pcg::Pcg32;
 
 pub use options::Options;
 
 use crate::{
+    budget::TokenBudget,
+    digest::ViewDigest,
     floors::FloorTable,
     record::{MemberRecord, ServerRecord},
     replay::ReplayWindow,
     suspicion::Suspicion,
     updates::{UpdateKey, UpdateQueue},
     view::{MemberEntry, MemberStatus, MemberView},
+    wire,
 };
 
 /// Something that happened to the daemon.
@@ -102,10 +116,17 @@
     local: MemberRecord,
     applied: AppliedState,
     view: MemberView,
+    digest: ViewDigest,
     peers: BTreeMap<MemberId, PeerTrack>,
     suspicions: BTreeMap<MemberId, Suspicion>,
     updates: UpdateQueue,
+    update_budget: TokenBudget,
     floors: FloorTable,
+    highest_applied: u64,
+    is_applied_changed: bool,
+    learned: usize,
+    sync_budget: TokenBudget,
+    rechecks: BTreeSet<MemberId>,
     probe: probe::ProbeState,
     seeds: Vec<SocketAddr>,
     rng: Pcg32,
@@ -128,6 +149,9 @@
     last_tick_ms: u64,
     next_gossip_ms: u64,
     next_retry_ms: u64,
+    next_sync_ms: u64,
+    next_recheck_ms: u64,
+    next_applied_ms: u64,
     next_forget_ms: u64,
     retries: u32,
 }
@@ -142,7 +166,16 @@
 
 const LEAVE_ROUNDS: u32 = 5;
 const FORGET_INTERVAL_MS: u64 = 10_000;
-const CONTACTS_AFTER_RETRIES: u32 = 2;
+const APPLIED_CHANGE_INTERVAL_MS: u64 = 1_000;
+/// Bytes of updates sent per second, with probes or for their own sake.
+const UPDATE_BYTES_PER_S: u64 = 1_400;
+const UPDATE_BURST_BYTES: u64 = 8_000;
+const SYNC_REPLIES_PER_S: u64 = 4;
+const SYNC_REPLY_BURST: u64 = 16;
+/// Time after which an unknown sender is forgotten.
+const FORGET_SENDER_MS: u64 = 600_000;
+/// Longest record of this daemon; backend servers that would exceed it are left out.
+const MAX_RECORD_BYTES: usize = 620;
 
 impl MembershipCore {
     /// Creates the state of a daemon that knows only itself.
@@ -154,6 +187,9 @@
             last_tick_ms: now_ms,
             next_gossip_ms: now_ms,
             next_retry_ms: now_ms,
+            next_sync_ms: now_ms,
+            next_recheck_ms: now_ms,
+            next_applied_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
             retries: 0,
         };
@@ -164,10 +200,17 @@
             local,
             applied: AppliedState::default(),
             view: MemberView::default(),
+            digest: ViewDigest::default(),
             peers: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             updates: UpdateQueue::default(),
+            update_budget: TokenBudget::new(now_ms, UPDATE_BYTES_PER_S, UPDATE_BURST_BYTES),
             floors: FloorTable::default(),
+            highest_applied: 0,
+            is_applied_changed: false,
+            learned: 0,
+            sync_budget: TokenBudget::new(now_ms, SYNC_REPLIES_PER_S, SYNC_REPLY_BURST),
+            rechecks: BTreeSet::new(),
             seeds: Vec::new(),
             sequence: 0,
             schedule,
@@ -216,17 +259,29 @@
         self.expire_suspicions(now_ms);
         self.tick_gossip(now_ms);
         self.tick_retry(now_ms);
+        self.tick_recheck(now_ms);
+        self.tick_applied(now_ms);
         self.tick_forget(now_ms);
     }
 
     fn set_servers(&mut self, now_ms: u64, mut servers: Vec<ServerRecord>) {
         servers.sort();
+        self.fit_servers(&mut servers);
         if servers != self.local.servers {
             self.local.servers = servers;
             self.publish_local(now_ms);
         }
     }
 
+    fn fit_servers(&self, servers: &mut Vec<ServerRecord>) {
+        let mut record = self.local.clone();
+        record.servers = std::mem::take(servers);
+        while wire::to_message(&record, u64::MAX).encoded_len() > MAX_RECORD_BYTES
+            && record.servers.pop().is_some()
+        {}
+        *servers = record.servers;
+    }
+
     fn set_ready(&mut self, now_ms: u64, ready: bool) {
         if ready != self.local.ready {
             self.local.ready = ready;
@@ -275,6 +330,14 @@
         true
     }
 
+    fn tick_applied(&mut self, now_ms: u64) {
+        if self.is_applied_changed && now_ms >= self.schedule.next_applied_ms {
+            self.schedule.next_applied_ms = now_ms + APPLIED_CHANGE_INTERVAL_MS;
+            self.is_applied_changed = false;
+            self.actions.push(Action::Changed);
+        }
+    }
+
     fn tick_forget(&mut self, now_ms: u64) {
         if now_ms < self.schedule.next_forget_ms {
             return;
@@ -296,10 +359,17 @@
         for id in due {
             self.forget(id);
         }
+        let members = &self.view.members;
+        self.peers.retain(|id, track| {
+            let heard_ms = track.heard_ms.unwrap_or(0);
+            members.contains_key(id) || now_ms.saturating_sub(heard_ms) < FORGET_SENDER_MS
+        });
     }
 
     fn forget(&mut self, id: MemberId) {
-        self.view.members.remove(&id);
+        if let Some(entry) = self.view.members.remove(&id) {
+            self.digest.toggle(&entry);
+        }
         self.peers.remove(&id);
         self.updates.remove(UpdateKey::Record(id));
         self.updates.remove(UpdateKey::Status(id));
@@ -309,6 +379,17 @@
     fn publish_local(&mut self, now_ms: u64) {
         self.local.revision += 1;
         self.store_local(now_ms);
+        self.schedule.next_gossip_ms = now_ms;
+    }
+
+    /// Stores the entry of a member and keeps the digests in step.
+    fn put(&mut self, entry: MemberEntry) {
+        let id = entry.record.id;
+        self.digest.toggle(&entry);
+        if let Some(previous) = self.view.members.insert(id, entry) {
+            self.digest.toggle(&previous);
+        }
+        self.note_change();
     }
 
     fn raise_incarnation(&mut self, now_ms: u64, above: u64) {
@@ -328,9 +409,8 @@
             since_ms,
             applied_version: self.applied.version,
         };
-        self.view.members.insert(self.local.id, entry);
+        self.put(entry);
         self.updates.push(UpdateKey::Record(self.local.id));
-        self.note_change();
     }
 
     fn note_change(&mut self) {
--- a/jayrack-membership/src/core/options.rs
+++ b/jayrack-membership/src/core/options.rs
@@ -13,6 +13,8 @@
     pub gossip_interval_ms: u64,
     /// Time from one try of a seed or a dead address to the next.
     pub retry_interval_ms: u64,
+    /// Time from one anti-entropy exchange to the next while views differ.
+    pub sync_interval_ms: u64,
     /// Time after which a dead member is forgotten.
     pub forget_dead_ms: u64,
     /// Time after which a member that left is forgotten.
@@ -27,6 +29,7 @@
             helpers: 3,
             gossip_interval_ms: 200,
             retry_interval_ms: 2_000,
+            sync_interval_ms: 10_000,
             forget_dead_ms: 21_600_000,
             forget_left_ms: 600_000,
         }
@@ -58,6 +61,12 @@
         self
     }
 
+    /// Sets the time from one anti-entropy exchange to the next while views differ.
+    pub fn with_sync_interval_ms(mut self, interval_ms: u64) -> Self {
+        self.sync_interval_ms = interval_ms;
+        self
+    }
+
     /// Sets the time after which a dead member is forgotten.
     pub fn with_forget_dead_ms(mut self, time_ms: u64) -> Self {
         self.forget_dead_ms = time_ms;
--- a/jayrack-membership/src/core/outgoing.rs
+++ b/jayrack-membership/src/core/outgoing.rs
@@ -3,12 +3,15 @@
 
 use jayrack_protocol::{
     MemberId,
-    gossip::{self, Datagram, Ping, StatusUpdate, SyncPull, datagram::Body},
+    gossip::{self, Datagram, StatusUpdate, datagram::Body},
 };
 use prost::{Message, encoding::encoded_len_varint};
 use rand_pcg::rand_core::Rng;
 
-use super::{Action, CONTACTS_AFTER_RETRIES, MembershipCore};
+use super::{
+    Action, MembershipCore,
+    applied::{MAX_ROW_BYTES, REPORT_BYTES},
+};
 use crate::{
     updates::UpdateKey,
     view::{MemberEntry, MemberStatus},
@@ -19,25 +22,27 @@
 const FIT_ATTEMPTS: usize = 4;
 /// Bytes of a field number from 16 on.
 const TAG_BYTES: usize = 2;
-/// Datagrams sent at most in answer to one request for records.
-const MAX_PULL_DATAGRAMS: usize = 3;
+/// Bytes of a datagram besides its updates, with the headers of UDP and IP.
+const DATAGRAM_OVERHEAD_BYTES: u64 = 90;
+/// Bytes that must be left of the budget for a datagram of updates.
+const MIN_GOSSIP_BYTES: u64 = 400;
 
 impl MembershipCore {
     /// Sends `body` with as many pending updates as fit.
     pub(super) fn send(&mut self, now_ms: u64, to: SocketAddr, body: Option<Body>) {
         let mut datagram = self.header(to, body);
-        self.add_updates(&mut datagram);
-        self.emit(now_ms, to, datagram);
+        self.add_updates(now_ms, &mut datagram);
+        self.emit(to, datagram);
     }
 
-    fn emit(&mut self, _now_ms: u64, to: SocketAddr, datagram: Datagram) {
+    pub(super) fn emit(&mut self, to: SocketAddr, datagram: Datagram) {
         self.actions.push(Action::Send {
             to,
             datagram: Box::new(datagram),
         });
     }
 
-    fn header(&mut self, to: SocketAddr, body: Option<Body>) -> Datagram {
+    pub(super) fn header(&mut self, to: SocketAddr, body: Option<Body>) -> Datagram {
         self.sequence += 1;
         let receiver = MemberId::from_address(to);
         let mut datagram = Datagram {
@@ -45,12 +50,15 @@
             incarnation: self.local.incarnation,
             sequence: self.sequence,
             applied_version: self.applied.version,
-            config_digest: self.applied.digest,
-            next_offset: self.applied.next_offset,
             floor: self.floor_to_tell(receiver),
             body,
             ..Datagram::default()
         };
+        if datagram.body.is_some() {
+            datagram.config_digest = self.applied.digest;
+            datagram.next_offset = self.applied.next_offset;
+            datagram.view_digest = self.digest.root();
+        }
         match self.view.get(receiver) {
             Some(entry) if entry.status == MemberStatus::Alive => {}
             Some(entry) => {
@@ -72,7 +80,7 @@
         wire::to_message(&self.local, self.applied.version)
     }
 
-    fn status_message(&self, id: MemberId, entry: &MemberEntry) -> StatusUpdate {
+    pub(super) fn status_message(&self, id: MemberId, entry: &MemberEntry) -> StatusUpdate {
         let source = match entry.status {
             MemberStatus::Suspect => self.local.id.0,
             _ => 0,
@@ -85,8 +93,13 @@
         }
     }
 
-    fn add_updates(&mut self, datagram: &mut Datagram) {
-        let mut room = MAX_PAYLOAD_BYTES.saturating_sub(datagram.encoded_len());
+    fn add_updates(&mut self, now_ms: u64, datagram: &mut Datagram) {
+        let budget = self.update_budget.left(now_ms) as usize;
+        let mut room = MAX_PAYLOAD_BYTES
+            .saturating_sub(datagram.encoded_len())
+            .saturating_sub(REPORT_BYTES)
+            .min(budget);
+        let start = room;
         let mut misses = 0;
         let mut taken = Vec::new();
         for key in self.updates.iter() {
@@ -100,6 +113,7 @@
             room -= size;
             taken.push(key);
         }
+        self.update_budget.spend((start - room) as u64);
         let limit = self.retransmit_limit();
         for key in taken {
             self.updates.count_transmission(key, limit);
@@ -122,14 +136,23 @@
                 (size <= room).then(|| datagram.records.push(message))?;
                 Some(size)
             }
+            UpdateKey::Applied(bucket) => {
+                (MAX_ROW_BYTES <= room).then(|| self.add_applied(datagram, bucket))?;
+                Some(MAX_ROW_BYTES)
+            }
         }
     }
 
     pub(super) fn tick_gossip(&mut self, now_ms: u64) {
-        if now_ms >= self.schedule.next_gossip_ms && !self.updates.is_empty() {
-            self.schedule.next_gossip_ms = now_ms + self.options.gossip_interval_ms;
-            self.send_updates(now_ms);
+        if now_ms < self.schedule.next_gossip_ms || !self.updates.has_urgent() {
+            return;
         }
+        if self.update_budget.left(now_ms) < MIN_GOSSIP_BYTES {
+            return;
+        }
+        self.schedule.next_gossip_ms = now_ms + self.options.gossip_interval_ms;
+        self.update_budget.spend(DATAGRAM_OVERHEAD_BYTES);
+        self.send_updates(now_ms);
     }
 
     /// Sends pending updates to a random running member.
@@ -141,63 +164,6 @@
         self.send(now_ms, to, None);
     }
 
-    pub(super) fn tick_retry(&mut self, now_ms: u64) {
-        if now_ms < self.schedule.next_retry_ms {
-            return;
-        }
-        self.schedule.next_retry_ms = now_ms + self.options.retry_interval_ms;
-        let is_alone = self.view.alive().count() <= 1;
-        if is_alone {
-            self.schedule.retries += 1;
-        } else {
-            self.schedule.retries = 0;
-        }
-        if self.schedule.retries > CONTACTS_AFTER_RETRIES {
-            self.schedule.retries = 0;
-            self.actions.push(Action::NeedContacts);
-        }
-        let mut targets = self.ended_addresses();
-        if is_alone {
-            targets.extend(self.seeds.iter().copied());
-        }
-        if let Some(index) = self.random_index(targets.len()) {
-            let nonce = self.rng.next_u32();
-            self.send(now_ms, targets[index], Some(Body::Ping(Ping { nonce })));
-        }
-    }
-
-    fn ended_addresses(&self) -> Vec<SocketAddr> {
-        let entries = self.view.members.values();
-        entries
-            .filter(|entry| entry.status == MemberStatus::Dead)
-            .map(|entry| entry.record.gossip_address)
-            .collect()
-    }
-
-    pub(super) fn send_pulled(&mut self, now_ms: u64, to: SocketAddr, pull: &SyncPull) {
-        let mut datagram = self.header(to, None);
-        let mut sent = 0;
-        for id in &pull.ids {
-            let Some(entry) = self.view.get(MemberId(*id)) else {
-                continue;
-            };
-            if !entry.status.is_running() {
-                continue;
-            }
-            let message = wire::to_message(&entry.record, entry.applied_version);
-            if datagram.encoded_len() + field_len(&message) > MAX_PAYLOAD_BYTES {
-                sent += 1;
-                if sent == MAX_PULL_DATAGRAMS {
-                    return self.emit(now_ms, to, datagram);
-                }
-                let next = self.header(to, None);
-                self.emit(now_ms, to, std::mem::replace(&mut datagram, next));
-            }
-            datagram.records.push(message);
-        }
-        self.emit(now_ms, to, datagram);
-    }
-
     fn random_running(&mut self) -> Option<MemberId> {
         let local = self.local.id;
         let ids: Vec<MemberId> = self.view.alive().map(|entry| entry.record.id).collect();
@@ -213,7 +179,7 @@
 }
 
 /// Bytes of a message as a field of a datagram.
-fn field_len(message: &impl Message) -> usize {
+pub(super) fn field_len(message: &impl Message) -> usize {
     let length = message.encoded_len();
     TAG_BYTES + encoded_len_varint(length as u64) + length
 }
--- a/jayrack-membership/src/core/receive.rs
+++ b/jayrack-membership/src/core/receive.rs
@@ -6,7 +6,7 @@
     gossip::{Ack, Datagram, SyncPull, datagram::Body},
 };
 
-use super::{Action, AppliedState, Departure, MembershipCore};
+use super::{Action, AppliedState, Departure, MembershipCore, merge::RecordOrigin};
 
 impl MembershipCore {
     pub(super) fn is_departing(&self) -> bool {
@@ -24,15 +24,23 @@
             return;
         }
         track.heard_ms = Some(now_ms);
+        let origin = match datagram.body {
+            Some(Body::SyncRecords(_)) => RecordOrigin::Sync,
+            _ => RecordOrigin::Update,
+        };
         for record in &datagram.records {
-            self.merge_record(now_ms, record);
+            self.merge_record(now_ms, record, origin);
         }
         for status in &datagram.statuses {
             self.merge_status(now_ms, status);
         }
+        if let Some(report) = &datagram.applied {
+            self.merge_applied(now_ms, report);
+        }
         self.note_sender_state(now_ms, sender, datagram);
         self.request_sender_record(now_ms, from, datagram);
         self.answer(now_ms, from, datagram);
+        self.start_sync(now_ms, from, datagram);
     }
 
     fn note_sender_state(&mut self, now_ms: u64, sender: MemberId, datagram: &Datagram) {
@@ -48,6 +56,9 @@
                 version: datagram.floor,
             });
         }
+        if datagram.body.is_none() {
+            return;
+        }
         self.actions.push(Action::PeerState {
             peer: sender,
             state: AppliedState {
@@ -77,8 +88,10 @@
             Some(Body::PingRequest(request)) => self.relay_probe(now_ms, from, request),
             Some(Body::Ack(ack)) => self.receive_ack(now_ms, ack.nonce),
             Some(Body::Nack(nack)) => self.probe.note_nack(nack.nonce),
-            Some(Body::SyncPull(pull)) => self.send_pulled(now_ms, from, pull),
-            Some(Body::SyncDigest(_) | Body::SyncSummary(_)) | None => {}
+            Some(Body::SyncDigest(digest)) => self.receive_digest(now_ms, from, digest),
+            Some(Body::SyncSummary(summary)) => self.receive_summary(now_ms, from, summary),
+            Some(Body::SyncPull(pull)) => self.receive_pull(from, pull),
+            Some(Body::SyncRecords(_)) | None => {}
         }
     }
 }
--- /dev/null
+++ b/jayrack-membership/src/core/retry.rs
@@ -0,0 +1,88 @@
+//! Tries of addresses at which no running member is known.
+use std::net::SocketAddr;
+
+use jayrack_protocol::{
+    MemberId,
+    gossip::{Ping, datagram::Body},
+};
+use rand_pcg::rand_core::Rng;
+
+use super::{Action, MembershipCore};
+use crate::view::MemberStatus;
+
+/// Tries per second that the fleet together makes of one address.
+const FLEET_TRIES_PER_S: u64 = 2;
+const RECHECK_INTERVAL_MS: u64 = 200;
+/// Tries without an answer after which the contacts in the log are needed.
+const CONTACTS_AFTER_RETRIES: u32 = 2;
+const MS_PER_S: u64 = 1_000;
+
+impl MembershipCore {
+    /// Tries a seed or a dead address now and then; the more members run, the seldomer each tries.
+    pub(super) fn tick_retry(&mut self, now_ms: u64) {
+        if now_ms < self.schedule.next_retry_ms {
+            return;
+        }
+        self.schedule.next_retry_ms = now_ms + self.options.retry_interval_ms;
+        let targets = self.silent_addresses();
+        let running = self.view.alive().count();
+        self.count_lonely_retry(running);
+        let wanted = targets.len() as u64 * FLEET_TRIES_PER_S * self.options.retry_interval_ms;
+        let spread = running as u64 * MS_PER_S;
+        let draw = self.random_index(spread as usize).unwrap_or(0) as u64;
+        if draw >= wanted {
+            return;
+        }
+        if let Some(index) = self.random_index(targets.len()) {
+            self.try_address(now_ms, targets[index]);
+        }
+    }
+
+    fn count_lonely_retry(&mut self, running: usize) {
+        if running > 1 {
+            self.schedule.retries = 0;
+            return;
+        }
+        self.schedule.retries += 1;
+        if self.schedule.retries > CONTACTS_AFTER_RETRIES {
+            self.schedule.retries = 0;
+            self.actions.push(Action::NeedContacts);
+        }
+    }
+
+    /// Dead addresses, and seeds at which no member is known to run or to have left.
+    fn silent_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.view.members.values();
+        let dead = entries
+            .filter(|entry| entry.status == MemberStatus::Dead)
+            .map(|entry| entry.record.gossip_address);
+        let unknown = |seed: &&SocketAddr| {
+            let id = MemberId::from_address(**seed);
+            self.view
+                .get(id)
+                .is_none_or(|entry| entry.status == MemberStatus::Left)
+        };
+        let seeds = self.seeds.iter().filter(unknown).copied();
+        dead.chain(seeds).collect()
+    }
+
+    /// Tries a member that this daemon believes dead and another one believes to run.
+    pub(super) fn tick_recheck(&mut self, now_ms: u64) {
+        if now_ms < self.schedule.next_recheck_ms {
+            return;
+        }
+        self.schedule.next_recheck_ms = now_ms + RECHECK_INTERVAL_MS;
+        while let Some(id) = self.rechecks.pop_first() {
+            let entry = self.view.get(id);
+            let dead = entry.filter(|entry| entry.status == MemberStatus::Dead);
+            if let Some(address) = dead.map(|entry| entry.record.gossip_address) {
+                return self.try_address(now_ms, address);
+            }
+        }
+    }
+
+    fn try_address(&mut self, now_ms: u64, address: SocketAddr) {
+        let nonce = self.rng.next_u32();
+        self.send(now_ms, address, Some(Body::Ping(Ping { nonce })));
+    }
+}
--- a/jayrack-membership/src/lib.rs
+++ b/jayrack-membership/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod view;
 pub mod wire;
 
+mod budget;
+mod digest;
 mod floors;
 mod replay;
 mod suspicion;
--- a/jayrack-membership/src/updates.rs
+++ b/jayrack-membership/src/updates.rs
@@ -1,8 +1,14 @@
 //! Updates that wait to be passed on with other datagrams.
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use jayrack_protocol::MemberId;
 
+/// Updates that wait at most; the one sent most often is dropped first.
+pub const MAX_UPDATES: usize = 512;
+
 /// What an update is about; a newer one about the same replaces it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum UpdateKey {
@@ -10,43 +16,68 @@
     Status(MemberId),
     /// The record of a member.
     Record(MemberId),
+    /// The applied versions of the members in a bucket.
+    Applied(u8),
 }
 
+impl UpdateKey {
+    /// Whether datagrams are sent for the update's sake, rather than only with others.
+    pub fn is_urgent(self) -> bool {
+        !matches!(self, UpdateKey::Applied(_))
+    }
+}
+
+/// Fewest transmissions first, then the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
     sent: u32,
+    added: Reverse<u64>,
     key: UpdateKey,
 }
 
 /// Updates ordered by how often they were sent, fewest first.
 #[derive(Debug, Default)]
 pub struct UpdateQueue {
-    sent: BTreeMap<UpdateKey, u32>,
+    positions: BTreeMap<UpdateKey, Position>,
     order: BTreeSet<Position>,
+    added: u64,
+    urgent: usize,
 }
 
 impl UpdateQueue {
     /// Adds an update, or starts it anew when it is queued already.
     pub fn push(&mut self, key: UpdateKey) {
-        self.set_sent(key, 0);
+        self.added += 1;
+        self.place(Position {
+            sent: 0,
+            added: Reverse(self.added),
+            key,
+        });
+        if self.positions.len() > MAX_UPDATES
+            && let Some(last) = self.order.last().map(|position| position.key)
+        {
+            self.remove(last);
+        }
     }
 
     /// Drops an update.
     pub fn remove(&mut self, key: UpdateKey) {
-        if let Some(sent) = self.sent.remove(&key) {
-            self.order.remove(&Position { sent, key });
+        if let Some(position) = self.positions.remove(&key) {
+            self.order.remove(&position);
+            self.urgent -= usize::from(key.is_urgent());
         }
     }
 
     /// Counts a transmission, by this daemon or by another one, and drops the update after `limit`.
     pub fn count_transmission(&mut self, key: UpdateKey, limit: u32) {
-        let Some(sent) = self.sent.get(&key).copied() else {
+        let Some(position) = self.positions.get(&key).copied() else {
             return;
         };
-        if sent + 1 >= limit {
+        let sent = position.sent + 1;
+        if sent >= limit {
             self.remove(key);
         } else {
-            self.set_sent(key, sent + 1);
+            self.place(Position { sent, ..position });
         }
     }
 
@@ -55,14 +86,15 @@
         self.order.iter().map(|position| position.key)
     }
 
-    /// Whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.sent.is_empty()
+    /// Whether an update waits for which datagrams are sent.
+    pub fn has_urgent(&self) -> bool {
+        self.urgent > 0
     }
 
-    fn set_sent(&mut self, key: UpdateKey, sent: u32) {
-        self.remove(key);
-        self.sent.insert(key, sent);
-        self.order.insert(Position { sent, key });
+    fn place(&mut self, position: Position) {
+        self.remove(position.key);
+        self.urgent += usize::from(position.key.is_urgent());
+        self.positions.insert(position.key, position);
+        self.order.insert(position);
     }
 }
