--- /dev/null
+++ b/jayrack-traffic/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Fixtures shared by the tests.
+#![allow(dead_code)]
+pub mod world;
--- /dev/null
+++ b/jayrack-traffic/tests/support/world.rs
@@ -0,0 +1,782 @@
+//! The model of one key used at two ingresses: the crate's machines, a network and faults.
+//!
+//! Messages that are never delivered are lost, and any message may be delivered at any later time,
+//! so loss and reordering are unbounded. An exchange with a home is one step, in which the answer may
+//! be lost; what a home is asked may arrive late. A paused process is one whose events are not taken while
+//! the clock goes on. The other faults are bounded by [`Budget`].
+use std::{cell::Cell, collections::BTreeSet, rc::Rc};
+
+use jayrack_protocol::{MemberId, RequestId, ResultCode};
+use jayrack_traffic::{
+    claim::{self, ClaimOutcome, ClaimRegistry, ClaimRequest, HomeSet, KeyHolder, PeerSummary},
+    class::request_id,
+    coordinate::{self, ClaimCoordinator},
+    ledger::{self, Begin, Inquiry, Outcome, OutcomeLedger},
+    request::{self, RequestFlow, Response},
+};
+
+/// Time that claims are kept; also the time at which the model starts.
+const RETENTION_MS: u64 = 10;
+const DEADLINE_MS: u64 = RETENTION_MS + 2;
+/// Daemons 0 and 1 are ingresses, 2 and 3 owners; 4 is a spare home.
+pub const DAEMONS: usize = 5;
+const FIRST_OWNER: usize = 2;
+
+/// Faults that may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Budget {
+    pub duplicates: u8,
+    pub crashes: u8,
+    pub refusals: u8,
+    /// Connections found broken, with or without cause.
+    pub notices: u8,
+    pub ticks: u8,
+}
+
+/// A wrong way to drive the machines, which the model has to find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Defect {
+    None,
+    /// A request whose connection was lost is sent on without a fence.
+    LostIsNotSent,
+    /// A restarted owner answers for requests sent before its start.
+    NoHorizon,
+    /// A restarted home vouches at once.
+    VouchesAtOnce,
+    /// A repeat replaces a holder that is only in progress.
+    ReplacesRunning,
+    /// Each ingress asks a single home of its own.
+    SingleHome,
+    /// A retry goes to another owner without a record at the homes.
+    UnrecordedRetry,
+}
+
+/// What differs between the explorations.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Scenario {
+    pub budget: Budget,
+    pub defect: Defect,
+    /// Requests at the ingresses: 1 or 2.
+    pub calls: usize,
+    /// Daemons that may crash.
+    pub crashing: Vec<usize>,
+    /// Daemons in the order of their weight for the key.
+    pub order: [usize; DAEMONS],
+    /// A daemon that each ingress takes for dead, wrongly or not.
+    pub suspected: [Option<usize>; 2],
+    /// A daemon that has just joined, and whether each ingress knows it.
+    pub joined: Option<(usize, [bool; 2])>,
+    /// Whether the second request has another digest.
+    pub differs: bool,
+    /// Whether the repeat comes only after the first request was let through by the homes.
+    pub is_late: bool,
+}
+
+/// What a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Told {
+    Answer(usize),
+    Code(ResultCode),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Asker {
+    Flow(usize),
+    Claim,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Message {
+    Claim(usize, usize, ClaimRequest),
+    Record(usize, usize, KeyHolder),
+    Resolve(usize, usize, ClaimOutcome),
+    Send(usize, usize, usize),
+    Answered(usize, usize, ResultCode, usize),
+    Query(usize, usize, Asker, RequestId, bool),
+    Replied(usize, Asker, Inquiry<usize>),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Call {
+    flow: RequestFlow,
+    coordinator: ClaimCoordinator,
+    flow_wait_ms: Option<u64>,
+    claim_wait_ms: Option<u64>,
+    /// A send that was decided and has not left yet.
+    outbox: Option<usize>,
+    pending: Option<usize>,
+    is_started: bool,
+    is_dead: bool,
+    told: Option<Told>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Owner {
+    ledger: OutcomeLedger<usize>,
+    queued: BTreeSet<(usize, usize)>,
+    running: BTreeSet<(usize, usize)>,
+}
+
+/// One state of the model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct World {
+    scenario: Rc<Scenario>,
+    key: u128,
+    now_ms: u64,
+    budget: Budget,
+    calls: [Rc<Call>; 2],
+    owners: [Rc<Owner>; 2],
+    homes: [Rc<ClaimRegistry>; DAEMONS],
+    network: Rc<BTreeSet<Message>>,
+    runs: [u8; 2],
+}
+
+/// A state and its distance from the start, which does not count for equality.
+#[derive(Debug, Clone)]
+pub struct Node {
+    pub world: World,
+    pub depth: u32,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.world == other.world
+    }
+}
+
+impl Eq for Node {}
+
+impl std::hash::Hash for Node {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.world.hash(state);
+    }
+}
+
+/// Result of an exploration.
+#[derive(Debug)]
+pub struct Exploration {
+    pub states: usize,
+    pub depth: u32,
+    /// Whether all states within the budget were seen.
+    pub is_whole: bool,
+    pub violation: Option<Vec<World>>,
+    /// What the two callers were told in the states seen.
+    pub told: BTreeSet<[Option<Told>; 2]>,
+}
+
+/// Searches all states of `scenario` breadth first; a violation comes with a shortest path.
+pub fn explore(scenario: Scenario, max_states: usize) -> Exploration {
+    let states = Cell::new(0);
+    let depth = Cell::new(0);
+    let mut told = BTreeSet::new();
+    let start = Node {
+        world: World::new(scenario),
+        depth: 0,
+    };
+    let path = pathfinding::directed::bfs::bfs(
+        &start,
+        |node| {
+            states.set(states.get() + 1);
+            depth.set(depth.get().max(node.depth));
+            told.insert(node.world.told());
+            let depth = node.depth + 1;
+            let is_within = states.get() <= max_states;
+            let next = if is_within {
+                node.world.successors()
+            } else {
+                Vec::new()
+            };
+            next.into_iter().map(move |world| Node { world, depth })
+        },
+        |node| node.world.violation().is_some(),
+    );
+    Exploration {
+        states: states.get(),
+        depth: depth.get(),
+        is_whole: states.get() <= max_states,
+        violation: path.map(|nodes| nodes.into_iter().map(|node| node.world).collect()),
+        told,
+    }
+}
+
+fn member(daemon: usize) -> MemberId {
+    MemberId(daemon as u64)
+}
+
+fn daemon(member: MemberId) -> usize {
+    member.0 as usize
+}
+
+fn id(call: usize) -> RequestId {
+    request_id(RETENTION_MS, call as u128)
+}
+
+/// A key whose homes come in the order wanted.
+fn key_with_order(order: &[usize; DAEMONS]) -> u128 {
+    let peers: Vec<PeerSummary> = (0..DAEMONS).map(|daemon| peer(daemon, None)).collect();
+    let is_wanted = |key: &u128| {
+        let set = claim::homes(*key, &peers, 0, RETENTION_MS);
+        let wanted: Vec<MemberId> = order[..3].iter().map(|place| member(*place)).collect();
+        let without_first: Vec<PeerSummary> = peers
+            .iter()
+            .filter(|peer| peer.id != wanted[0])
+            .cloned()
+            .collect();
+        let next = claim::homes(*key, &without_first, 0, RETENTION_MS);
+        set.vouching == wanted && next.vouching[2] == member(order[3])
+    };
+    (0..).find(is_wanted).expect("some key has this order")
+}
+
+fn peer(daemon: usize, dead_since_ms: Option<u64>) -> PeerSummary {
+    PeerSummary {
+        id: member(daemon),
+        alive: dead_since_ms.is_none(),
+        alive_since_ms: 0,
+        dead_since_ms,
+    }
+}
+
+fn new_ledger(started_unix_ms: u64) -> OutcomeLedger<usize> {
+    OutcomeLedger::new(ledger::Options {
+        started_unix_ms,
+        clock_skew_ms: 1,
+        ..ledger::Options::default()
+    })
+}
+
+fn new_registry(started_ms: u64) -> ClaimRegistry {
+    ClaimRegistry::new(
+        started_ms,
+        claim::Options {
+            retention_ms: RETENTION_MS,
+            max_claims: 4,
+        },
+    )
+}
+
+impl World {
+    pub fn new(scenario: Scenario) -> Self {
+        let key = key_with_order(&scenario.order);
+        let home = |daemon| {
+            let is_young = scenario.joined.is_some_and(|(joined, _)| joined == daemon);
+            Rc::new(new_registry(if is_young { RETENTION_MS } else { 0 }))
+        };
+        let owner = Rc::new(Owner {
+            ledger: new_ledger(0),
+            queued: BTreeSet::new(),
+            running: BTreeSet::new(),
+        });
+        Self {
+            key,
+            now_ms: RETENTION_MS,
+            budget: scenario.budget,
+            calls: [0, 1].map(|call| Rc::new(Call::new(&scenario, key, call))),
+            owners: [owner.clone(), owner],
+            homes: [0, 1, 2, 3, 4].map(home),
+            network: Rc::default(),
+            runs: [0; 2],
+            scenario: Rc::new(scenario),
+        }
+    }
+
+    /// What the callers were told.
+    pub fn told(&self) -> [Option<Told>; 2] {
+        [self.calls[0].told, self.calls[1].told]
+    }
+
+    /// The invariant that does not hold, if any.
+    pub fn violation(&self) -> Option<&'static str> {
+        let limit = if self.scenario.differs { 2 } else { 1 };
+        if self.runs[0] + self.runs[1] > limit || self.runs.contains(&2) {
+            return Some("ran twice");
+        }
+        for (call, told) in self.told().into_iter().enumerate() {
+            match told {
+                Some(Told::Code(code)) if code.is_not_run() && self.runs[call] > 0 => {
+                    return Some("told not run and ran");
+                }
+                Some(Told::Answer(answer)) if self.runs[answer] == 0 => {
+                    return Some("told an answer of a request that did not run");
+                }
+                Some(Told::Answer(answer)) if self.scenario.differs && answer != call => {
+                    return Some("told the answer of another request");
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    /// All states that one event leads to.
+    pub fn successors(&self) -> Vec<World> {
+        let mut next = Vec::new();
+        for call in 0..self.scenario.calls {
+            self.call_events(call, &mut next);
+        }
+        for message in self.network.iter() {
+            let mut world = self.clone();
+            Rc::make_mut(&mut world.network).remove(message);
+            world.deliver(message);
+            next.push(world);
+            if self.budget.duplicates > 0 {
+                let mut world = self.clone();
+                world.budget.duplicates -= 1;
+                world.deliver(message);
+                next.push(world);
+            }
+            if self.budget.notices > 0 && message.is_to_home() {
+                next.push(self.with_lost_answer(message));
+            }
+        }
+        for owner in 0..2 {
+            self.owner_events(owner, &mut next);
+        }
+        if self.budget.crashes > 0 {
+            for daemon in &self.scenario.crashing {
+                next.push(self.crashed(*daemon));
+            }
+        }
+        if self.budget.ticks > 0 {
+            let mut world = self.clone();
+            world.budget.ticks -= 1;
+            world.now_ms += 1;
+            next.push(world);
+        }
+        next
+    }
+
+    /// A home takes a message, and its answer is lost.
+    fn with_lost_answer(&self, message: &Message) -> World {
+        self.with(|world| {
+            world.budget.notices -= 1;
+            Rc::make_mut(&mut world.network).remove(message);
+            let calls = world.calls.clone();
+            let network = world.network.clone();
+            world.deliver(message);
+            world.calls = calls;
+            world.network = network;
+        })
+    }
+
+    fn call_events(&self, at: usize, next: &mut Vec<World>) {
+        let call = &self.calls[at];
+        if call.is_dead {
+            return;
+        }
+        if !call.is_started {
+            let first = &self.calls[0];
+            let is_early = at == 1 && first.flow_wait_ms.is_none() && !first.is_over();
+            if self.scenario.is_late && is_early {
+                return;
+            }
+            next.push(self.with(|world| {
+                world.call_mut(at).is_started = true;
+                world.claim_input(at, coordinate::Input::Start);
+            }));
+            return;
+        }
+        if let Some(server) = call.outbox {
+            next.push(self.with(|world| {
+                world.call_mut(at).outbox = None;
+                world.send(Message::Send(at, owner_of(at, server), server));
+            }));
+        }
+        if call
+            .flow_wait_ms
+            .is_some_and(|until_ms| until_ms <= self.now_ms)
+        {
+            next.push(self.with(|world| {
+                world.call_mut(at).flow_wait_ms = None;
+                world.flow_input(at, request::Input::Timeout);
+            }));
+        }
+        if call
+            .claim_wait_ms
+            .is_some_and(|until_ms| until_ms <= self.now_ms)
+        {
+            next.push(self.with(|world| {
+                world.call_mut(at).claim_wait_ms = None;
+                world.claim_input(at, coordinate::Input::Timeout);
+            }));
+        }
+        if self.budget.notices > 0 && call.told.is_none() {
+            self.notices(at, next);
+        }
+    }
+
+    /// Connections found broken, whether or not what was sent on them arrives.
+    fn notices(&self, at: usize, next: &mut Vec<World>) {
+        let mut notice = |input: &dyn Fn(&mut World)| {
+            let mut world = self.clone();
+            world.budget.notices -= 1;
+            input(&mut world);
+            if (&world.calls, &world.network) != (&self.calls, &self.network) {
+                next.push(world);
+            }
+        };
+        for server in 0..2 {
+            if self.calls[at].outbox == Some(server) {
+                notice(&|world| {
+                    world.call_mut(at).outbox = None;
+                    world.flow_input(at, request::Input::NotSent { server });
+                });
+                continue;
+            }
+            let is_defect = self.scenario.defect == Defect::LostIsNotSent;
+            notice(&|world| match is_defect {
+                true => world.flow_input(at, request::Input::NotSent { server }),
+                false => world.flow_input(at, request::Input::Lost { server }),
+            });
+            notice(&|world| world.flow_input(at, request::Input::QueryLost { server }));
+        }
+        notice(&|world| world.claim_input(at, coordinate::Input::QueryLost));
+        for home in 0..DAEMONS {
+            let home = member(home);
+            notice(&|world| world.claim_input(at, coordinate::Input::HomeLost { home }));
+        }
+    }
+
+    fn owner_events(&self, at: usize, next: &mut Vec<World>) {
+        for entry in &self.owners[at].queued {
+            let (call, server) = *entry;
+            next.push(self.with(|world| {
+                let now_ms = world.now_ms;
+                let owner = world.owner_mut(at);
+                owner.queued.remove(entry);
+                if owner.ledger.dispatched(now_ms, id(call)) {
+                    owner.running.insert(*entry);
+                    world.runs[call] += 1;
+                } else {
+                    world.answer(call, server, ResultCode::Fenced);
+                }
+            }));
+            if self.budget.refusals > 0 {
+                next.push(self.with(|world| {
+                    let now_ms = world.now_ms;
+                    world.budget.refusals -= 1;
+                    let owner = world.owner_mut(at);
+                    owner.queued.remove(entry);
+                    owner.ledger.not_run(now_ms, id(call), ResultCode::Shed);
+                    world.answer(call, server, ResultCode::Shed);
+                }));
+            }
+        }
+        for entry in &self.owners[at].running {
+            let (call, server) = *entry;
+            next.push(self.with(|world| {
+                let now_ms = world.now_ms;
+                let owner = world.owner_mut(at);
+                owner.running.remove(entry);
+                owner.ledger.done(now_ms, id(call), call, 1);
+                world.answer(call, server, ResultCode::Ok);
+            }));
+        }
+    }
+
+    /// The daemon restarted with empty memory; messages on connections to it are gone.
+    fn crashed(&self, at: usize) -> World {
+        self.with(|world| {
+            world.budget.crashes -= 1;
+            let vouches_at_once = world.scenario.defect == Defect::VouchesAtOnce;
+            let has_horizon = world.scenario.defect != Defect::NoHorizon;
+            let now_ms = world.now_ms;
+            world.homes[at] = Rc::new(new_registry(if vouches_at_once { 0 } else { now_ms }));
+            if at < FIRST_OWNER {
+                world.call_mut(at).is_dead = true;
+            } else if at < FIRST_OWNER + 2 {
+                world.owners[at - FIRST_OWNER] = Rc::new(Owner {
+                    ledger: new_ledger(if has_horizon { now_ms } else { 0 }),
+                    queued: BTreeSet::new(),
+                    running: BTreeSet::new(),
+                });
+            }
+            Rc::make_mut(&mut world.network).retain(|message| message.target() != at);
+        })
+    }
+
+    fn deliver(&mut self, message: &Message) {
+        let now_ms = self.now_ms;
+        match message.clone() {
+            Message::Claim(from, home, claim) => {
+                let reply = Rc::make_mut(&mut self.homes[home]).claim(now_ms, &claim);
+                let home = member(home);
+                self.claim_input(from, coordinate::Input::Reply { home, reply });
+            }
+            Message::Record(from, home, holder) => {
+                let key = self.key;
+                let holds = Rc::make_mut(&mut self.homes[home]).record_owner(now_ms, key, holder);
+                let home = member(home);
+                self.claim_input(
+                    from,
+                    coordinate::Input::Recorded {
+                        home,
+                        holder,
+                        holds,
+                    },
+                );
+            }
+            Message::Resolve(call, home, outcome) => {
+                let key = self.key;
+                Rc::make_mut(&mut self.homes[home]).resolve(now_ms, key, id(call), outcome);
+            }
+            Message::Send(from, owner, server) => self.arrive(from, owner, server),
+            Message::Answered(to, server, code, _) => {
+                self.flow_input(to, request::Input::Answer { server, code });
+            }
+            Message::Query(from, owner, asker, request, fence) => {
+                let inquiry = self
+                    .owner_mut(owner - FIRST_OWNER)
+                    .ledger
+                    .query(now_ms, request, fence);
+                self.send(Message::Replied(from, asker, inquiry));
+            }
+            Message::Replied(to, Asker::Flow(server), inquiry) => {
+                self.flow_input(to, request::Input::QueryReply { server, inquiry });
+            }
+            Message::Replied(to, Asker::Claim, inquiry) => {
+                let is_defect = self.scenario.defect == Defect::ReplacesRunning;
+                let inquiry = match inquiry {
+                    Inquiry::InProgress if is_defect => Inquiry::NotRun(ResultCode::Fenced),
+                    inquiry => inquiry,
+                };
+                self.claim_input(to, coordinate::Input::QueryReply(inquiry));
+            }
+        }
+    }
+
+    fn arrive(&mut self, call: usize, owner: usize, server: usize) {
+        let now_ms = self.now_ms;
+        let owner = self.owner_mut(owner - FIRST_OWNER);
+        match owner.ledger.begin(now_ms, id(call)) {
+            Begin::New => {
+                owner.queued.insert((call, server));
+            }
+            Begin::Existing(Outcome::Done(_)) => self.answer(call, server, ResultCode::Ok),
+            Begin::Existing(Outcome::NotRun(code) | Outcome::Unknown(code)) => {
+                self.answer(call, server, code);
+            }
+            Begin::Existing(_) => self.answer(call, server, ResultCode::OutcomeUnknown),
+        }
+    }
+
+    fn answer(&mut self, call: usize, server: usize, code: ResultCode) {
+        self.send(Message::Answered(call, server, code, call));
+    }
+
+    fn flow_input(&mut self, at: usize, input: request::Input<usize>) {
+        let now_ms = self.now_ms;
+        if self.calls[at].is_dead {
+            return;
+        }
+        for action in self.call_mut(at).flow.handle(now_ms, input) {
+            match action {
+                request::Action::Send { server: 0 } => self.call_mut(at).outbox = Some(0),
+                request::Action::Send { server } if server > 1 => {
+                    self.flow_input(at, request::Input::NoServer(ResultCode::RouteInactive));
+                }
+                request::Action::Send { server } => {
+                    if self.scenario.defect == Defect::UnrecordedRetry {
+                        self.call_mut(at).outbox = Some(server);
+                        continue;
+                    }
+                    self.call_mut(at).pending = Some(server);
+                    let owner = member(owner_of(at, server));
+                    self.claim_input(at, coordinate::Input::Retry { owner });
+                }
+                request::Action::Query { server, fence } => {
+                    let asker = Asker::Flow(server);
+                    self.send(Message::Query(
+                        at,
+                        owner_of(at, server),
+                        asker,
+                        id(at),
+                        fence,
+                    ));
+                }
+                request::Action::Wait { until_ms } => {
+                    self.call_mut(at).flow_wait_ms = Some(until_ms)
+                }
+                request::Action::Respond(Response::Forwarded { .. }) => {
+                    self.tell(at, Told::Answer(at))
+                }
+                request::Action::Respond(Response::Fetched(answer)) => {
+                    self.tell(at, Told::Answer(answer));
+                }
+                request::Action::Respond(Response::Refused(code)) => {
+                    self.tell(at, Told::Code(code))
+                }
+            }
+        }
+    }
+
+    fn claim_input(&mut self, at: usize, input: coordinate::Input<usize>) {
+        let now_ms = self.now_ms;
+        if self.calls[at].is_dead {
+            return;
+        }
+        for action in self.call_mut(at).coordinator.handle(now_ms, input) {
+            match action {
+                coordinate::Action::Ask { home, claim } => {
+                    self.send(Message::Claim(at, daemon(home), claim));
+                }
+                coordinate::Action::Record { home, holder } => {
+                    self.send(Message::Record(at, daemon(home), holder));
+                }
+                coordinate::Action::Run => match self.call_mut(at).pending.take() {
+                    Some(server) => self.call_mut(at).outbox = Some(server),
+                    None => self.flow_input(at, request::Input::Start),
+                },
+                coordinate::Action::Superseded => {
+                    self.flow_input(at, request::Input::NoServer(ResultCode::Fenced));
+                }
+                coordinate::Action::AttachTo { holder, fence } => {
+                    let owner = daemon(holder.owner);
+                    self.send(Message::Query(
+                        at,
+                        owner,
+                        Asker::Claim,
+                        holder.request,
+                        fence,
+                    ));
+                }
+                coordinate::Action::Release { homes } => {
+                    self.resolve(at, &homes, ClaimOutcome::NotRun)
+                }
+                coordinate::Action::Wait { until_ms } => {
+                    self.call_mut(at).claim_wait_ms = Some(until_ms);
+                }
+                coordinate::Action::Attached(answer) => {
+                    self.call_mut(at).told = Some(Told::Answer(answer));
+                }
+                coordinate::Action::Answer(code) => self.call_mut(at).told = Some(Told::Code(code)),
+            }
+        }
+    }
+
+    fn tell(&mut self, at: usize, told: Told) {
+        self.call_mut(at).told = Some(told);
+        let outcome = match told {
+            Told::Answer(_) => ClaimOutcome::Done,
+            Told::Code(code) if code.is_not_run() => ClaimOutcome::NotRun,
+            Told::Code(_) => ClaimOutcome::Unknown,
+        };
+        let homes = self.scenario.homes(self.key, at).asked;
+        self.resolve(at, &homes, outcome);
+    }
+
+    fn resolve(&mut self, at: usize, homes: &[MemberId], outcome: ClaimOutcome) {
+        if let Some(home) = homes.first() {
+            self.send(Message::Resolve(at, daemon(*home), outcome));
+        }
+    }
+
+    fn with(&self, change: impl FnOnce(&mut World)) -> World {
+        let mut world = self.clone();
+        change(&mut world);
+        world
+    }
+
+    fn call_mut(&mut self, at: usize) -> &mut Call {
+        Rc::make_mut(&mut self.calls[at])
+    }
+
+    fn owner_mut(&mut self, at: usize) -> &mut Owner {
+        Rc::make_mut(&mut self.owners[at])
+    }
+
+    fn send(&mut self, message: Message) {
+        Rc::make_mut(&mut self.network).insert(message);
+    }
+}
+
+/// The owner that the ingress at `call` picks for a server number: each starts with another.
+fn owner_of(call: usize, server: usize) -> usize {
+    FIRST_OWNER + (call + server) % 2
+}
+
+impl Message {
+    fn is_to_home(&self) -> bool {
+        matches!(self, Message::Claim(..) | Message::Record(..))
+    }
+
+    fn target(&self) -> usize {
+        match self {
+            Message::Claim(_, to, _) | Message::Record(_, to, _) => *to,
+            Message::Resolve(_, to, _) | Message::Send(_, to, _) => *to,
+            Message::Query(_, to, ..) => *to,
+            Message::Answered(to, ..) | Message::Replied(to, ..) => *to,
+        }
+    }
+}
+
+impl Call {
+    fn is_over(&self) -> bool {
+        self.is_dead || self.told.is_some()
+    }
+
+    fn new(scenario: &Scenario, key: u128, call: usize) -> Self {
+        let claim = ClaimRequest {
+            key_hash: key,
+            request_digest: if scenario.differs { call as u64 } else { 0 },
+            request: id(call),
+            ingress: member(call),
+            owner: member(owner_of(call, 0)),
+            replaces: None,
+        };
+        let homes = scenario.homes(key, call);
+        let claim_options = coordinate::Options {
+            home_timeout_ms: 1,
+            query_interval_ms: 1,
+            fence_after_ms: 1,
+            deadline_ms: DEADLINE_MS,
+        };
+        let flow_options = request::Options {
+            deadline_ms: DEADLINE_MS,
+            grace_ms: 1,
+            query_interval_ms: 1,
+            max_attempts: 2,
+            ..request::Options::default()
+        };
+        Self {
+            flow: RequestFlow::new(flow_options),
+            coordinator: ClaimCoordinator::new(claim_options, claim, homes),
+            flow_wait_ms: None,
+            claim_wait_ms: None,
+            outbox: None,
+            pending: None,
+            is_started: false,
+            is_dead: false,
+            told: None,
+        }
+    }
+}
+
+impl Scenario {
+    /// The homes that the ingress at `call` sees.
+    fn homes(&self, key: u128, call: usize) -> HomeSet {
+        let is_unknown = |daemon: usize| {
+            self.joined
+                .is_some_and(|(joined, known)| joined == daemon && !known[call])
+        };
+        let peers: Vec<PeerSummary> = (0..DAEMONS)
+            .filter(|daemon| !is_unknown(*daemon))
+            .map(|daemon| {
+                peer(
+                    daemon,
+                    (self.suspected[call] == Some(daemon)).then_some(RETENTION_MS),
+                )
+            })
+            .collect();
+        let mut set = claim::homes(key, &peers, RETENTION_MS, RETENTION_MS);
+        if self.defect == Defect::SingleHome {
+            let own = vec![set.asked[call]];
+            set = HomeSet {
+                vouching: own.clone(),
+                recording: own.clone(),
+                asked: own,
+            };
+        }
+        set
+    }
+}
