--- a/jayrack-protocol/src/code.rs
+++ b/jayrack-protocol/src/code.rs
@@ -87,9 +87,11 @@
     512 KeyInProgress "A request with this Idempotency-Key is still running; this repeat was not run.",
     513 Cancelled "The caller went away before the request ran; not run.",
     514 HeadTimeout "The request's head did not arrive in time; not run.",
+    515 BodyTimeout "The request's body did not arrive in time; not run.",
     600 OutcomeUnknown "It cannot be known whether the request ran.",
     601 ServerFailed "The backend server took the request and failed.",
     602 DeadlineExceeded "The deadline passed while the request ran.",
+    603 AnswerLost "The request ran, but its answer is too large to be sent a second time.",
 }
 
 impl ResultCode {
--- a/jayrackd/src/clock.rs
+++ b/jayrackd/src/clock.rs
@@ -5,19 +5,26 @@
 #[derive(Debug, Clone, Copy)]
 pub struct DaemonClock {
     start: Instant,
+    start_ms: u64,
 }
 
 impl DaemonClock {
     /// Starts the clock at 0.
     pub fn start() -> Self {
+        Self::start_at(0)
+    }
+
+    /// Starts the clock at `start_ms`.
+    pub fn start_at(start_ms: u64) -> Self {
         Self {
             start: Instant::now(),
+            start_ms,
         }
     }
 
-    /// Milliseconds since the start.
+    /// Milliseconds since the clock stood at 0.
     pub fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+        self.start_ms + self.start.elapsed().as_millis() as u64
     }
 }
 
--- a/jayrackd/src/ingress.rs
+++ b/jayrackd/src/ingress.rs
@@ -1,5 +1,5 @@
 //! Requests of callers: taken by HTTP/1.1, forwarded to an owner, answered with the result code.
-use std::{net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -9,7 +9,24 @@
 
 mod answer;
 mod attempt;
+mod claim;
+mod flow;
+mod guard;
+mod meta;
+mod replay;
+mod router;
+pub mod scan;
 mod serve;
+pub mod strict;
+
+pub(crate) use answer::OutcomeKind;
+pub(crate) use claim::{ClaimHome, serve_claim};
+use guard::GuardedStream;
+pub(crate) use router::IngressRouter;
+
+/// Refuses a connection over the limit.
+const OVER_LIMIT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nx-jayrack-code: 502\r\n\
+    x-jayrack-outcome: not-run\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// Binds the callers' listener.
 pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -24,23 +41,29 @@
             () = state.stopping.cancelled() => break,
         };
         let Ok((stream, _)) = accepted else { continue };
+        if state.connections.count() >= state.options.limits.caller_connections {
+            let _ = stream.try_write(OVER_LIMIT);
+            continue;
+        }
         tokio::spawn(serve_connection(stream, state.clone()));
     }
 }
 
 async fn serve_connection(stream: TcpStream, state: Arc<TrafficState>) {
+    let _connection = state.connections.enter();
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let stream = GuardedStream::new(stream, &state.options);
+    let notes = stream.notes();
     let service_state = state.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = service_state.clone();
-        async move { Ok::<_, std::convert::Infallible>(serve::serve(state, request).await) }
+        let (state, notes) = (service_state.clone(), notes.clone());
+        async move { Ok::<_, Infallible>(serve::serve(state, notes, request).await) }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         _ = connection.as_mut() => return,
         () = state.stopping.cancelled() => connection.as_mut().graceful_shutdown(),
--- a/jayrackd/src/ingress/answer.rs
+++ b/jayrackd/src/ingress/answer.rs
@@ -12,7 +12,7 @@
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-jayrack-outcome");
 
 /// What a caller is told about the execution of its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum OutcomeKind {
     /// The backend server answered.
     Done,
@@ -28,7 +28,9 @@
     /// The kind that `code` stands for.
     pub(crate) fn of(code: ResultCode) -> Self {
         match code {
-            ResultCode::Ok => OutcomeKind::Done,
+            ResultCode::Ok | ResultCode::AnswerLost => OutcomeKind::Done,
+            // The request that holds the key may still run.
+            ResultCode::KeyInProgress => OutcomeKind::Unknown,
             ResultCode::ServerFailed => OutcomeKind::Failed,
             ResultCode::NotReady => OutcomeKind::NotRun,
             code if code.is_not_run() => OutcomeKind::NotRun,
@@ -53,8 +55,9 @@
         ResultCode::RouteUnknown => StatusCode::NOT_FOUND,
         ResultCode::RequestMalformed => StatusCode::BAD_REQUEST,
         ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ResultCode::HeadTimeout => StatusCode::REQUEST_TIMEOUT,
+        ResultCode::HeadTimeout | ResultCode::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
         ResultCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::AnswerLost => StatusCode::BAD_GATEWAY,
         code => match OutcomeKind::of(code) {
             OutcomeKind::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
--- a/jayrackd/src/ingress/attempt.rs
+++ b/jayrackd/src/ingress/attempt.rs
@@ -1,34 +1,227 @@
-//! One attempt at an owner: over the local path or over QUIC.
-use std::net::SocketAddr;
+//! One attempt at an owner, and queries about it: on the local path or over QUIC.
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use jayrack_protocol::forward::{RequestHead, ResponseHead};
+use bytes::Bytes;
+use jayrack_protocol::{
+    MemberId, RequestId, ResultCode,
+    forward::{OutcomeQuery, OutcomeReply, OutcomeState, RequestHead, ResponseHead},
+};
+use jayrack_traffic::ledger::Inquiry;
+use quinn::RecvStream;
 
+use super::replay::AttemptBody;
 use crate::{
-    owner::{self, OwnerAnswer, headers},
+    owner::{self, HEAD_MESSAGE_BYTES, OwnerAnswer, answer, headers},
     traffic::TrafficState,
     transport::{
-        self,
+        Error,
         body::{self, RelayBody},
-        wire,
+        wire::{self, StreamKind, StreamSender},
     },
 };
 
-/// Forwards the request to the owner at `address`.
-pub(crate) async fn forward(
-    state: &TrafficState,
-    address: SocketAddr,
-    head: &RequestHead,
-    request_body: RelayBody,
-) -> Result<OwnerAnswer, transport::Error> {
-    let (mut send, mut receive) = state.peers.open(address).await?;
-    send.write_chunk(wire::encode_start(wire::StreamKind::Forward, head))
-        .await
-        .map_err(|_| transport::Error::Lost)?;
-    body::write_body(request_body, &mut send).await?;
-    let head: ResponseHead = wire::read_message(&mut receive, owner::HEAD_MESSAGE_BYTES).await?;
+/// Time for the answer to a query, before it is asked again over a new connection.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Where an owner is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OwnerPlace {
+    /// This daemon.
+    Local,
+    /// The daemon with this QUIC address.
+    Remote(SocketAddr),
+}
+
+impl OwnerPlace {
+    /// The place of `owner`; `None` when no such daemon is known.
+    pub(super) fn find(state: &TrafficState, owner: MemberId) -> Option<Self> {
+        if owner == state.shared.local {
+            return Some(OwnerPlace::Local);
+        }
+        let peers = state.shared.peers.load();
+        let peer = peers.iter().find(|peer| peer.id == owner)?;
+        Some(OwnerPlace::Remote(peer.forward_address))
+    }
+}
+
+/// Sends the request to its owner and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Returns [`Error::Unreachable`] when nothing was sent, and another error when the owner may have
+/// got the request.
+pub(super) async fn send(
+    state: &Arc<TrafficState>,
+    place: OwnerPlace,
+    head: RequestHead,
+    request_body: AttemptBody,
+) -> Result<OwnerAnswer, Error> {
+    let address = match place {
+        OwnerPlace::Local => {
+            let never = std::future::pending();
+            return Ok(owner::serve(state, head, request_body.into(), never).await);
+        }
+        OwnerPlace::Remote(address) => address,
+    };
+    let stream = state.peers.open(address).await?;
+    let mut call = ForwardCall::new(stream.send);
+    let received = exchange(state, &mut call, stream.receive, (head, request_body)).await;
+    match received {
+        Ok(answer) => Ok(answer),
+        Err(error) => {
+            state.peers.suspect(address, &stream.connection);
+            Err(error)
+        }
+    }
+}
+
+/// The sending half of a forwarded request; dropping it early cancels the request at the owner.
+#[derive(Debug)]
+struct ForwardCall {
+    send: Option<StreamSender>,
+    upload: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl ForwardCall {
+    fn new(send: StreamSender) -> Self {
+        Self {
+            send: Some(send),
+            upload: None,
+        }
+    }
+}
+
+impl Drop for ForwardCall {
+    fn drop(&mut self) {
+        if let Some(upload) = self.upload.take() {
+            upload.abort();
+        }
+    }
+}
+
+async fn exchange(
+    state: &Arc<TrafficState>,
+    call: &mut ForwardCall,
+    mut receive: RecvStream,
+    request: (RequestHead, AttemptBody),
+) -> Result<OwnerAnswer, Error> {
+    let (head, request_body) = request;
+    let start = wire::encode_start(StreamKind::Forward, &head);
+    let mut send = call.send.take().ok_or(Error::Lost)?;
+    match request_body {
+        AttemptBody::Whole(bytes) => {
+            write_whole(&mut send, start, bytes).await?;
+            call.send = Some(send);
+        }
+        AttemptBody::Streamed(streamed) => {
+            call.upload = Some(tokio::spawn(upload(send, start, streamed)));
+        }
+    }
+    let head: ResponseHead = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
     let length = headers::content_length(&head.headers);
+    let received = RelayBody::quic(receive, length);
+    let limit = state.options.limits.answer_bytes;
+    if length.is_some_and(|length| length <= limit as u64) {
+        let bytes = received.collect_up_to(limit).await;
+        let body = RelayBody::whole(bytes.map_err(|_| Error::Lost)?);
+        return Ok(OwnerAnswer { head, body });
+    }
+    let rest = ForwardCall {
+        send: call.send.take(),
+        upload: call.upload.take(),
+    };
     Ok(OwnerAnswer {
         head,
-        body: RelayBody::quic(receive, length),
+        body: received.holding(rest),
     })
 }
+
+async fn write_whole(send: &mut StreamSender, start: Bytes, body: Bytes) -> Result<(), Error> {
+    let mut chunks = [start, body];
+    let written = send.write_chunks(&mut chunks).await;
+    if written.is_err() {
+        return Ok(()); // The owner stopped reading; its answer says why.
+    }
+    let _ = send.finish();
+    Ok(())
+}
+
+async fn upload(mut send: StreamSender, start: Bytes, streamed: RelayBody) {
+    if send.write_chunk(start).await.is_err() {
+        return;
+    }
+    let _ = body::write_body(streamed, &mut send).await;
+}
+
+/// Asks an owner for the outcome of a request; with `fence`, one that waits never runs.
+///
+/// # Errors
+///
+/// Returns an error when the owner did not answer in time; the next query then takes a new
+/// connection.
+pub(super) async fn query(
+    state: &TrafficState,
+    place: OwnerPlace,
+    id: RequestId,
+    fence: bool,
+) -> Result<Inquiry<OwnerAnswer>, Error> {
+    let address = match place {
+        OwnerPlace::Local => return Ok(from_stored(state.owner.gate.query(id, fence))),
+        OwnerPlace::Remote(address) => address,
+    };
+    let stream = state.peers.open(address).await?;
+    let connection = stream.connection.clone();
+    let asking = ask(stream.send, stream.receive, id, fence, state);
+    match tokio::time::timeout(QUERY_TIMEOUT, asking).await {
+        Ok(Ok(inquiry)) => Ok(inquiry),
+        Ok(Err(_)) | Err(_) => {
+            state.peers.suspect(address, &connection);
+            Err(Error::Lost)
+        }
+    }
+}
+
+async fn ask(
+    mut send: StreamSender,
+    mut receive: RecvStream,
+    id: RequestId,
+    fence: bool,
+    state: &TrafficState,
+) -> Result<Inquiry<OwnerAnswer>, Error> {
+    let (request_high, request_low) = id.halves();
+    let query = OutcomeQuery {
+        request_high,
+        request_low,
+        fence,
+    };
+    let start = wire::encode_start(StreamKind::Outcome, &query);
+    send.write_chunk(start).await?;
+    send.finish()?;
+    let reply: OutcomeReply = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
+    let code = answer::code_of(reply.code);
+    match reply.state() {
+        OutcomeState::InProgress => Ok(Inquiry::InProgress),
+        OutcomeState::NotRun => Ok(Inquiry::NotRun(code)),
+        OutcomeState::Uncertain => Ok(Inquiry::Unknown(code)),
+        OutcomeState::Done if code != ResultCode::Ok => Ok(Inquiry::Unknown(code)),
+        OutcomeState::Done => {
+            let limit = state.options.limits.answer_bytes;
+            let body = RelayBody::quic(receive, None).collect_up_to(limit).await;
+            let body = body.map_err(|_| Error::Lost)?;
+            Ok(Inquiry::Done(OwnerAnswer {
+                head: reply.head.unwrap_or_default(),
+                body: RelayBody::whole(body),
+            }))
+        }
+    }
+}
+
+fn from_stored(inquiry: Inquiry<Arc<answer::StoredAnswer>>) -> Inquiry<OwnerAnswer> {
+    match inquiry {
+        Inquiry::Done(stored) if stored.body.is_none() => Inquiry::Unknown(ResultCode::AnswerLost),
+        Inquiry::Done(stored) => Inquiry::Done(OwnerAnswer::from(stored.as_ref())),
+        Inquiry::NotRun(code) => Inquiry::NotRun(code),
+        Inquiry::Unknown(code) => Inquiry::Unknown(code),
+        Inquiry::InProgress => Inquiry::InProgress,
+    }
+}
--- /dev/null
+++ b/jayrackd/src/ingress/claim.rs
@@ -0,0 +1,255 @@
+//! Claims to an Idempotency-Key: the driver at the ingress and the service at the homes.
+use std::{sync::Arc, time::Duration};
+
+use jayrack_protocol::{
+    MemberId, ResultCode,
+    forward::{ClaimAction, RequestHead},
+};
+use jayrack_traffic::{
+    ClaimCoordinator,
+    claim::{self, ClaimRequest, KeyHolder, PeerSummary},
+    coordinate::{self, Action, Input},
+};
+use tokio::task::JoinSet;
+use xxhash_rust::xxh3;
+
+use super::{
+    attempt::{self, OwnerPlace},
+    router,
+};
+use crate::{owner::OwnerAnswer, shared::PeerEntry, traffic::TrafficState};
+
+mod home;
+mod message;
+
+pub(crate) use home::{ClaimHome, serve_claim};
+
+/// What a claim is made for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ClaimSubject<'a> {
+    pub(super) key: &'a str,
+    pub(super) head: &'a RequestHead,
+    pub(super) body: &'a [u8],
+    /// The owner that the request is going to be sent to.
+    pub(super) owner: MemberId,
+    /// Milliseconds of the traffic clock.
+    pub(super) deadline_ms: u64,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub(super) enum ClaimEnd {
+    /// The request may run.
+    Granted(Box<KeyClaim>),
+    /// An earlier request with this key has this answer.
+    Attached(OwnerAnswer),
+    /// The caller is told this.
+    Refused(ResultCode),
+}
+
+/// A granted claim.
+#[derive(Debug)]
+pub(super) struct KeyClaim {
+    driver: ClaimDriver,
+}
+
+#[derive(Debug)]
+struct ClaimDriver {
+    coordinator: ClaimCoordinator,
+    claim: ClaimRequest,
+    homes: Vec<MemberId>,
+    wait_ms: u64,
+}
+
+enum Pause {
+    Granted,
+    Superseded,
+    Attached(OwnerAnswer),
+    Refused(ResultCode),
+}
+
+/// Claims the key for the request.
+pub(super) async fn acquire(state: &Arc<TrafficState>, subject: ClaimSubject<'_>) -> ClaimEnd {
+    let claim = to_claim(state, subject);
+    let now_ms = state.clock.now_ms();
+    let peers: Vec<PeerSummary> = state.shared.peers.load().iter().map(summary).collect();
+    let retention_ms = state.options.claims.retention_ms;
+    let homes = claim::homes(claim.key_hash, &peers, now_ms, retention_ms);
+    let options = coordinate::Options {
+        deadline_ms: subject.deadline_ms,
+        ..coordinate::Options::default()
+    };
+    let mut driver = ClaimDriver {
+        homes: homes.asked.clone(),
+        coordinator: ClaimCoordinator::new(options, claim.clone(), homes),
+        claim,
+        wait_ms: subject.deadline_ms,
+    };
+    match driver.drive(state, Input::Start).await {
+        Pause::Granted => ClaimEnd::Granted(Box::new(KeyClaim { driver })),
+        Pause::Attached(answer) => ClaimEnd::Attached(answer),
+        Pause::Refused(code) => ClaimEnd::Refused(code),
+        Pause::Superseded => ClaimEnd::Refused(ResultCode::OutcomeUnknown),
+    }
+}
+
+impl KeyClaim {
+    /// Records that the request goes to another owner; returns whether it may.
+    pub(super) async fn record_owner(
+        &mut self,
+        state: &Arc<TrafficState>,
+        owner: MemberId,
+    ) -> bool {
+        let input = Input::Retry { owner };
+        matches!(self.driver.drive(state, input).await, Pause::Granted)
+    }
+
+    /// Tells the homes how the request ended.
+    pub(super) fn resolve(
+        self,
+        state: &Arc<TrafficState>,
+        result: &Result<OwnerAnswer, ResultCode>,
+    ) {
+        let action = match result {
+            Ok(_) => ClaimAction::ResolveDone,
+            Err(code) if code.is_not_run() => ClaimAction::ResolveNotRun,
+            Err(_) => ClaimAction::ResolveUnknown,
+        };
+        resolve_at(state, &self.driver.homes, &self.driver.claim, action);
+    }
+}
+
+impl ClaimDriver {
+    /// Works on the claim until it is granted, refused or answered by an earlier request.
+    async fn drive(&mut self, state: &Arc<TrafficState>, first: Input<OwnerAnswer>) -> Pause {
+        let mut calls = JoinSet::new();
+        let mut input = first;
+        loop {
+            let actions = self.coordinator.handle(state.clock.now_ms(), input);
+            for action in actions {
+                if let Some(pause) = self.act(state, action, &mut calls) {
+                    return pause;
+                }
+            }
+            input = self.next_input(state, &mut calls).await;
+        }
+    }
+
+    fn act(
+        &mut self,
+        state: &Arc<TrafficState>,
+        action: Action<OwnerAnswer>,
+        calls: &mut JoinSet<Input<OwnerAnswer>>,
+    ) -> Option<Pause> {
+        match action {
+            Action::Ask { home, claim } => {
+                calls.spawn(ask(state.clone(), home, claim));
+            }
+            Action::Record { home, holder } => {
+                calls.spawn(record(state.clone(), home, self.claim.clone(), holder));
+            }
+            Action::AttachTo { holder, fence } => {
+                calls.spawn(attach(state.clone(), holder, fence));
+            }
+            Action::Release { homes } => {
+                resolve_at(state, &homes, &self.claim, ClaimAction::ResolveNotRun);
+            }
+            Action::Wait { until_ms } => self.wait_ms = until_ms,
+            Action::Run => return Some(Pause::Granted),
+            Action::Superseded => return Some(Pause::Superseded),
+            Action::Attached(answer) => return Some(Pause::Attached(answer)),
+            Action::Answer(code) => return Some(Pause::Refused(code)),
+        }
+        None
+    }
+
+    async fn next_input(
+        &self,
+        state: &TrafficState,
+        calls: &mut JoinSet<Input<OwnerAnswer>>,
+    ) -> Input<OwnerAnswer> {
+        let left_ms = self.wait_ms.saturating_sub(state.clock.now_ms());
+        let timer = tokio::time::sleep(Duration::from_millis(left_ms));
+        tokio::select! {
+            Some(Ok(input)) = calls.join_next() => input,
+            () = timer => Input::Timeout,
+        }
+    }
+}
+
+async fn ask(state: Arc<TrafficState>, home: MemberId, claim: ClaimRequest) -> Input<OwnerAnswer> {
+    let call = message::to_call(&claim, message::holder_of(&claim), ClaimAction::Claim);
+    let answer = home::call(&state, home, call).await;
+    match answer.and_then(|answer| message::to_reply(&answer)) {
+        Some(reply) => Input::Reply { home, reply },
+        None => Input::HomeLost { home },
+    }
+}
+
+async fn record(
+    state: Arc<TrafficState>,
+    home: MemberId,
+    claim: ClaimRequest,
+    holder: KeyHolder,
+) -> Input<OwnerAnswer> {
+    let call = message::to_call(&claim, holder, ClaimAction::RecordOwner);
+    match home::call(&state, home, call).await {
+        Some(answer) => Input::Recorded {
+            home,
+            holder,
+            holds: message::is_granted(&answer),
+        },
+        None => Input::HomeLost { home },
+    }
+}
+
+async fn attach(state: Arc<TrafficState>, holder: KeyHolder, fence: bool) -> Input<OwnerAnswer> {
+    let Some(place) = OwnerPlace::find(&state, holder.owner) else {
+        return Input::QueryLost;
+    };
+    match attempt::query(&state, place, holder.request, fence).await {
+        Ok(inquiry) => Input::QueryReply(inquiry),
+        Err(_) => Input::QueryLost,
+    }
+}
+
+fn resolve_at(
+    state: &Arc<TrafficState>,
+    homes: &[MemberId],
+    claim: &ClaimRequest,
+    action: ClaimAction,
+) {
+    for home in homes.iter().copied() {
+        let call = message::to_call(claim, message::holder_of(claim), action);
+        let state = state.clone();
+        tokio::spawn(async move { home::call(&state, home, call).await });
+    }
+}
+
+fn to_claim(state: &TrafficState, subject: ClaimSubject<'_>) -> ClaimRequest {
+    let head = subject.head;
+    let scope = format!("{}\n{}\n{}", head.service, head.customer, subject.key);
+    let mut digest = xxh3::Xxh3::new();
+    digest.update(head.method.as_bytes());
+    digest.update(b"\n");
+    digest.update(head.target.as_bytes());
+    digest.update(b"\n");
+    digest.update(subject.body);
+    ClaimRequest {
+        key_hash: xxh3::xxh3_128(scope.as_bytes()),
+        request_digest: digest.digest(),
+        request: router::id_of(head),
+        ingress: state.shared.local,
+        owner: subject.owner,
+        replaces: None,
+    }
+}
+
+fn summary(peer: &PeerEntry) -> PeerSummary {
+    PeerSummary {
+        id: peer.id,
+        alive: peer.is_alive,
+        alive_since_ms: peer.alive_since_ms,
+        dead_since_ms: peer.dead_since_ms,
+    }
+}
--- /dev/null
+++ b/jayrackd/src/ingress/guard.rs
@@ -0,0 +1,313 @@
+//! A caller's connection with the strict checks and the time limits in front of the HTTP library.
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, AtomicU64, AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use jayrack_protocol::ResultCode;
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep},
+};
+
+use super::scan::{self, Position, RequestScanner};
+use crate::traffic::{Options, Timeouts};
+
+/// Bytes read from the socket at a time.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Stands for a refused request, so that its answer takes its turn behind earlier ones.
+const PLACEHOLDER: &[u8] = b"GET / HTTP/1.1\r\nhost: refused\r\nconnection: close\r\n\r\n";
+
+/// Bytes read and dropped after a refusal, so that the caller can read the answer.
+const LINGER_BYTES: u64 = 1024 * 1024;
+
+/// Time for the same.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// What the connection's reader and its service tell each other.
+#[derive(Debug)]
+pub(crate) struct ConnectionNotes {
+    /// Number of the request that is refused, counted from 0; `u64::MAX` when there is none.
+    refused_at: AtomicU64,
+    code: AtomicU16,
+    served: AtomicU64,
+    in_service: AtomicUsize,
+}
+
+impl ConnectionNotes {
+    fn new() -> Self {
+        Self {
+            refused_at: AtomicU64::new(u64::MAX),
+            code: AtomicU16::new(0),
+            served: AtomicU64::new(0),
+            in_service: AtomicUsize::new(0),
+        }
+    }
+
+    /// Notes that the service takes a request.
+    pub(crate) fn enter(self: &Arc<Self>) -> ServiceEntry {
+        self.in_service.fetch_add(1, Ordering::AcqRel);
+        let number = self.served.fetch_add(1, Ordering::AcqRel);
+        let is_refused = number >= self.refused_at.load(Ordering::Acquire);
+        ServiceEntry {
+            refusal: self.fault().filter(|_| is_refused),
+            notes: self.clone(),
+        }
+    }
+
+    /// Why the connection is no longer read, if it is not.
+    pub(crate) fn fault(&self) -> Option<ResultCode> {
+        match self.code.load(Ordering::Acquire) {
+            0 => None,
+            number => ResultCode::from_number(number),
+        }
+    }
+
+    fn refuse(&self, number: u64, code: ResultCode) {
+        self.code.store(code.number(), Ordering::Release);
+        self.refused_at.store(number, Ordering::Release);
+    }
+}
+
+/// A request in service until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ServiceEntry {
+    /// The code to refuse the request with.
+    pub(crate) refusal: Option<ResultCode>,
+    notes: Arc<ConnectionNotes>,
+}
+
+impl Drop for ServiceEntry {
+    fn drop(&mut self) {
+        self.notes.in_service.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A caller's connection; reads give only bytes that passed the checks.
+#[derive(Debug)]
+pub(crate) struct GuardedStream {
+    stream: Option<TcpStream>,
+    scanner: RequestScanner,
+    notes: Arc<ConnectionNotes>,
+    timeouts: Timeouts,
+    passed: Vec<u8>,
+    passed_at: usize,
+    is_refused: bool,
+    read_timer: Option<Pin<Box<Sleep>>>,
+    read_position: Position,
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl GuardedStream {
+    pub(crate) fn new(stream: TcpStream, options: &Options) -> Self {
+        let scanner = RequestScanner::new(scan::Options {
+            head_bytes: options.limits.head_bytes,
+            body_bytes: options.limits.body_bytes,
+        });
+        Self {
+            stream: Some(stream),
+            scanner,
+            notes: Arc::new(ConnectionNotes::new()),
+            timeouts: options.timeouts.clone(),
+            passed: Vec::new(),
+            passed_at: 0,
+            is_refused: false,
+            read_timer: None,
+            read_position: Position::Between,
+            write_timer: None,
+        }
+    }
+
+    pub(crate) fn notes(&self) -> Arc<ConnectionNotes> {
+        self.notes.clone()
+    }
+
+    fn socket(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.as_mut().expect("present until dropped"))
+    }
+
+    /// Reads from the socket until something passed the checks; `Ok(false)` at the end.
+    fn poll_pass(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let mut bytes = [0; READ_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match self.socket().poll_read(cx, &mut buffer) {
+                Poll::Pending => return self.poll_read_timer(cx),
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Ready(Ok(())) => {}
+            }
+            let filled = buffer.filled();
+            if filled.is_empty() {
+                return Poll::Ready(Ok(false));
+            }
+            if self.scanner.position() != Position::InHead {
+                self.read_timer = None;
+            }
+            if let Err(code) = self.scanner.feed(filled, &mut self.passed) {
+                return Poll::Ready(self.refuse(code));
+            }
+            if !self.passed.is_empty() {
+                return Poll::Ready(Ok(true));
+            }
+        }
+    }
+
+    fn poll_read_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let position = self.scanner.position();
+        if position != self.read_position {
+            self.read_position = position;
+            self.read_timer = None;
+        }
+        let limit = match position {
+            Position::Between => self.timeouts.caller_idle,
+            Position::InHead => self.timeouts.head,
+            Position::InBody => self.timeouts.body,
+        };
+        let timer = self
+            .read_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        if timer.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        match position {
+            Position::InHead => Poll::Ready(self.refuse(ResultCode::HeadTimeout)),
+            Position::InBody => Poll::Ready(self.refuse(ResultCode::BodyTimeout)),
+            Position::Between if self.notes.in_service.load(Ordering::Acquire) > 0 => {
+                timer.as_mut().reset(Instant::now() + limit);
+                let _ = timer.as_mut().poll(cx);
+                Poll::Pending
+            }
+            Position::Between => Poll::Ready(Ok(false)),
+        }
+    }
+
+    /// Refuses the request at hand: one without a whole head gets an answer in its turn, the body
+    /// of one with a head is cut.
+    fn refuse(&mut self, code: ResultCode) -> io::Result<bool> {
+        self.is_refused = true;
+        let number = self.scanner.heads();
+        if self.scanner.position() == Position::InBody {
+            self.notes.refuse(u64::MAX, code);
+            return Err(io::Error::from(io::ErrorKind::InvalidData));
+        }
+        self.notes.refuse(number, code);
+        self.passed.extend_from_slice(PLACEHOLDER);
+        Ok(true)
+    }
+
+    fn hand_out(&mut self, buffer: &mut ReadBuf<'_>) {
+        let left = &self.passed[self.passed_at..];
+        let taken = left.len().min(buffer.remaining());
+        buffer.put_slice(&left[..taken]);
+        self.passed_at += taken;
+        if self.passed_at == self.passed.len() {
+            self.passed.clear();
+            self.passed_at = 0;
+        }
+    }
+
+    /// Fails when the caller has taken nothing for too long.
+    fn poll_write_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let limit = self.timeouts.send;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        timer
+            .as_mut()
+            .poll(cx)
+            .map(|()| io::Error::from(io::ErrorKind::TimedOut))
+    }
+
+    fn watch_write<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
+        }
+        self.poll_write_timer(cx).map(Err)
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.passed.is_empty() {
+            if self.is_refused {
+                return Poll::Pending;
+            }
+            let has_bytes = std::task::ready!(self.poll_pass(cx))?;
+            if !has_bytes {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        self.hand_out(buffer);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.socket().poll_write(cx, bytes);
+        self.watch_write(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = self.socket().poll_write_vectored(cx, slices);
+        self.watch_write(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket().poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket().poll_shutdown(cx)
+    }
+}
+
+impl Drop for GuardedStream {
+    fn drop(&mut self) {
+        let is_unread = self.is_refused || self.scanner.position() != Position::Between;
+        if let Some(stream) = self.stream.take()
+            && is_unread
+            && let Ok(runtime) = tokio::runtime::Handle::try_current()
+        {
+            runtime.spawn(linger(stream));
+        }
+    }
+}
+
+/// Reads on for a while: a socket closed over unread bytes would reset the connection, and the
+/// caller could lose the answer.
+async fn linger(mut stream: TcpStream) {
+    let mut rest = (&mut stream).take(LINGER_BYTES);
+    let mut sink = tokio::io::sink();
+    let dropping = tokio::io::copy(&mut rest, &mut sink);
+    let _ = tokio::time::timeout(LINGER, dropping).await;
+}
--- /dev/null
+++ b/jayrackd/src/ingress/replay.rs
@@ -0,0 +1,78 @@
+//! The body of a caller's request: held back when it is small, so that it can be sent again.
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use jayrack_protocol::ResultCode;
+
+use super::guard::ConnectionNotes;
+use crate::transport::body::{BodyError, RelayBody};
+
+/// The body of a caller's request.
+#[derive(Debug)]
+pub(super) enum ReplayBody {
+    /// All of it; may be sent any number of times.
+    Held(Bytes),
+    /// Passed on as it comes; `None` after it was sent.
+    Streamed(Option<RelayBody>),
+}
+
+impl ReplayBody {
+    /// Reads the body when its stated length is at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code to refuse the request with; it was not run.
+    pub(super) async fn read(
+        body: Incoming,
+        limit: usize,
+        notes: &ConnectionNotes,
+    ) -> Result<Self, ResultCode> {
+        let length = body.size_hint().exact();
+        if length.is_none_or(|length| length > limit as u64) {
+            return Ok(Self::Streamed(Some(RelayBody::http(body))));
+        }
+        match RelayBody::http(body).collect_up_to(limit).await {
+            Ok(bytes) => Ok(Self::Held(bytes)),
+            Err(BodyError::TooLarge) => Err(ResultCode::RequestTooLarge),
+            Err(_) => Err(notes.fault().unwrap_or(ResultCode::Cancelled)),
+        }
+    }
+
+    /// Whether the body can be sent more than once.
+    pub(super) fn is_held(&self) -> bool {
+        matches!(self, ReplayBody::Held(_))
+    }
+
+    /// The bytes that are held; empty for a streamed body.
+    pub(super) fn held(&self) -> &[u8] {
+        match self {
+            ReplayBody::Held(bytes) => bytes,
+            ReplayBody::Streamed(_) => &[],
+        }
+    }
+
+    /// The body for one attempt; `None` when it was sent before and is gone.
+    pub(super) fn take(&mut self) -> Option<AttemptBody> {
+        match self {
+            ReplayBody::Held(bytes) => Some(AttemptBody::Whole(bytes.clone())),
+            ReplayBody::Streamed(body) => body.take().map(AttemptBody::Streamed),
+        }
+    }
+}
+
+/// The body of one attempt.
+#[derive(Debug)]
+pub(super) enum AttemptBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Passed on as it comes.
+    Streamed(RelayBody),
+}
+
+impl From<AttemptBody> for RelayBody {
+    fn from(body: AttemptBody) -> Self {
+        match body {
+            AttemptBody::Whole(bytes) => RelayBody::whole(bytes),
+            AttemptBody::Streamed(body) => body,
+        }
+    }
+}
--- /dev/null
+++ b/jayrackd/src/ingress/router.rs
@@ -0,0 +1,146 @@
+//! The driver of the choice of servers, the retry budget and early refusal.
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use jayrack_config::table::ServerEntry;
+use jayrack_protocol::{RequestId, ResultCode, forward::RequestHead};
+use jayrack_traffic::{
+    RetryBudget, ServerPicker, ShedLevels,
+    class::request_id,
+    pick::{self, FinishReport, PickContext, PickResult},
+    retry,
+    shed::ShedVerdict,
+};
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+
+use super::meta::NewIds;
+use crate::{clock, owner::answer, shared::SharedState, traffic::Options};
+
+/// Chooses servers and keeps the budgets of the ingress.
+#[derive(Debug)]
+pub(crate) struct IngressRouter {
+    core: Mutex<RouterCore>,
+    shared: Arc<SharedState>,
+}
+
+#[derive(Debug)]
+struct RouterCore {
+    picker: ServerPicker,
+    budget: RetryBudget,
+    levels: ShedLevels,
+    random: Pcg64Mcg,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptEnd<'a> {
+    pub(super) head: &'a RequestHead,
+    pub(super) latency_us: u64,
+    pub(super) result: PickResult,
+    pub(super) load: Option<jayrack_protocol::forward::LoadReport>,
+}
+
+impl IngressRouter {
+    pub(crate) fn new(options: &Options, shared: Arc<SharedState>) -> Self {
+        let picker_options = pick::Options {
+            local: shared.local.0,
+            ..pick::Options::default()
+        };
+        let seed = options.seed ^ shared.local.0;
+        Self {
+            core: Mutex::new(RouterCore {
+                picker: ServerPicker::new(picker_options, seed),
+                budget: RetryBudget::new(retry::Options::default()),
+                levels: ShedLevels::new(),
+                random: Pcg64Mcg::seed_from_u64(seed.wrapping_add(clock::unix_ms())),
+            }),
+            shared,
+        }
+    }
+
+    /// New identifiers for a request that was received now.
+    pub(super) fn new_ids(&self) -> NewIds {
+        let mut core = self.lock();
+        let random = u128::from(core.random.next_u64()) << 64 | u128::from(core.random.next_u64());
+        NewIds {
+            request: request_id(clock::unix_ms(), random),
+            customer_request: core.random.next_u64(),
+        }
+    }
+
+    /// Refuses a customer request's first request when the owners are too busy for its rank.
+    pub(super) fn check_level(&self, now_ms: u64, head: &RequestHead) -> Result<(), ResultCode> {
+        if head.depth > 0 {
+            return Ok(());
+        }
+        let rank = u8::try_from(head.rank).unwrap_or(u8::MAX);
+        let core = self.lock();
+        let verdict = core
+            .levels
+            .verdict(now_ms, &head.service, rank, head.customer_request);
+        match verdict {
+            ShedVerdict::Admit => Ok(()),
+            ShedVerdict::Refuse => Err(ResultCode::Shed),
+        }
+    }
+
+    /// Chooses a server that is not among `excluded`.
+    pub(super) fn pick(
+        &self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        excluded: &[String],
+        rank: u32,
+    ) -> Option<Arc<ServerEntry>> {
+        let context = PickContext {
+            data_centre: &self.shared.data_centre,
+            region: &self.shared.region,
+            excluded,
+            rank: u8::try_from(rank).unwrap_or(u8::MAX),
+        };
+        let index = self.lock().picker.pick(now_ms, candidates, &context)?;
+        candidates.get(index).cloned()
+    }
+
+    /// Counts a first attempt.
+    pub(super) fn record_attempt(&self, now_ms: u64) {
+        self.lock().budget.record_attempt(now_ms);
+    }
+
+    /// Takes a retry from the budget.
+    pub(super) fn try_retry(&self, now_ms: u64) -> bool {
+        self.lock().budget.try_retry(now_ms)
+    }
+
+    /// Notes that a request goes to `server`.
+    pub(super) fn started(&self, now_ms: u64, server: &str) {
+        self.lock().picker.started(now_ms, server);
+    }
+
+    /// Notes how an attempt ended.
+    pub(super) fn finished(&self, now_ms: u64, end: AttemptEnd<'_>) {
+        let load = end.load.map(answer::to_level);
+        let report = FinishReport {
+            latency_us: end.latency_us,
+            result: end.result,
+            load,
+        };
+        let mut core = self.lock();
+        core.picker.finished(now_ms, &end.head.server, &report);
+        if let Some(load) = load {
+            core.levels
+                .update(&end.head.service, &end.head.server, load, now_ms);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RouterCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Identifier of the request in `head`.
+pub(super) fn id_of(head: &RequestHead) -> RequestId {
+    RequestId::from_halves(head.request_high, head.request_low)
+}
--- a/jayrackd/src/ingress/serve.rs
+++ b/jayrackd/src/ingress/serve.rs
@@ -1,88 +1,138 @@
 //! The way of one request through the ingress.
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use hyper::{Request, Response, body::Incoming};
-use jayrack_config::table::{RouteEntry, RouteTable};
 use jayrack_protocol::{ResultCode, forward::RequestHead};
 
-use super::{answer, attempt};
+use super::{
+    answer,
+    claim::{self, ClaimEnd, ClaimSubject},
+    flow::{self, FlowRequest},
+    guard::ConnectionNotes,
+    meta,
+    replay::ReplayBody,
+};
 use crate::{
-    owner::headers,
-    traffic::TrafficState,
-    transport::{self, body::RelayBody},
+    owner::{OwnerAnswer, headers},
+    traffic::{TrafficState, counters::RequestReport},
+    transport::body::RelayBody,
 };
 
 /// Answers one request.
-pub(crate) async fn serve(
+pub(super) async fn serve(
     state: Arc<TrafficState>,
+    notes: Arc<ConnectionNotes>,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
     let flight = state.in_flight.enter();
-    let response = match forward(&state, request).await {
-        Ok(response) => response,
-        Err(code) => answer::refuse(code),
+    let service = notes.enter();
+    let started = Instant::now();
+    let mut rank = String::new();
+    let result = match service.refusal {
+        Some(code) => Err(code),
+        None => forward(&state, &notes, request, &mut rank).await,
+    };
+    let code = match &result {
+        Ok(answer) => answer.code(),
+        Err(code) => *code,
     };
+    state.counters.observe(&RequestReport {
+        rank: &rank,
+        code,
+        elapsed: started.elapsed(),
+    });
+    let response = to_response(result);
     response.map(|body| body.holding(flight))
 }
 
+fn to_response(result: Result<OwnerAnswer, ResultCode>) -> Response<RelayBody> {
+    let response = match result {
+        Ok(answer) if answer.code() == ResultCode::Ok => {
+            headers::to_response(answer).ok_or(ResultCode::ServerFailed)
+        }
+        Ok(answer) => Err(answer.code()),
+        Err(code) => Err(code),
+    };
+    match response {
+        Ok(mut response) => {
+            answer::mark(response.headers_mut(), ResultCode::Ok);
+            response
+        }
+        Err(code) => answer::refuse(code),
+    }
+}
+
 async fn forward(
-    state: &TrafficState,
+    state: &Arc<TrafficState>,
+    notes: &ConnectionNotes,
     request: Request<Incoming>,
-) -> Result<Response<RelayBody>, ResultCode> {
-    if !state.shared.is_ready() {
-        return Err(ResultCode::NotReady);
-    }
+    rank: &mut String,
+) -> Result<OwnerAnswer, ResultCode> {
     if state.shared.is_leaving() {
         return Err(ResultCode::Draining);
     }
-    let table = state.shared.table.load();
-    let route = find_route(&table, request.method().as_str(), request.uri().path())
+    if !state.shared.is_ready() {
+        return Err(ResultCode::NotReady);
+    }
+    let now_ms = state.clock.now_ms();
+    let (parts, body) = request.into_parts();
+    let table = state.shared.table.load_full();
+    let route = table
+        .find(meta::host(&parts), parts.uri.path(), parts.method.as_str())
         .ok_or(ResultCode::RouteUnknown)?;
-    let server = route.servers.first().ok_or(ResultCode::RouteInactive)?;
-    let (mut parts, body) = request.into_parts();
-    headers::strip_hop_by_hop(&mut parts.headers);
-    let head = RequestHead {
-        method: parts.method.to_string(),
-        target: parts.uri.to_string(),
-        headers: headers::to_messages(&parts.headers),
-        server: server.name.clone(),
-        service: server.service.clone(),
-        kind: route.spec.kind.clone(),
-        rank: u32::from(route.rank.order),
-        idempotent: route.spec.idempotent,
-        deadline_ms: route.rank.deadline_ms,
-        table_version: table.version,
-        ..RequestHead::default()
-    };
-    let body = RelayBody::http(body);
-    let answer = if server.owner == state.shared.local {
-        state.owner.serve(state, head, body).await
-    } else {
-        attempt::forward(state, server.forward_address, &head, body)
-            .await
-            .map_err(code_of)?
+    let key = meta::idempotency_key(&parts.headers)?;
+    let head = meta::to_head(&table, route, parts, state.router.new_ids())?;
+    head.rank_name.clone_into(rank);
+    if route.servers.is_empty() {
+        return Err(ResultCode::RouteInactive);
+    }
+    state.router.check_level(now_ms, &head)?;
+    let replay_bytes = state.options.limits.replay_bytes;
+    let body = ReplayBody::read(body, replay_bytes, notes).await?;
+    let flow = FlowRequest {
+        deadline_ms: now_ms + u64::from(head.deadline_ms),
+        head,
+        body,
+        candidates: route.servers.clone(),
+        claim: None,
+        first: None,
     };
-    let code =
-        ResultCode::from_number(answer.head.code as u16).unwrap_or(ResultCode::OutcomeUnknown);
-    if code != ResultCode::Ok {
-        return Err(code);
+    match key.filter(|_| !flow.head.idempotent) {
+        None => flow::run(state.clone(), flow).await,
+        Some(key) => {
+            // A caller that repeats with its key expects the first request to go on.
+            let running = tokio::spawn(run_claimed(state.clone(), key, flow));
+            running.await.unwrap_or(Err(ResultCode::OutcomeUnknown))
+        }
     }
-    let mut response = headers::to_response(answer).ok_or(ResultCode::ServerFailed)?;
-    answer::mark(response.headers_mut(), code);
-    Ok(response)
 }
 
-fn code_of(error: transport::Error) -> ResultCode {
-    match error {
-        transport::Error::Unreachable => ResultCode::OwnerUnreachable,
-        _ => ResultCode::OutcomeUnknown,
+async fn run_claimed(
+    state: Arc<TrafficState>,
+    key: String,
+    mut flow: FlowRequest,
+) -> Result<OwnerAnswer, ResultCode> {
+    let _flight = state.in_flight.enter();
+    let RequestHead { rank, .. } = flow.head;
+    let now_ms = state.clock.now_ms();
+    let first = state
+        .router
+        .pick(now_ms, &flow.candidates, &[], rank)
+        .ok_or(ResultCode::RouteInactive)?;
+    let subject = ClaimSubject {
+        key: &key,
+        head: &flow.head,
+        body: flow.body.held(),
+        owner: first.owner,
+        deadline_ms: flow.deadline_ms,
+    };
+    match claim::acquire(&state, subject).await {
+        ClaimEnd::Granted(claim) => {
+            flow.claim = Some(*claim);
+            flow.first = Some(first);
+            flow::run(state, flow).await
+        }
+        ClaimEnd::Attached(answer) => Ok(answer),
+        ClaimEnd::Refused(code) => Err(code),
     }
 }
-
-fn find_route<'a>(table: &'a RouteTable, method: &str, path: &str) -> Option<&'a RouteEntry> {
-    table.routes.iter().find(|route| {
-        let spec = &route.spec;
-        let is_method = spec.methods.is_empty() || spec.methods.iter().any(|m| m == method);
-        is_method && path.starts_with(&spec.path_prefix)
-    })
-}
--- /dev/null
+++ b/jayrackd/src/ingress/strict.rs
@@ -0,0 +1,165 @@
+//! Strict checks of a request head, before the HTTP library sees it.
+//!
+//! Two parsers that read one head differently let a request hide in another, so every head that
+//! leaves room for a second reading is refused.
+use jayrack_protocol::ResultCode;
+
+/// Greatest number of headers.
+const MAX_HEADERS: usize = 96;
+
+/// How the body that follows a head is delimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// This many bytes follow.
+    Length(u64),
+    /// Chunks follow.
+    Chunked,
+}
+
+#[derive(Debug, Default)]
+struct HeadFacts {
+    hosts: usize,
+    length: Option<u64>,
+    is_chunked: bool,
+    once: Vec<String>,
+}
+
+/// Checks a head, from the request line to the empty line.
+///
+/// # Errors
+///
+/// Returns the code to refuse the request with; it was not run.
+pub fn check_head(head: &[u8], max_body_bytes: u64) -> Result<BodyFraming, ResultCode> {
+    let text = head.strip_suffix(b"\r\n\r\n").ok_or(MALFORMED)?;
+    let mut lines = split_lines(text)?.into_iter();
+    let is_modern = check_request_line(lines.next().ok_or(MALFORMED)?)?;
+    let mut facts = HeadFacts::default();
+    for (index, line) in lines.enumerate() {
+        if index == MAX_HEADERS {
+            return Err(ResultCode::RequestTooLarge);
+        }
+        check_header(line, &mut facts)?;
+    }
+    judge(&facts, is_modern, max_body_bytes)
+}
+
+const MALFORMED: ResultCode = ResultCode::RequestMalformed;
+
+fn split_lines(text: &[u8]) -> Result<Vec<&[u8]>, ResultCode> {
+    let mut lines = Vec::with_capacity(16);
+    let mut rest = text;
+    while let Some(end) = rest.iter().position(|byte| matches!(byte, b'\r' | b'\n')) {
+        if rest[end..].get(..2) != Some(b"\r\n") {
+            return Err(MALFORMED);
+        }
+        lines.push(&rest[..end]);
+        rest = &rest[end + 2..];
+    }
+    lines.push(rest);
+    Ok(lines)
+}
+
+/// Returns whether the version is HTTP/1.1.
+fn check_request_line(line: &[u8]) -> Result<bool, ResultCode> {
+    let mut parts = line.split(|byte| *byte == b' ');
+    let (method, target, version) = (parts.next(), parts.next(), parts.next());
+    let (Some(method), Some(target), Some(version), None) = (method, target, version, parts.next())
+    else {
+        return Err(MALFORMED);
+    };
+    if !is_token(method) || method == b"CONNECT" || !is_target(target) {
+        return Err(MALFORMED);
+    }
+    match version {
+        b"HTTP/1.1" => Ok(true),
+        b"HTTP/1.0" => Ok(false),
+        _ => Err(MALFORMED),
+    }
+}
+
+fn is_target(target: &[u8]) -> bool {
+    let is_rooted = target.starts_with(b"/") || target.starts_with(b"http://") || target == b"*";
+    let is_visible = |byte: &u8| {
+        matches!(byte, 0x21..=0x7e)
+            && !matches!(byte, b'#' | b'"' | b'<' | b'>' | b'\\' | b'^' | b'`')
+    };
+    is_rooted && target.iter().all(is_visible)
+}
+
+fn check_header(line: &[u8], facts: &mut HeadFacts) -> Result<(), ResultCode> {
+    let colon = line.iter().position(|byte| *byte == b':');
+    let (name, value) = line.split_at(colon.ok_or(MALFORMED)?);
+    let value = value[1..].trim_ascii();
+    if !is_token(name) || !value.iter().all(is_value_byte) {
+        return Err(MALFORMED);
+    }
+    let name = name.to_ascii_lowercase();
+    match name.as_slice() {
+        b"host" => facts.hosts += 1,
+        b"content-length" => {
+            let length = parse_length(value)?;
+            if facts.length.replace(length).is_some() {
+                return Err(MALFORMED);
+            }
+        }
+        b"transfer-encoding" => {
+            let is_repeated = std::mem::replace(&mut facts.is_chunked, true);
+            if is_repeated || !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(MALFORMED);
+            }
+        }
+        _ => check_once(&name, facts)?,
+    }
+    Ok(())
+}
+
+/// Headers that decide how a request is treated may occur once only.
+fn check_once(name: &[u8], facts: &mut HeadFacts) -> Result<(), ResultCode> {
+    if name != b"idempotency-key" && !name.starts_with(b"x-jayrack-") {
+        return Ok(());
+    }
+    let name = String::from_utf8_lossy(name).into_owned();
+    if facts.once.contains(&name) {
+        return Err(MALFORMED);
+    }
+    facts.once.push(name);
+    Ok(())
+}
+
+fn judge(
+    facts: &HeadFacts,
+    is_modern: bool,
+    max_body_bytes: u64,
+) -> Result<BodyFraming, ResultCode> {
+    if facts.hosts > 1 || (is_modern && facts.hosts == 0) {
+        return Err(MALFORMED);
+    }
+    match (facts.length, facts.is_chunked) {
+        (Some(_), true) => Err(MALFORMED),
+        (None, true) if is_modern => Ok(BodyFraming::Chunked),
+        (None, true) => Err(MALFORMED),
+        (Some(length), false) if length > max_body_bytes => Err(ResultCode::RequestTooLarge),
+        (length, false) => Ok(BodyFraming::Length(length.unwrap_or(0))),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64, ResultCode> {
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(MALFORMED);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| MALFORMED)?;
+    text.parse().map_err(|_| MALFORMED)
+}
+
+fn is_value_byte(byte: &u8) -> bool {
+    matches!(byte, b'\t' | 0x20..=0x7e | 0x80..=0xff)
+}
+
+fn is_token(name: &[u8]) -> bool {
+    !name.is_empty() && name.iter().all(is_token_byte)
+}
+
+/// Whether `byte` may stand in a method or in a header's name.
+pub(super) fn is_token_byte(byte: &u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte)
+}
--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -1,124 +1,186 @@
 //! Requests for the backend servers beside this daemon, from its own ingress and from peers.
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hyper::Request;
 use jayrack_protocol::{
-    ResultCode,
-    forward::{OutcomeQuery, OutcomeReply, OutcomeState, RequestHead, ResponseHead},
+    RequestId, ResultCode,
+    forward::{OutcomeQuery, RequestHead},
 };
-use quinn::{RecvStream, SendStream};
+use jayrack_traffic::{RequestClass, ledger::Outcome};
+use quinn::RecvStream;
 
 use crate::{
-    backend::{self, BackendPool},
+    backend::BackendPool,
     shared::LocalServer,
     traffic::{Options, TrafficState},
-    transport::{self, body::RelayBody, wire},
+    transport::{
+        self,
+        body::RelayBody,
+        wire::{self, StreamSender},
+    },
 };
 
+pub(crate) mod answer;
+mod cancel;
+mod gate;
 pub(crate) mod headers;
+mod run;
+
+pub(crate) use answer::OwnerAnswer;
+use answer::StoredAnswer;
+use cancel::Cancellation;
+pub(crate) use gate::OwnerGate;
+use gate::{Entry, Permit, Ticket};
+use run::RunContext;
 
 /// Longest encoded head of a forwarded request or answer, in bytes.
 pub(crate) const HEAD_MESSAGE_BYTES: usize = 256 * 1024;
 
-/// Decides about requests for the local backend servers and runs them.
+/// The owner's part of the traffic threads.
 #[derive(Debug)]
-pub(crate) struct OwnerGate {
+pub(crate) struct OwnerSide {
+    pub(crate) gate: OwnerGate,
     backends: BackendPool,
 }
 
-/// An owner's answer, on its way to the ingress.
-#[derive(Debug)]
-pub(crate) struct OwnerAnswer {
-    pub(crate) head: ResponseHead,
-    pub(crate) body: RelayBody,
-}
-
-impl OwnerAnswer {
-    /// An answer without a backend server's part in it.
-    pub(crate) fn refusal(code: ResultCode) -> Self {
+impl OwnerSide {
+    pub(crate) fn new(options: &Options) -> Self {
         Self {
-            head: ResponseHead {
-                code: u32::from(code.number()),
-                ..ResponseHead::default()
-            },
-            body: RelayBody::whole(Bytes::new()),
+            gate: OwnerGate::new(options),
+            backends: BackendPool::new(options),
         }
     }
 }
 
-impl OwnerGate {
-    pub(crate) fn new(options: &Options) -> Self {
-        Self {
-            backends: BackendPool::new(options),
-        }
+/// Runs one request or refuses it; `cancelled` completes when nobody waits any more.
+pub(crate) async fn serve(
+    state: &TrafficState,
+    head: RequestHead,
+    body: RelayBody,
+    cancelled: impl Future<Output = Cancellation>,
+) -> OwnerAnswer {
+    let flight = state.in_flight.enter();
+    let server_name = head.server.clone();
+    let mut answer = match find_server(state, &head.server) {
+        Ok(server) => admit(state, server, head, body, cancelled).await,
+        Err(code) => OwnerAnswer::refusal(code),
+    };
+    answer.head.load = state.owner.gate.load(&server_name).map(answer::to_report);
+    answer.body = answer.body.holding(flight);
+    answer
+}
+
+fn find_server(state: &TrafficState, name: &str) -> Result<Arc<LocalServer>, ResultCode> {
+    if state.shared.is_leaving() {
+        return Err(ResultCode::Draining);
+    }
+    let servers = state.shared.servers.load();
+    let server = servers.iter().find(|server| server.name == name);
+    let server = server.ok_or(ResultCode::ServerUnknown)?;
+    if server.draining {
+        return Err(ResultCode::Draining);
     }
+    Ok(Arc::new(server.clone()))
+}
 
-    /// Runs one request or refuses it.
-    pub(crate) async fn serve(
-        &self,
-        state: &TrafficState,
-        head: RequestHead,
-        body: RelayBody,
-    ) -> OwnerAnswer {
-        let _flight = state.in_flight.enter();
-        if state.shared.is_leaving() {
-            return OwnerAnswer::refusal(ResultCode::Draining);
-        }
-        let servers = state.shared.servers.load();
-        let Some(server) = servers.iter().find(|server| server.name == head.server) else {
-            return OwnerAnswer::refusal(ResultCode::ServerUnknown);
-        };
-        if server.draining {
-            return OwnerAnswer::refusal(ResultCode::Draining);
+async fn admit(
+    state: &TrafficState,
+    server: Arc<LocalServer>,
+    head: RequestHead,
+    body: RelayBody,
+    cancelled: impl Future<Output = Cancellation>,
+) -> OwnerAnswer {
+    let id = RequestId::from_halves(head.request_high, head.request_low);
+    let deadline = tokio::time::Instant::now() + Duration::from_millis(head.deadline_ms.into());
+    let class = class_of(state, &head);
+    let ticket = match state.owner.gate.enter(id, &server, class) {
+        Entry::Waits(ticket) => ticket,
+        Entry::Known(outcome) => return known(outcome),
+    };
+    let mut cancelled = pin!(cancelled);
+    let permit = match wait(ticket, cancelled.as_mut()).await {
+        Ok(permit) => permit,
+        Err(code) => return OwnerAnswer::refusal(code),
+    };
+    let context = RunContext {
+        backends: state.owner.backends.clone(),
+        server,
+        answer_bytes: state.options.limits.answer_bytes,
+        time_left: deadline.saturating_duration_since(tokio::time::Instant::now()),
+    };
+    let is_idempotent = head.idempotent;
+    let mut running = pin!(run::run(context, permit, head, body));
+    tokio::select! {
+        biased;
+        answer = running.as_mut() => return answer,
+        cancellation = cancelled => {
+            if cancellation == Cancellation::Stated || is_idempotent {
+                return OwnerAnswer::refusal(ResultCode::OutcomeUnknown);
+            }
         }
-        let server = server.clone();
-        self.run(&server, head, body).await
     }
+    running.await
+}
 
-    async fn run(&self, server: &LocalServer, head: RequestHead, body: RelayBody) -> OwnerAnswer {
-        let is_idempotent = head.idempotent;
-        let Some(request) = headers::to_request(head, body) else {
-            return OwnerAnswer::refusal(ResultCode::RequestMalformed);
-        };
-        let request: Request<RelayBody> = request;
-        match self
-            .backends
-            .send(server.address, request, is_idempotent)
-            .await
-        {
-            Ok(response) => headers::to_answer(response),
-            Err(backend::Error::NotSent) => OwnerAnswer::refusal(ResultCode::OwnerUnreachable),
-            Err(backend::Error::Lost) => OwnerAnswer::refusal(ResultCode::OutcomeUnknown),
-        }
+async fn wait(
+    ticket: Ticket,
+    cancelled: impl Future<Output = Cancellation>,
+) -> Result<Permit, ResultCode> {
+    tokio::select! {
+        biased;
+        verdict = ticket.verdict() => verdict,
+        _ = cancelled => Err(ResultCode::Cancelled),
+    }
+}
+
+fn class_of(state: &TrafficState, head: &RequestHead) -> RequestClass {
+    RequestClass {
+        rank: u8::try_from(head.rank).unwrap_or(u8::MAX),
+        floor_percent: u8::try_from(head.floor_percent).unwrap_or(0),
+        kind: head.kind.clone(),
+        customer: head.customer.clone(),
+        customer_request: head.customer_request,
+        depth: head.depth,
+        deadline_ms: state.clock.now_ms() + u64::from(head.deadline_ms),
+        idempotent: head.idempotent,
+    }
+}
+
+/// The answer to a request that arrived a second time.
+fn known(outcome: Outcome<Arc<StoredAnswer>>) -> OwnerAnswer {
+    match outcome {
+        Outcome::Done(stored) => OwnerAnswer::from(stored.as_ref()),
+        Outcome::AnswerEvicted => OwnerAnswer::refusal(ResultCode::AnswerLost),
+        Outcome::NotRun(code) | Outcome::Unknown(code) => OwnerAnswer::refusal(code),
+        Outcome::Queued | Outcome::Dispatched => OwnerAnswer::refusal(ResultCode::OutcomeUnknown),
     }
 }
 
 /// Serves a stream that forwards one request.
 pub(crate) async fn serve_forward(
-    send: &mut SendStream,
+    send: &mut StreamSender,
     mut receive: RecvStream,
     state: &Arc<TrafficState>,
 ) -> Result<(), transport::Error> {
     let head: RequestHead = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
     let length = headers::content_length(&head.headers);
     let body = RelayBody::quic(receive, length);
-    let answer = state.owner.serve(state, head, body).await;
-    wire::write_message(send, &answer.head).await?;
+    let cancelled = cancel::cancellation(send);
+    let answer = serve(state, head, body, cancelled).await;
+    send.write_message(&answer.head).await?;
     transport::body::write_body(answer.body, send).await
 }
 
 /// Serves a stream that asks for an outcome.
 pub(crate) async fn serve_outcome(
-    send: &mut SendStream,
+    send: &mut StreamSender,
     mut receive: RecvStream,
-    _state: &Arc<TrafficState>,
+    state: &Arc<TrafficState>,
 ) -> Result<(), transport::Error> {
-    let _query: OutcomeQuery = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
-    let reply = OutcomeReply {
-        state: OutcomeState::Uncertain.into(),
-        head: None,
-    };
-    wire::write_message(send, &reply).await?;
-    send.finish().map_err(|_| transport::Error::Lost)
+    let query: OutcomeQuery = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
+    let id = RequestId::from_halves(query.request_high, query.request_low);
+    let (reply, body) = answer::to_reply(state.owner.gate.query(id, query.fence));
+    send.write_message(&reply).await?;
+    let body = RelayBody::whole(body.unwrap_or_else(Bytes::new));
+    transport::body::write_body(body, send).await
 }
--- /dev/null
+++ b/jayrackd/src/owner/cancel.rs
@@ -0,0 +1,24 @@
+//! When the sender of a request no longer waits for its answer.
+use crate::transport::wire::StreamSender;
+
+/// Why nobody waits any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cancellation {
+    /// The sender said so.
+    Stated,
+    /// The connection was lost; the sender may ask for the outcome.
+    ConnectionLost,
+}
+
+/// Waits until nobody reads `send` any more.
+pub(super) fn cancellation(
+    send: &StreamSender,
+) -> impl Future<Output = Cancellation> + Send + use<> {
+    let stopped = send.stopped();
+    async move {
+        match stopped.await {
+            Ok(_) => Cancellation::Stated,
+            Err(_) => Cancellation::ConnectionLost,
+        }
+    }
+}
--- /dev/null
+++ b/jayrackd/src/owner/gate.rs
@@ -0,0 +1,402 @@
+//! The driver of admission and ledger: takes requests in, lets them wait, gives out permits.
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use jayrack_protocol::{RequestId, ResultCode};
+use jayrack_traffic::{
+    AdmissionQueue, LoadLevel, OutcomeLedger, RequestClass,
+    admission::{self, Decision},
+    ledger::{self, Begin, Inquiry, Outcome},
+};
+use tokio::sync::{Notify, oneshot};
+
+use super::answer::StoredAnswer;
+use crate::{
+    clock::{self, DaemonClock},
+    shared::{LocalServer, SharedState},
+    traffic::Options,
+};
+
+/// Pause between two looks at waiting requests.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Decides about requests for the local backend servers; clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerGate {
+    inner: Arc<GateInner>,
+}
+
+#[derive(Debug)]
+struct GateInner {
+    core: Mutex<GateCore>,
+    clock: DaemonClock,
+    max_queued: usize,
+    has_waiting: Notify,
+}
+
+#[derive(Debug)]
+struct GateCore {
+    ledger: OutcomeLedger<Arc<StoredAnswer>>,
+    queues: BTreeMap<String, AdmissionQueue>,
+    waiting: BTreeMap<RequestId, WaitingRequest>,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    server: String,
+    verdict: oneshot::Sender<Verdict>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Verdict {
+    Run,
+    Refuse(ResultCode),
+}
+
+/// What becomes of a request that arrived.
+#[derive(Debug)]
+pub(crate) enum Entry {
+    /// It waits for its turn.
+    Waits(Ticket),
+    /// It must not run; this is known about it.
+    Known(Outcome<Arc<StoredAnswer>>),
+}
+
+/// How a permitted request ended.
+#[derive(Debug, Clone)]
+pub(crate) enum Ending {
+    /// The backend server answered.
+    Done(StoredAnswer),
+    /// The backend server answered that it has too much work.
+    Shed(StoredAnswer),
+    /// The backend server took the request and failed.
+    Failed,
+    /// It cannot be known whether the backend server ran it.
+    Unknown,
+    /// The backend server certainly did not get it.
+    NotRun(ResultCode),
+}
+
+impl OwnerGate {
+    pub(crate) fn new(options: &Options) -> Self {
+        let ledger = OutcomeLedger::new(ledger::Options {
+            started_unix_ms: clock::unix_ms(),
+            clock_skew_ms: options.timeouts.clock_skew.as_millis() as u64,
+            max_bytes: options.limits.ledger_bytes as u64,
+            max_records: options.limits.ledger_records,
+            ..ledger::Options::default()
+        });
+        Self {
+            inner: Arc::new(GateInner {
+                core: Mutex::new(GateCore {
+                    ledger,
+                    queues: BTreeMap::new(),
+                    waiting: BTreeMap::new(),
+                }),
+                clock: options.clock,
+                max_queued: options.limits.queue,
+                has_waiting: Notify::new(),
+            }),
+        }
+    }
+
+    /// Takes a request for `server` in.
+    pub(crate) fn enter(&self, id: RequestId, server: &LocalServer, class: RequestClass) -> Entry {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        if let Begin::Existing(outcome) = core.ledger.begin(now_ms, id) {
+            return Entry::Known(outcome);
+        }
+        let (verdict, receiver) = oneshot::channel();
+        let waiting = WaitingRequest {
+            server: server.name.clone(),
+            verdict,
+        };
+        core.waiting.insert(id, waiting);
+        let queue = core.queue(server, self.inner.max_queued);
+        let decisions = queue.offer(now_ms, id, class);
+        core.apply(now_ms, &server.name, decisions);
+        if core.waiting.contains_key(&id) {
+            self.inner.has_waiting.notify_one();
+        }
+        Entry::Waits(Ticket {
+            gate: self.clone(),
+            id,
+            server: server.name.clone(),
+            receiver: Some(receiver),
+        })
+    }
+
+    /// Tells the outcome of a request; with `fence`, one that waits never runs.
+    pub(crate) fn query(&self, id: RequestId, fence: bool) -> Inquiry<Arc<StoredAnswer>> {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        let inquiry = core.ledger.query(now_ms, id, fence);
+        if matches!(inquiry, Inquiry::NotRun(_)) {
+            core.withdraw(now_ms, id);
+        }
+        inquiry
+    }
+
+    /// The load of `server`.
+    pub(crate) fn load(&self, server: &str) -> Option<LoadLevel> {
+        let core = self.lock();
+        core.queues.get(server).map(AdmissionQueue::load)
+    }
+
+    /// Requests that run and that wait, all local servers together.
+    pub(crate) fn load_totals(&self) -> LoadTotals {
+        let core = self.lock();
+        let loads = core.queues.values().map(AdmissionQueue::load);
+        loads.fold(LoadTotals::default(), |totals, load| LoadTotals {
+            running: totals.running + load.running,
+            queued: totals.queued + load.queued,
+        })
+    }
+
+    /// Refuses what waited too long, or for a server that drains; for as long as the process runs.
+    pub(crate) async fn watch(self, shared: Arc<SharedState>) {
+        loop {
+            if self.lock().waiting.is_empty() {
+                self.inner.has_waiting.notified().await;
+            }
+            tokio::time::sleep(TICK).await;
+            self.tick(&shared);
+        }
+    }
+
+    fn tick(&self, shared: &SharedState) {
+        let now_ms = self.inner.clock.now_ms();
+        let servers = shared.servers.load();
+        let mut core = self.lock();
+        let names: Vec<String> = core.queues.keys().cloned().collect();
+        for name in names {
+            let server = servers.iter().find(|server| server.name == name);
+            let is_draining = server.is_none_or(|server| server.draining) || shared.is_leaving();
+            let Some(queue) = core.queues.get_mut(&name) else {
+                continue;
+            };
+            queue.set_draining(is_draining);
+            let decisions = queue.tick(now_ms);
+            core.apply(now_ms, &name, decisions);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateCore> {
+        self.inner
+            .core
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Load of all local servers together.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadTotals {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+}
+
+impl GateCore {
+    fn queue(&mut self, server: &LocalServer, max_queued: usize) -> &mut AdmissionQueue {
+        if !self.queues.contains_key(&server.name) {
+            let queue = AdmissionQueue::new(admission::Options {
+                slots: server.slots,
+                max_queued,
+                ..admission::Options::default()
+            });
+            self.queues.insert(server.name.clone(), queue);
+        }
+        let queue = self
+            .queues
+            .get_mut(&server.name)
+            .expect("inserted when absent");
+        queue.set_slots(server.slots);
+        queue.set_draining(server.draining);
+        queue
+    }
+
+    /// Carries decisions out, with those that follow from them.
+    fn apply(&mut self, now_ms: u64, server: &str, mut decisions: Vec<Decision>) {
+        while let Some(decision) = decisions.pop() {
+            let mut followers = match decision {
+                Decision::Dispatch(id) => self.dispatch(now_ms, server, id),
+                Decision::Refuse(id, code) => {
+                    self.refuse(now_ms, id, code);
+                    Vec::new()
+                }
+            };
+            decisions.append(&mut followers);
+        }
+    }
+
+    fn dispatch(&mut self, now_ms: u64, server: &str, id: RequestId) -> Vec<Decision> {
+        let waiting = self.waiting.remove(&id);
+        let is_free = self.ledger.dispatched(now_ms, id);
+        let is_taken =
+            waiting.is_some_and(|waiting| is_free && waiting.verdict.send(Verdict::Run).is_ok());
+        if is_taken {
+            return Vec::new();
+        }
+        self.ledger.not_run(now_ms, id, ResultCode::Cancelled);
+        self.end(now_ms, server, id, admission::Result::Cancelled)
+    }
+
+    fn refuse(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
+        self.ledger.not_run(now_ms, id, code);
+        if let Some(waiting) = self.waiting.remove(&id) {
+            let _ = waiting.verdict.send(Verdict::Refuse(code));
+        }
+    }
+
+    fn withdraw(&mut self, now_ms: u64, id: RequestId) {
+        let Some(server) = self.waiting.get(&id).map(|waiting| waiting.server.clone()) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&server) {
+            let decisions = queue.cancel(now_ms, id);
+            self.apply(now_ms, &server, decisions);
+        }
+        self.refuse(now_ms, id, ResultCode::Cancelled);
+    }
+
+    fn end(
+        &mut self,
+        now_ms: u64,
+        server: &str,
+        id: RequestId,
+        result: admission::Result,
+    ) -> Vec<Decision> {
+        self.queues
+            .get_mut(server)
+            .map_or_else(Vec::new, |queue| queue.finished(now_ms, id, 0, result))
+    }
+
+    fn settle(&mut self, now_ms: u64, id: RequestId, ending: Ending) -> admission::Result {
+        match ending {
+            Ending::Done(answer) => {
+                self.store(now_ms, id, answer);
+                admission::Result::Ok
+            }
+            Ending::Shed(answer) => {
+                self.store(now_ms, id, answer);
+                admission::Result::ServerShed
+            }
+            Ending::Failed => {
+                self.ledger.failed(now_ms, id);
+                admission::Result::Failed
+            }
+            Ending::Unknown => {
+                self.ledger.unknown(now_ms, id);
+                admission::Result::Cancelled
+            }
+            Ending::NotRun(code) => {
+                self.ledger.not_run(now_ms, id, code);
+                admission::Result::Cancelled
+            }
+        }
+    }
+
+    fn store(&mut self, now_ms: u64, id: RequestId, answer: StoredAnswer) {
+        let headers = answer.head.headers.iter();
+        let head_bytes: usize = headers
+            .map(|header| header.name.len() + header.value.len())
+            .sum();
+        let body_bytes = answer.body.as_ref().map_or(0, bytes::Bytes::len);
+        let bytes = (head_bytes + body_bytes) as u64;
+        self.ledger.done(now_ms, id, Arc::new(answer), bytes);
+    }
+}
+
+/// A request that waits for its turn; dropping it withdraws the request.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    gate: OwnerGate,
+    id: RequestId,
+    server: String,
+    receiver: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Ticket {
+    /// Waits for the decision.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code that the request is refused with; it was not run.
+    pub(crate) async fn verdict(mut self) -> Result<Permit, ResultCode> {
+        let receiver = self.receiver.as_mut().ok_or(ResultCode::Cancelled)?;
+        let verdict = receiver.await;
+        self.receiver = None;
+        match verdict {
+            Ok(Verdict::Run) => Ok(Permit::new(&self)),
+            Ok(Verdict::Refuse(code)) => Err(code),
+            Err(_) => Err(ResultCode::Cancelled),
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        if let Ok(Verdict::Run) = receiver.try_recv() {
+            let permit = Permit::new(self);
+            permit.settle(Ending::NotRun(ResultCode::Cancelled));
+            return;
+        }
+        let now_ms = self.gate.inner.clock.now_ms();
+        self.gate.lock().withdraw(now_ms, self.id);
+    }
+}
+
+/// A slot of a backend server; dropping it without [`Permit::settle`] leaves the outcome unknown.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    gate: OwnerGate,
+    id: RequestId,
+    server: String,
+    started: Instant,
+    ending: Ending,
+}
+
+impl Permit {
+    fn new(ticket: &Ticket) -> Self {
+        Self {
+            gate: ticket.gate.clone(),
+            id: ticket.id,
+            server: ticket.server.clone(),
+            started: Instant::now(),
+            ending: Ending::Unknown,
+        }
+    }
+
+    /// Gives the slot back and notes the outcome.
+    pub(crate) fn settle(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+
+    /// Notes the outcome; the slot is given back when the permit is dropped.
+    pub(crate) fn settle_on_drop(mut self, ending: Ending) -> Self {
+        self.ending = ending;
+        self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now_ms = self.gate.inner.clock.now_ms();
+        let service_us = self.started.elapsed().as_micros() as u64;
+        let ending = std::mem::replace(&mut self.ending, Ending::Unknown);
+        let mut core = self.gate.lock();
+        let result = core.settle(now_ms, self.id, ending);
+        let decisions = match core.queues.get_mut(&self.server) {
+            Some(queue) => queue.finished(now_ms, self.id, service_us, result),
+            None => Vec::new(),
+        };
+        core.apply(now_ms, &self.server, decisions);
+    }
+}
--- a/jayrackd/src/owner/headers.rs
+++ b/jayrackd/src/owner/headers.rs
@@ -4,7 +4,10 @@
     header::{self, HeaderName, HeaderValue},
     http,
 };
-use jayrack_protocol::forward::{Header, RequestHead, ResponseHead};
+use jayrack_protocol::{
+    RequestId,
+    forward::{Header, RequestHead, ResponseHead},
+};
 
 use super::OwnerAnswer;
 use crate::transport::body::RelayBody;
@@ -12,6 +15,20 @@
 /// Header that tells a backend server how long the caller waits, in milliseconds.
 pub(crate) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-jayrack-deadline-ms");
 
+/// Header that names one request.
+pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-jayrack-request-id");
+/// Header that names the tree of requests that serves one customer request.
+pub(crate) const CUSTOMER_REQUEST_HEADER: HeaderName =
+    HeaderName::from_static("x-jayrack-customer-request");
+/// Header that names the customer.
+pub(crate) const CUSTOMER_HEADER: HeaderName = HeaderName::from_static("x-jayrack-customer");
+/// Header that names the rank; it travels down the tree.
+pub(crate) const RANK_HEADER: HeaderName = HeaderName::from_static("x-jayrack-rank");
+/// Header with the position in the tree; 0 for the first request.
+pub(crate) const DEPTH_HEADER: HeaderName = HeaderName::from_static("x-jayrack-depth");
+/// Header with the number of attempts left.
+pub(crate) const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("x-jayrack-attempts");
+
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -80,6 +97,15 @@
     let mut headers = to_headers(head.headers)?;
     strip_hop_by_hop(&mut headers);
     headers.insert(DEADLINE_HEADER, HeaderValue::from(head.deadline_ms));
+    headers.insert(DEPTH_HEADER, HeaderValue::from(head.depth + 1));
+    insert_text(&mut headers, RANK_HEADER, &head.rank_name);
+    insert_text(&mut headers, CUSTOMER_HEADER, &head.customer);
+    let tree = format!("{:016x}", head.customer_request);
+    insert_text(&mut headers, CUSTOMER_REQUEST_HEADER, &tree);
+    if !headers.contains_key(REQUEST_ID_HEADER) {
+        let id = RequestId::from_halves(head.request_high, head.request_low);
+        insert_text(&mut headers, REQUEST_ID_HEADER, &id.to_string());
+    }
     let mut request = Request::new(body);
     *request.method_mut() = head.method.parse().ok()?;
     *request.uri_mut() = head.target.parse::<http::Uri>().ok()?;
@@ -88,6 +114,15 @@
     Some(request)
 }
 
+fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if text.is_empty() {
+        return;
+    }
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
 /// Makes the answer to the ingress from that of the backend server.
 pub(crate) fn to_answer(response: Response<RelayBody>) -> OwnerAnswer {
     let (mut parts, body) = response.into_parts();
--- /dev/null
+++ b/jayrackd/src/owner/run.rs
@@ -0,0 +1,104 @@
+//! One permitted request at its backend server.
+use std::{sync::Arc, time::Duration};
+
+use hyper::{Response, StatusCode};
+use jayrack_protocol::{ResultCode, forward::RequestHead};
+
+use super::{
+    answer::{OwnerAnswer, StoredAnswer},
+    gate::{Ending, Permit},
+    headers,
+};
+use crate::{
+    backend::{self, BackendPool},
+    shared::LocalServer,
+    transport::body::{BodyError, RelayBody},
+};
+
+/// What a run needs besides its permit and its request.
+#[derive(Debug, Clone)]
+pub(super) struct RunContext {
+    pub(super) backends: BackendPool,
+    pub(super) server: Arc<LocalServer>,
+    /// Longest answer that is collected and kept, in bytes.
+    pub(super) answer_bytes: usize,
+    /// Time until the deadline.
+    pub(super) time_left: Duration,
+}
+
+/// Gives the request to the backend server; dropping the future closes the connection to it.
+pub(super) async fn run(
+    context: RunContext,
+    permit: Permit,
+    head: RequestHead,
+    body: RelayBody,
+) -> OwnerAnswer {
+    let is_idempotent = head.idempotent;
+    let time_left = context.time_left;
+    let Some(request) = headers::to_request(head, body) else {
+        permit.settle(Ending::NotRun(ResultCode::RequestMalformed));
+        return OwnerAnswer::refusal(ResultCode::RequestMalformed);
+    };
+    let address = context.server.address;
+    let sending = context.backends.send(address, request, is_idempotent);
+    match tokio::time::timeout(time_left, sending).await {
+        Ok(Ok(response)) => answered(&context, permit, response).await,
+        Ok(Err(backend::Error::NotSent)) => {
+            permit.settle(Ending::NotRun(ResultCode::OwnerUnreachable));
+            OwnerAnswer::refusal(ResultCode::OwnerUnreachable)
+        }
+        Ok(Err(backend::Error::Lost)) => {
+            permit.settle(Ending::Unknown);
+            OwnerAnswer::refusal(ResultCode::OutcomeUnknown)
+        }
+        Err(_) => {
+            permit.settle(Ending::Unknown);
+            OwnerAnswer::refusal(ResultCode::DeadlineExceeded)
+        }
+    }
+}
+
+async fn answered(
+    context: &RunContext,
+    permit: Permit,
+    response: Response<RelayBody>,
+) -> OwnerAnswer {
+    let is_shed = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let answer = headers::to_answer(response);
+    let length = headers::content_length(&answer.head.headers);
+    if length.is_none_or(|length| length > context.answer_bytes as u64) {
+        return stream(permit, answer);
+    }
+    let collecting = answer.body.collect_up_to(context.answer_bytes);
+    let collected = tokio::time::timeout(context.time_left, collecting).await;
+    let Ok(body) = collected.unwrap_or(Err(BodyError::Silent)) else {
+        permit.settle(Ending::Failed);
+        return OwnerAnswer::refusal(ResultCode::ServerFailed);
+    };
+    let stored = StoredAnswer {
+        head: answer.head.clone(),
+        body: Some(body.clone()),
+    };
+    permit.settle(if is_shed {
+        Ending::Shed(stored)
+    } else {
+        Ending::Done(stored)
+    });
+    OwnerAnswer {
+        head: answer.head,
+        body: RelayBody::whole(body),
+    }
+}
+
+/// Passes a large answer on as it comes; only its head is kept.
+fn stream(permit: Permit, answer: OwnerAnswer) -> OwnerAnswer {
+    let stored = StoredAnswer {
+        head: answer.head.clone(),
+        body: None,
+    };
+    let permit = permit.settle_on_drop(Ending::Done(stored));
+    OwnerAnswer {
+        head: answer.head,
+        body: answer.body.holding(permit),
+    }
+}
--- a/jayrackd/src/traffic.rs
+++ b/jayrackd/src/traffic.rs
@@ -10,14 +10,13 @@
     transport::{self, PeerPool, SyncCall},
 };
 
-#[allow(dead_code)]
-mod clock;
+pub(crate) mod counters;
 mod options;
-#[allow(dead_code)]
 mod state;
 
-pub use options::{Limits, Options, Timeouts};
-pub(crate) use {clock::Clock, state::TrafficState};
+pub use counters::TrafficCounters;
+pub use options::{ClaimOptions, Limits, Options, Timeouts};
+pub(crate) use state::TrafficState;
 
 /// Pause between two looks at the number of requests in flight while closing.
 const CLOSE_POLL_MS: u64 = 5;
@@ -108,6 +107,7 @@
     let state = Arc::new(TrafficState::new(options, shared, endpoint.pool()));
     tokio::spawn(endpoint.accept(state.clone(), sync_calls));
     tokio::spawn(ingress::accept(listener, state.clone()));
+    tokio::spawn(state.owner.gate.clone().watch(state.shared.clone()));
     Ok(Opened {
         state,
         callers,
@@ -123,6 +123,21 @@
         .build()
 }
 
+/// Load of the traffic threads at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrafficGauges {
+    /// Requests at the local backend servers.
+    pub running: u32,
+    /// Requests that wait for the local backend servers.
+    pub queued: u32,
+    /// Requests taken and not answered yet, as ingress and as owner.
+    pub in_flight: usize,
+    /// Connections of callers.
+    pub caller_connections: usize,
+    /// Connections opened to peers.
+    pub peer_connections: usize,
+}
+
 /// The runtime of the traffic threads; dropping it stops them without a farewell to anyone.
 #[derive(Debug)]
 struct WorkerThreads {
@@ -161,6 +176,23 @@
         self.state.peers.clone()
     }
 
+    /// Counters and histograms, to be registered for `/metrics`.
+    pub fn counters(&self) -> TrafficCounters {
+        self.state.counters.clone()
+    }
+
+    /// Load at this moment.
+    pub fn gauges(&self) -> TrafficGauges {
+        let load = self.state.owner.gate.load_totals();
+        TrafficGauges {
+            running: load.running,
+            queued: load.queued,
+            in_flight: self.state.in_flight.count(),
+            caller_connections: self.state.connections.count(),
+            peer_connections: self.state.peers.connections(),
+        }
+    }
+
     /// Requests taken and not answered yet, as ingress and as owner.
     pub fn in_flight(&self) -> usize {
         self.state.in_flight.count()
--- a/jayrackd/src/traffic/options.rs
+++ b/jayrackd/src/traffic/options.rs
@@ -1,7 +1,7 @@
 //! Settings of the traffic threads.
 use std::{net::SocketAddr, time::Duration};
 
-use crate::transport::TlsOptions;
+use crate::{clock::DaemonClock, transport::TlsOptions};
 
 /// Sizes that bound the memory of the traffic threads.
 #[derive(Debug, Clone)]
@@ -16,6 +16,8 @@
     pub answer_bytes: usize,
     /// Bytes of kept answers, all requests together.
     pub ledger_bytes: usize,
+    /// Outcomes kept, all requests together.
+    pub ledger_records: usize,
     /// Requests that wait at the owner.
     pub queue: usize,
     /// Connections of callers.
@@ -34,6 +36,7 @@
             replay_bytes: 32 * 1024,
             answer_bytes: 32 * 1024,
             ledger_bytes: 4 * 1024 * 1024,
+            ledger_records: 20_000,
             queue: 512,
             caller_connections: 1024,
             peer_connections: 256,
@@ -49,6 +52,8 @@
     pub head: Duration,
     /// Between two parts of a request body.
     pub body: Duration,
+    /// Without the caller taking a byte of the answer.
+    pub send: Duration,
     /// Without a request on a caller's connection.
     pub caller_idle: Duration,
     /// Establishing a connection to a peer or a backend server.
@@ -59,6 +64,8 @@
     pub silence: Duration,
     /// Idle time after which a backend connection no longer carries work that is not idempotent.
     pub proof_of_life: Duration,
+    /// Greatest difference between the clocks of two daemons.
+    pub clock_skew: Duration,
     /// For requests in flight when the traffic threads are closed.
     pub grace: Duration,
 }
@@ -68,16 +75,36 @@
         Self {
             head: Duration::from_secs(5),
             body: Duration::from_secs(10),
+            send: Duration::from_secs(30),
             caller_idle: Duration::from_secs(60),
             connect: Duration::from_millis(500),
             keep_alive: Duration::from_millis(400),
             silence: Duration::from_millis(1500),
             proof_of_life: Duration::from_secs(1),
+            clock_skew: Duration::from_secs(1),
             grace: Duration::from_secs(20),
         }
     }
 }
 
+/// How long and how many Idempotency-Keys are remembered.
+#[derive(Debug, Clone)]
+pub struct ClaimOptions {
+    /// Time that a key is kept after its last use, in milliseconds.
+    pub retention_ms: u64,
+    /// Greatest number of keys for which this daemon is a home.
+    pub max_claims: usize,
+}
+
+impl Default for ClaimOptions {
+    fn default() -> Self {
+        Self {
+            retention_ms: 60_000,
+            max_claims: 20_000,
+        }
+    }
+}
+
 /// Settings of the traffic threads.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -88,6 +115,9 @@
     pub(crate) timeouts: Timeouts,
     pub(crate) worker_threads: usize,
     pub(crate) seed: u64,
+    pub(crate) claims: ClaimOptions,
+    pub(crate) clock: DaemonClock,
+    pub(crate) claims_known_since_ms: Option<u64>,
 }
 
 impl Options {
@@ -101,6 +131,9 @@
             timeouts: Timeouts::default(),
             worker_threads: 2,
             seed: 0,
+            claims: ClaimOptions::default(),
+            clock: DaemonClock::start(),
+            claims_known_since_ms: None,
         }
     }
 
@@ -111,6 +144,28 @@
         self
     }
 
+    /// Replaces the memory of Idempotency-Keys.
+    #[must_use]
+    pub fn claims(mut self, claims: ClaimOptions) -> Self {
+        self.claims = claims;
+        self
+    }
+
+    /// Sets the clock that the shared state's times are measured on.
+    #[must_use]
+    pub fn clock(mut self, clock: DaemonClock) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// States since when this daemon has seen all claims that it is a home for, in milliseconds of
+    /// its clock; since its start by default.
+    #[must_use]
+    pub fn claims_known_since_ms(mut self, since_ms: u64) -> Self {
+        self.claims_known_since_ms = Some(since_ms);
+        self
+    }
+
     /// Replaces the times.
     #[must_use]
     pub fn timeouts(mut self, timeouts: Timeouts) -> Self {
--- a/jayrackd/src/traffic/state.rs
+++ b/jayrackd/src/traffic/state.rs
@@ -7,9 +7,11 @@
 use tokio::sync::Notify;
 
 use crate::{
-    owner::OwnerGate,
+    clock::DaemonClock,
+    ingress::{ClaimHome, IngressRouter},
+    owner::OwnerSide,
     shared::SharedState,
-    traffic::{Clock, Options},
+    traffic::{Options, TrafficCounters},
     transport::PeerPool,
 };
 
@@ -19,8 +21,12 @@
     pub(crate) options: Options,
     pub(crate) shared: Arc<SharedState>,
     pub(crate) peers: PeerPool,
-    pub(crate) owner: OwnerGate,
-    pub(crate) clock: Clock,
+    pub(crate) owner: OwnerSide,
+    pub(crate) router: IngressRouter,
+    pub(crate) claims: ClaimHome,
+    pub(crate) clock: DaemonClock,
+    pub(crate) counters: TrafficCounters,
+    pub(crate) connections: FlightCount,
     pub(crate) in_flight: FlightCount,
     pub(crate) stopping: StopSignal,
 }
@@ -28,11 +34,15 @@
 impl TrafficState {
     pub(crate) fn new(options: Options, shared: Arc<SharedState>, peers: PeerPool) -> Self {
         Self {
-            owner: OwnerGate::new(&options),
+            owner: OwnerSide::new(&options),
+            router: IngressRouter::new(&options, shared.clone()),
+            claims: ClaimHome::new(&options),
+            clock: options.clock,
+            counters: TrafficCounters::new(),
+            connections: FlightCount::default(),
             options,
             shared,
             peers,
-            clock: Clock::new(),
             in_flight: FlightCount::default(),
             stopping: StopSignal::default(),
         }
--- a/jayrackd/src/transport.rs
+++ b/jayrackd/src/transport.rs
@@ -7,18 +7,17 @@
 use jayrack_protocol::sync::{PullReply, PullRequest, PushReply, PushRequest};
 use quinn::{Connection, RecvStream, SendStream};
 use tokio::sync::{mpsc, oneshot};
+use wire::StreamSender;
 
 use crate::{
-    owner,
+    ingress, owner,
     traffic::{Options, TrafficState},
 };
 
-#[allow(dead_code)]
 pub(crate) mod body;
 mod pool;
 mod sync;
 mod tls;
-#[allow(dead_code)]
 pub(crate) mod wire;
 
 pub use pool::PeerPool;
@@ -158,19 +157,18 @@
     }
 }
 
-async fn serve_stream(mut send: SendStream, mut receive: RecvStream, peer: PeerContext) {
-    let served = match wire::read_kind(&mut receive).await {
+async fn serve_stream(send: SendStream, mut receive: RecvStream, peer: PeerContext) {
+    let mut send = StreamSender::new(send);
+    let _ = match wire::read_kind(&mut receive).await {
         Ok(wire::StreamKind::Forward) => {
             owner::serve_forward(&mut send, receive, &peer.state).await
         }
         Ok(wire::StreamKind::Outcome) => {
             owner::serve_outcome(&mut send, receive, &peer.state).await
         }
+        Ok(wire::StreamKind::Claim) => ingress::serve_claim(&mut send, receive, &peer.state).await,
         Ok(wire::StreamKind::Pull) => sync::serve_pull(&mut send, receive, &peer).await,
         Ok(wire::StreamKind::Push) => sync::serve_push(&mut send, receive, &peer).await,
         Err(error) => Err(error),
     };
-    if served.is_err() {
-        let _ = send.reset(wire::RESET_FAILED);
-    }
 }
--- a/jayrackd/src/transport/body.rs
+++ b/jayrackd/src/transport/body.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use quinn::{RecvStream, SendStream};
+use quinn::RecvStream;
 
-use super::{Error, wire};
+use super::{Error, wire::StreamSender};
 
 /// Bytes read from a QUIC stream at a time.
 const READ_BYTES: usize = 16 * 1024;
@@ -209,17 +209,12 @@
 }
 
 /// Writes `body` to `send` and finishes the stream.
-pub(crate) async fn write_body(mut body: RelayBody, send: &mut SendStream) -> Result<(), Error> {
+pub(crate) async fn write_body(mut body: RelayBody, send: &mut StreamSender) -> Result<(), Error> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Error::Lost)?;
         if let Ok(data) = frame.into_data() {
-            send.write_chunk(data).await.map_err(|_| Error::Lost)?;
+            send.write_chunk(data).await?;
         }
     }
-    send.finish().map_err(|_| Error::Lost)
-}
-
-/// Cancels the stream in both directions.
-pub(crate) fn cancel(send: &mut SendStream) {
-    let _ = send.reset(wire::RESET_CANCELLED);
+    send.finish()
 }
--- a/jayrackd/src/transport/pool.rs
+++ b/jayrackd/src/transport/pool.rs
@@ -7,9 +7,12 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use quinn::{Connection, ConnectionError, RecvStream, SendStream};
+use quinn::{Connection, ConnectionError};
 
-use super::{Error, wire};
+use super::{
+    Error,
+    wire::{self, PeerStream, StreamSender},
+};
 
 /// Name in every daemon's certificate.
 const SERVER_NAME: &str = "jayrack";
@@ -67,15 +70,16 @@
     /// # Errors
     ///
     /// Returns [`Error::Unreachable`] when no connection can be had; nothing was sent then.
-    pub(crate) async fn open(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(SendStream, RecvStream), Error> {
+    pub(crate) async fn open(&self, address: SocketAddr) -> Result<PeerStream, Error> {
         let connection = self.connection(address).await?;
         match connection.open_bi().await {
-            Ok(streams) => Ok(streams),
+            Ok((send, receive)) => Ok(PeerStream {
+                send: StreamSender::new(send),
+                receive,
+                connection,
+            }),
             Err(_) => {
-                self.forget(address, &connection);
+                self.suspect(address, &connection);
                 Err(Error::Unreachable)
             }
         }
@@ -90,7 +94,9 @@
         if let Some(connection) = slot.live() {
             return Ok(connection);
         }
-        self.replace_silent_endpoint(&slot);
+        if slot.is_silent() {
+            self.replace_endpoint();
+        }
         let connection = self.connect(address).await?;
         slot.connection.store(Some(Arc::new(connection.clone())));
         Ok(connection)
@@ -107,25 +113,21 @@
         }
     }
 
-    /// Takes a new local port when the last connection went silent: a device on the path may have
-    /// lost track of the old one.
-    fn replace_silent_endpoint(&self, slot: &PeerSlot) {
-        let Some(last) = slot.connection.load_full() else {
-            return;
-        };
-        if !matches!(last.close_reason(), Some(ConnectionError::TimedOut)) {
-            return;
-        }
+    /// Takes a new local port: a device on the path may have lost track of the old one.
+    fn replace_endpoint(&self) {
         if let Ok(endpoint) = new_endpoint(self.inner.bind_ip) {
             self.inner.endpoint.store(Arc::new(endpoint));
         }
     }
 
-    fn forget(&self, address: SocketAddr, connection: &Connection) {
+    /// Makes the next stream to `address` take a new connection from a new local port, unless the
+    /// pooled connection was replaced in the meantime. Streams of the old one go on.
+    pub(crate) fn suspect(&self, address: SocketAddr, connection: &Connection) {
         let slot = self.slot(address);
         let current = slot.connection.load_full();
         if current.is_some_and(|current| current.stable_id() == connection.stable_id()) {
             slot.connection.store(None);
+            self.replace_endpoint();
         }
     }
 
@@ -138,6 +140,13 @@
         peers.entry(address).or_default().clone()
     }
 
+    /// Number of live connections.
+    pub(crate) fn connections(&self) -> usize {
+        let peers = self.inner.peers.lock();
+        let peers = peers.unwrap_or_else(PoisonError::into_inner);
+        peers.values().filter(|slot| slot.live().is_some()).count()
+    }
+
     /// Closes all connections.
     pub(crate) async fn close(self) {
         let endpoint = self.inner.endpoint.load_full();
@@ -147,6 +156,13 @@
 }
 
 impl PeerSlot {
+    /// Whether the last connection ended in silence.
+    fn is_silent(&self) -> bool {
+        let last = self.connection.load();
+        last.as_ref()
+            .is_some_and(|last| matches!(last.close_reason(), Some(ConnectionError::TimedOut)))
+    }
+
     fn live(&self) -> Option<Connection> {
         let connection = self.connection.load_full()?;
         connection
--- a/jayrackd/src/transport/sync.rs
+++ b/jayrackd/src/transport/sync.rs
@@ -6,10 +6,11 @@
     sync::{PullReply, PullRequest, PushReply, PushRequest},
 };
 use prost::Message;
-use quinn::{RecvStream, SendStream};
+use quinn::RecvStream;
 use tokio::sync::oneshot;
 
 use super::{Error, PeerContext, PeerPool, SyncCall, SyncReply, SyncRequest, wire};
+use wire::StreamSender;
 
 impl PeerPool {
     /// Asks the daemon at `address` for records or a snapshot.
@@ -63,17 +64,18 @@
     kind: wire::StreamKind,
     request: Q,
 ) -> Result<A, Error> {
-    let (mut send, mut receive) = pool.open(address).await?;
-    send.write_chunk(wire::encode_start(kind, &request))
-        .await
-        .map_err(|_| Error::Lost)?;
-    send.finish().map_err(|_| Error::Lost)?;
-    wire::read_message(&mut receive, MAX_FRAME_BYTES).await
+    let mut stream = pool.open(address).await?;
+    stream
+        .send
+        .write_chunk(wire::encode_start(kind, &request))
+        .await?;
+    stream.send.finish()?;
+    wire::read_message(&mut stream.receive, MAX_FRAME_BYTES).await
 }
 
 /// Answers a pull through the control thread.
 pub(super) async fn serve_pull(
-    send: &mut SendStream,
+    send: &mut StreamSender,
     mut receive: RecvStream,
     peer: &PeerContext,
 ) -> Result<(), Error> {
@@ -86,7 +88,7 @@
 
 /// Answers a push through the control thread.
 pub(super) async fn serve_push(
-    send: &mut SendStream,
+    send: &mut StreamSender,
     mut receive: RecvStream,
     peer: &PeerContext,
 ) -> Result<(), Error> {
@@ -108,7 +110,7 @@
     replied.await.map_err(|_| Error::Lost)
 }
 
-async fn answer(send: &mut SendStream, reply: &impl Message) -> Result<(), Error> {
-    wire::write_message(send, reply).await?;
-    send.finish().map_err(|_| Error::Lost)
+async fn answer(send: &mut StreamSender, reply: &impl Message) -> Result<(), Error> {
+    send.write_message(reply).await?;
+    send.finish()
 }
--- a/jayrackd/src/transport/wire.rs
+++ b/jayrackd/src/transport/wire.rs
@@ -2,7 +2,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use jayrack_protocol::frame;
 use prost::Message;
-use quinn::{RecvStream, SendStream, VarInt};
+use quinn::{Connection, RecvStream, SendStream, StoppedError, VarInt};
 
 use super::Error;
 
@@ -10,8 +10,6 @@
 pub(crate) const CLOSE_STOPPED: VarInt = VarInt::from_u32(1);
 /// Reset code of a stream whose sender could not complete it.
 pub(crate) const RESET_FAILED: VarInt = VarInt::from_u32(2);
-/// Reset and stop code of a stream whose request was cancelled.
-pub(crate) const RESET_CANCELLED: VarInt = VarInt::from_u32(3);
 
 /// What a stream is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +18,8 @@
     Forward = 1,
     /// `OutcomeQuery`; answered by `OutcomeReply` and the body of a kept answer.
     Outcome = 2,
+    /// `ClaimCall`; answered by `ClaimAnswer`.
+    Claim = 3,
     /// `PullRequest`; answered by `PullReply`.
     Pull = 4,
     /// `PushRequest`; answered by `PushReply`.
@@ -36,6 +36,7 @@
     match kind[0] {
         1 => Ok(StreamKind::Forward),
         2 => Ok(StreamKind::Outcome),
+        3 => Ok(StreamKind::Claim),
         4 => Ok(StreamKind::Pull),
         5 => Ok(StreamKind::Push),
         _ => Err(Error::Malformed),
@@ -74,12 +75,65 @@
     receive.read_exact(buffer).await.map_err(|_| Error::Lost)
 }
 
-/// Writes one message.
-pub(crate) async fn write_message(
-    send: &mut SendStream,
-    message: &impl Message,
-) -> Result<(), Error> {
-    send.write_chunk(frame::encode(message).freeze())
-        .await
-        .map_err(|_| Error::Lost)
+/// A stream that was opened to a peer.
+#[derive(Debug)]
+pub(crate) struct PeerStream {
+    pub(crate) send: StreamSender,
+    pub(crate) receive: RecvStream,
+    pub(crate) connection: Connection,
+}
+
+/// The sending half of a stream; dropping it before [`StreamSender::finish`] resets the stream, so
+/// that a part is never taken for the whole.
+#[derive(Debug)]
+pub(crate) struct StreamSender {
+    send: SendStream,
+    is_finished: bool,
+}
+
+impl StreamSender {
+    pub(crate) fn new(send: SendStream) -> Self {
+        Self {
+            send,
+            is_finished: false,
+        }
+    }
+
+    /// Writes one message.
+    pub(crate) async fn write_message(&mut self, message: &impl Message) -> Result<(), Error> {
+        self.write_chunk(frame::encode(message).freeze()).await
+    }
+
+    /// Writes raw bytes.
+    pub(crate) async fn write_chunk(&mut self, chunk: Bytes) -> Result<(), Error> {
+        let written = self.send.write_chunk(chunk).await;
+        written.map_err(|_| Error::Lost)
+    }
+
+    /// Writes several pieces of raw bytes in a row.
+    pub(crate) async fn write_chunks(&mut self, chunks: &mut [Bytes]) -> Result<(), Error> {
+        let written = self.send.write_all_chunks(chunks).await;
+        written.map_err(|_| Error::Lost)
+    }
+
+    /// Marks the end of the stream.
+    pub(crate) fn finish(&mut self) -> Result<(), Error> {
+        self.is_finished = true;
+        self.send.finish().map_err(|_| Error::Lost)
+    }
+
+    /// Completes when the peer stops reading or the connection is lost.
+    pub(crate) fn stopped(
+        &self,
+    ) -> impl Future<Output = Result<Option<VarInt>, StoppedError>> + Send + 'static + use<> {
+        self.send.stopped()
+    }
+}
+
+impl Drop for StreamSender {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let _ = self.send.reset(RESET_FAILED);
+        }
+    }
 }
--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -7,6 +7,7 @@
 };
 use jayrack_protocol::MemberId;
 use jayrackd::{
+    clock::DaemonClock,
     shared::{LocalServer, PeerEntry, SharedState},
     traffic::{self, Limits, Options, Timeouts, TrafficHandle},
     transport::{SyncCall, TlsOptions},
@@ -22,20 +23,38 @@
     pub sync_calls: mpsc::Receiver<SyncCall>,
 }
 
+/// Daemons behave as if they had run for this long.
+const CLOCK_START_MS: u64 = 600_000;
+
 /// Settings that a test changes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Setup {
     pub limits: Limits,
     pub timeouts: Timeouts,
     pub seed: u64,
 }
 
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            limits: Limits::default(),
+            timeouts: Timeouts {
+                clock_skew: std::time::Duration::ZERO,
+                ..Timeouts::default()
+            },
+            seed: 1,
+        }
+    }
+}
+
 impl Daemon {
     pub async fn start(name: &str, tls: TlsOptions, setup: &Setup) -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let options = Options::new(any, any, tls)
             .limits(setup.limits.clone())
             .timeouts(setup.timeouts.clone())
+            .clock(DaemonClock::start_at(CLOCK_START_MS))
+            .claims_known_since_ms(0)
             .seed(setup.seed);
         let id = MemberId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         let shared = Arc::new(SharedState::new(id, "wrecsam", "wales"));
