--- a/jayrackd/tests/support/backend.rs
+++ b/jayrackd/tests/support/backend.rs
@@ -3,13 +3,20 @@
     collections::BTreeMap,
     convert::Infallible,
     net::SocketAddr,
+    pin::Pin,
     sync::{Arc, Mutex},
+    task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response,
+    body::{Body, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::watch};
 
@@ -29,6 +36,10 @@
 pub struct Seen {
     pub started: usize,
     pub completed: usize,
+    /// Requests that were abandoned while they ran.
+    pub dropped: usize,
+    /// Bytes of answers that were taken off the server's hands.
+    pub sent_bytes: usize,
     pub deadline_ms: Option<u64>,
     pub headers: Vec<String>,
 }
@@ -64,6 +75,11 @@
         seen.get(mark).cloned().unwrap_or_default()
     }
 
+    /// Bytes of answers to `mark` that were taken off the server's hands.
+    pub fn sent_bytes(&self, mark: &str) -> usize {
+        self.seen(mark).sent_bytes
+    }
+
     /// Executions of all requests.
     pub fn started(&self) -> usize {
         let seen = self.log.seen.lock().unwrap();
@@ -105,10 +121,54 @@
     }
 }
 
+/// Counts a request as abandoned unless it completes.
+struct DropCount {
+    backend: Backend,
+    mark: String,
+    is_completed: bool,
+}
+
+impl Drop for DropCount {
+    fn drop(&mut self) {
+        if !self.is_completed {
+            record(&self.backend, &self.mark, |seen| seen.dropped += 1);
+        }
+    }
+}
+
+/// An answer that counts the bytes taken from it.
+struct CountedBody {
+    backend: Backend,
+    mark: String,
+    left: Bytes,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.left.is_empty() {
+            return Poll::Ready(None);
+        }
+        let taken = self.left.len().min(16 * 1024);
+        let chunk = self.left.split_to(taken);
+        record(&self.backend, &self.mark, |seen| seen.sent_bytes += taken);
+        Poll::Ready(Some(Ok(Frame::data(chunk))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
+    }
+}
+
 async fn run(
     backend: Backend,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, ConnectionCut> {
+) -> Result<Response<CountedBody>, ConnectionCut> {
     let mark = text(&request, MARK_HEADER).unwrap_or_default();
     let answer_bytes = number(&request, ANSWER_HEADER);
     let sleep_ms = number(&request, SLEEP_HEADER).unwrap_or(0);
@@ -119,6 +179,11 @@
         seen.deadline_ms = number(&request, "x-jayrack-deadline-ms");
         seen.headers = request.headers().keys().map(ToString::to_string).collect();
     });
+    let mut count = DropCount {
+        backend: backend.clone(),
+        mark: mark.clone(),
+        is_completed: false,
+    };
     let body = request.into_body().collect().await;
     let Ok(body) = body else {
         return Err(ConnectionCut);
@@ -130,6 +195,7 @@
     if sleep_ms > 0 {
         tokio::time::sleep(Duration::from_millis(sleep_ms)).await;
     }
+    count.is_completed = true;
     record(&backend, &mark, |seen| seen.completed += 1);
     if is_cut {
         return Err(ConnectionCut);
@@ -138,7 +204,11 @@
         Some(bytes) => pattern(&mark, bytes as usize),
         None => body.to_bytes(),
     };
-    let mut response = Response::new(Full::new(answer));
+    let mut response = Response::new(CountedBody {
+        backend,
+        mark: mark.clone(),
+        left: answer,
+    });
     let mark = hyper::header::HeaderValue::from_str(&mark).unwrap();
     response.headers_mut().insert(MARK_HEADER, mark);
     Ok(response)
