--- a/jayrack-platform/src/http.rs
+++ b/jayrack-platform/src/http.rs
@@ -15,6 +15,7 @@
 use crate::{
     log::{Appended, Error, LogService, ReadBatch},
     pool::{self, ConnectionPool},
+    traffic::TrafficCounts,
 };
 
 /// Largest answer that is read, in bytes.
@@ -85,6 +86,11 @@
         }
     }
 
+    /// What went over the client's connections so far.
+    pub fn traffic(&self) -> TrafficCounts {
+        self.pool.traffic()
+    }
+
     fn append_request(&self, stream: &str, data: &str) -> Result<Request<Full<Bytes>>, Error> {
         Request::builder()
             .method(Method::POST)
--- a/jayrack-platform/src/pool.rs
+++ b/jayrack-platform/src/pool.rs
@@ -1,7 +1,7 @@
 //! The connections that the HTTP client keeps open.
 use std::{
     net::SocketAddr,
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
+use crate::traffic::{CountedStream, TrafficCounters, TrafficCounts};
+
 /// How to open and keep connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
@@ -49,6 +51,7 @@
     address: SocketAddr,
     options: Options,
     idle: Mutex<Vec<IdleConnection>>,
+    counters: Arc<TrafficCounters>,
 }
 
 impl ConnectionPool {
@@ -58,9 +61,15 @@
             address,
             options,
             idle: Mutex::default(),
+            counters: Arc::default(),
         }
     }
 
+    /// What went over all connections so far.
+    pub fn traffic(&self) -> TrafficCounts {
+        self.counters.read()
+    }
+
     /// Takes the connection used last, if one is fit for use.
     pub fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
         let limit = Duration::from_millis(self.options.idle_limit_ms);
@@ -79,6 +88,7 @@
             .map_err(|_| ConnectError)?
             .map_err(|_| ConnectError)?;
         stream.set_nodelay(true).map_err(|_| ConnectError)?;
+        let stream = CountedStream::new(stream, self.counters.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectError)?;
--- a/jayrack-platform/tests/http.rs
+++ b/jayrack-platform/tests/http.rs
@@ -110,3 +110,16 @@
         Err(ResultCode::LogMalformed)
     );
 }
+
+#[tokio::test]
+async fn bytes_of_an_exchange_are_counted() {
+    let address = start_fake(vec![Step::Answer("200 OK", "", APPENDED)]).await;
+    let log = HttpLog::new(address);
+
+    log.append("intents", "x").await.unwrap();
+
+    let counts = log.traffic();
+    assert_eq!(counts.connections, 1);
+    assert!(counts.sent_bytes > 1);
+    assert!(counts.received_bytes > APPENDED.len() as u64);
+}
