--- a/jayrack-testkit/src/fleet/run.rs
+++ b/jayrack-testkit/src/fleet/run.rs
@@ -125,6 +125,22 @@
         Ok(confirmed.plan.version)
     }
 
+    /// Waits until every running daemon knows the plan.
+    pub async fn until_plan_known(&self, plan: &str) -> Result<()> {
+        for daemon in &self.daemons {
+            if daemon.process_id().is_some() {
+                let operator = daemon.operator();
+                let what = format!("the plan to be known at {}", daemon.name);
+                observe::until(STATE_LIMIT, &what, async || {
+                    let answer = operator.show(plan).await.ok()?;
+                    (answer.code == 0).then_some(())
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until every running daemon has `version` or a higher one in force.
     pub async fn until_in_force(&self, version: u64) -> Result<()> {
         for index in 0..self.daemons.len() {
--- a/jayrack-testkit/src/lib.rs
+++ b/jayrack-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`link`]: relays that drop, delay or forget.
 //! * [`fleet`]: a whole fleet of real processes on loopback.
 //! * [`deployment`]: the users' two deployments.
+//! * [`load`]: measures that run a fleet.
 //! * [`operator`]: an operator at the administration API.
 //! * [`tool`]: runs the operators' tool.
 //! * [`observe`]: waits on observed state.
@@ -22,6 +23,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod link;
+pub mod load;
 pub mod log_standin;
 pub mod observe;
 pub mod operator;
--- a/jayrack-testkit/src/operator.rs
+++ b/jayrack-testkit/src/operator.rs
@@ -58,6 +58,8 @@
     pub on: u64,
     /// Daemons known.
     pub of: u64,
+    /// Whether the daemon reads the log for others.
+    pub reader: bool,
     /// State of the platform log.
     pub log: String,
 }
