feat(jayrackd): greet a peer before its connection is used

A peer refuses a certificate only after the other end's handshake is complete, when a request could be on its way: a stranger was told "unknown" where the request cannot have run. The greeting costs one round trip for each connection.

--- a/jayrackd/src/transport.rs
+++ b/jayrackd/src/transport.rs
@@ -167,8 +167,14 @@
             owner::serve_outcome(&mut send, receive, &peer.state).await
         }
         Ok(wire::StreamKind::Claim) => ingress::serve_claim(&mut send, receive, &peer.state).await,
+        Ok(wire::StreamKind::Hello) => answer_hello(&mut send).await,
         Ok(wire::StreamKind::Pull) => sync::serve_pull(&mut send, receive, &peer).await,
         Ok(wire::StreamKind::Push) => sync::serve_push(&mut send, receive, &peer).await,
         Err(error) => Err(error),
     };
 }
+
+async fn answer_hello(send: &mut StreamSender) -> Result<(), Error> {
+    send.write_chunk(wire::HELLO.into()).await?;
+    send.finish()
+}
--- a/jayrackd/src/transport/pool.rs
+++ b/jayrackd/src/transport/pool.rs
@@ -107,9 +107,15 @@
         let connecting = endpoint
             .connect_with(self.inner.config.clone(), address, SERVER_NAME)
             .map_err(|_| Error::Unreachable)?;
-        match tokio::time::timeout(self.inner.connect_timeout, connecting).await {
+        let opening = async {
+            let connection = connecting.await.map_err(|_| Error::Unreachable)?;
+            exchange_hello(&connection).await?;
+            Ok::<_, Error>(connection)
+        };
+        let opened = tokio::time::timeout(self.inner.connect_timeout, opening).await;
+        match opened {
             Ok(Ok(connection)) => Ok(connection),
-            _ => Err(Error::Unreachable),
+            Ok(Err(_)) | Err(_) => Err(Error::Unreachable),
         }
     }
 
@@ -172,6 +178,21 @@
     }
 }
 
+/// Waits until the peer has accepted the connection: its refusal of this end's certificate comes
+/// only after this end has completed the handshake, when a request could already be on its way.
+async fn exchange_hello(connection: &Connection) -> Result<(), Error> {
+    let opened = connection.open_bi().await;
+    let (send, mut receive) = opened.map_err(|_| Error::Unreachable)?;
+    let mut send = StreamSender::new(send);
+    send.write_chunk(wire::HELLO.into()).await?;
+    send.finish()?;
+    let answer = receive.read_to_end(wire::HELLO.len()).await;
+    match answer {
+        Ok(answer) if answer == wire::HELLO => Ok(()),
+        _ => Err(Error::Unreachable),
+    }
+}
+
 fn new_endpoint(ip: IpAddr) -> Result<quinn::Endpoint, Error> {
     quinn::Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)
 }
--- a/jayrackd/src/transport/wire.rs
+++ b/jayrackd/src/transport/wire.rs
@@ -11,6 +11,9 @@
 /// Reset code of a stream whose sender could not complete it.
 pub(crate) const RESET_FAILED: VarInt = VarInt::from_u32(2);
 
+/// Answer to a stream of the kind [`StreamKind::Hello`].
+pub(crate) const HELLO: &[u8] = &[StreamKind::Hello as u8];
+
 /// What a stream is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StreamKind {
@@ -24,6 +27,8 @@
     Pull = 4,
     /// `PushRequest`; answered by `PushReply`.
     Push = 5,
+    /// Nothing; answered by [`HELLO`]. Shows that the peer has accepted this end's certificate.
+    Hello = 6,
 }
 
 /// Reads the first byte of a stream.
@@ -39,6 +44,7 @@
         3 => Ok(StreamKind::Claim),
         4 => Ok(StreamKind::Pull),
         5 => Ok(StreamKind::Push),
+        6 => Ok(StreamKind::Hello),
         _ => Err(Error::Malformed),
     }
 }
--- /dev/null
+++ b/jayrackd/tests/keys.rs
@@ -0,0 +1,172 @@
+//! Requests that are repeated with their Idempotency-Key.
+mod support;
+
+use std::sync::Arc;
+
+use hyper::http::request::Builder;
+use support::{
+    backend::{HOLD_HEADER, MARK_HEADER, SLEEP_HEADER},
+    block_on, caller,
+    fleet::{Quartet, Setup, start_quartet},
+    wait_until,
+};
+
+fn keyed(mark: &str) -> Builder {
+    caller::post("/confirm")
+        .header(MARK_HEADER, mark)
+        .header("idempotency-key", format!("key of {mark}"))
+}
+
+#[test]
+fn repeat_at_another_daemon_gets_the_first_answer() {
+    block_on(async {
+        let quartet = start_quartet(&Setup::default()).await;
+
+        let first = caller::call(quartet.ingresses[0].callers(), keyed("m1"), "slot 7").await;
+        let second = caller::call(quartet.ingresses[1].callers(), keyed("m1"), "slot 7").await;
+
+        assert_eq!((first.code, second.code), (0, 0));
+        assert_eq!(first.body, second.body);
+        assert_eq!(quartet.started("m1"), 1);
+    });
+}
+
+#[test]
+fn requests_without_a_key_run_each() {
+    block_on(async {
+        let quartet = start_quartet(&Setup::default()).await;
+
+        for ingress in &quartet.ingresses {
+            let request = caller::post("/confirm").header(MARK_HEADER, "m1");
+            caller::call(ingress.callers(), request, "slot 7").await;
+        }
+
+        assert_eq!(quartet.started("m1"), 2);
+    });
+}
+
+#[test]
+fn crossing_repeats_run_once() {
+    block_on(async {
+        let quartet = start_quartet(&Setup::default()).await;
+
+        for number in 0..100 {
+            let mark = format!("m{number}");
+            let request = || keyed(&mark).header(SLEEP_HEADER, number % 7);
+            let calls = tokio::join!(
+                caller::call(quartet.ingresses[0].callers(), request(), "slot"),
+                caller::call(quartet.ingresses[1].callers(), request(), "slot"),
+                caller::call(quartet.owners[0].callers(), request(), "slot"),
+            );
+
+            let told: Vec<_> = [calls.0, calls.1, calls.2].into();
+            assert!(quartet.started(&mark) <= 1, "{mark}: {told:?}");
+            for told in told {
+                assert!(told.outcome != "not-run" || quartet.started(&mark) == 0);
+            }
+        }
+    });
+}
+
+#[test]
+fn key_of_another_request_is_refused() {
+    block_on(async {
+        let quartet = start_quartet(&Setup::default()).await;
+
+        caller::call(quartet.ingresses[0].callers(), keyed("m1"), "slot 7").await;
+        let other = caller::call(quartet.ingresses[1].callers(), keyed("m1"), "slot 8").await;
+
+        assert_eq!((other.code, other.outcome.as_str()), (511, "not-run"));
+        assert_eq!(quartet.started("m1"), 1);
+    });
+}
+
+#[test]
+fn repeat_after_the_ingress_died_gets_the_answer_of_the_first() {
+    block_on(async {
+        let mut quartet = start_quartet(&Setup::default()).await;
+        let request = keyed("m1").header(HOLD_HEADER, "1");
+        let calling = caller::try_call(quartet.ingresses[0].callers(), request, "slot 7");
+        let first = tokio::spawn(calling);
+        wait_until("dispatch", || quartet.started("m1") == 1).await;
+
+        mark_dead(&quartet, 0);
+        drop(quartet.ingresses.remove(0));
+        let request = keyed("m1").header(HOLD_HEADER, "1");
+        let calling = caller::call(quartet.ingresses[0].callers(), request, "slot 7");
+        let second = tokio::spawn(calling);
+        for backend in &quartet.backends {
+            backend.release();
+        }
+        let second = second.await.unwrap();
+
+        assert_eq!(first.await.unwrap(), None);
+        assert_eq!((second.code, &second.body[..]), (0, &b"slot 7"[..]));
+        assert_eq!(quartet.started("m1"), 1);
+    });
+}
+
+#[test]
+fn repeat_after_the_owner_died_is_unknown_and_does_not_run_again() {
+    block_on(async {
+        let mut quartet = start_quartet(&Setup::default()).await;
+        let request = || {
+            keyed("m1")
+                .header(HOLD_HEADER, "1")
+                .header("x-jayrack-deadline-ms", "2000")
+        };
+        let first = tokio::spawn(caller::call(
+            quartet.ingresses[0].callers(),
+            request(),
+            "slot 7",
+        ));
+        wait_until("dispatch", || quartet.started("m1") == 1).await;
+
+        let at = quartet
+            .backends
+            .iter()
+            .position(|backend| backend.seen("m1").started == 1);
+        drop(quartet.owners.remove(at.unwrap()));
+        let second = caller::call(quartet.ingresses[1].callers(), request(), "slot 7").await;
+
+        assert_eq!(first.await.unwrap().outcome, "unknown");
+        assert_eq!(second.outcome, "unknown");
+        assert_eq!(quartet.started("m1"), 1);
+    });
+}
+
+#[test]
+fn repeat_after_a_change_of_members_runs_at_most_once() {
+    block_on(async {
+        for dead in 0..4 {
+            let quartet = start_quartet(&Setup::default()).await;
+            let marks: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+            for mark in &marks {
+                let told = caller::call(quartet.ingresses[0].callers(), keyed(mark), "").await;
+                assert_eq!(told.code, 0);
+            }
+
+            mark_dead(&quartet, dead);
+            for mark in &marks {
+                let told = caller::call(quartet.ingresses[1].callers(), keyed(mark), "").await;
+
+                assert_eq!(quartet.started(mark), 1, "{told:?}");
+                assert_ne!(told.outcome, "not-run");
+            }
+        }
+    });
+}
+
+/// Makes all daemons believe that the daemon at `index` is dead.
+fn mark_dead(quartet: &Quartet, index: usize) {
+    let daemons = quartet.daemons();
+    let dead = daemons[index].shared.local;
+    for daemon in daemons {
+        let mut peers = daemon.shared.peers.load().as_ref().clone();
+        for peer in peers.iter_mut().filter(|peer| peer.id == dead) {
+            peer.is_alive = false;
+            peer.dead_since_ms = Some(600_000);
+        }
+        daemon.shared.peers.store(Arc::new(peers));
+    }
+}
--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -209,3 +209,46 @@
         backend,
     }
 }
+
+/// Two ingresses and two owners with one backend server each.
+pub struct Quartet {
+    pub ingresses: Vec<Daemon>,
+    pub owners: Vec<Daemon>,
+    pub backends: Vec<Backend>,
+}
+
+impl Quartet {
+    /// Executions of the requests marked `mark`, at all backend servers.
+    pub fn started(&self, mark: &str) -> usize {
+        let seen = self.backends.iter().map(|backend| backend.seen(mark));
+        seen.map(|seen| seen.started).sum()
+    }
+
+    pub fn daemons(&self) -> Vec<&Daemon> {
+        self.ingresses.iter().chain(&self.owners).collect()
+    }
+}
+
+/// Starts a [`Quartet`] that is ready to serve.
+pub async fn start_quartet(setup: &Setup) -> Quartet {
+    let authority = Authority::new();
+    let mut daemons = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        daemons.push(Daemon::start(name, authority.tls_options(&[]), setup).await);
+    }
+    let owners = daemons.split_off(2);
+    let backends = vec![Backend::start().await, Backend::start().await];
+    let mut entries = Vec::new();
+    for (index, owner) in owners.iter().enumerate() {
+        let name = format!("s{index}");
+        announce(owner, &name, &backends[index]);
+        entries.push(server_entry(&name, owner, owner.handle.forward_address()));
+    }
+    let quartet = Quartet {
+        ingresses: daemons,
+        owners,
+        backends,
+    };
+    publish(&quartet.daemons(), &entries);
+    quartet
+}
--- /dev/null
+++ b/jayrackd/tests/truth.rs
@@ -0,0 +1,151 @@
+//! What callers are told, against what backend servers counted, under faults.
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+use rstest::rstest;
+use support::{
+    backend::{ANSWER_HEADER, CUT_HEADER, MARK_HEADER, SLEEP_HEADER, pattern},
+    block_on, caller,
+    fleet::{Quartet, Setup, local_server, publish, server_entry, start_quartet},
+    relay::Relay,
+};
+
+/// Requests of one run.
+const REQUESTS: usize = 1_500;
+/// Callers at once.
+const CALLERS: usize = 24;
+
+/// What one request was about and what its caller was told.
+struct Case {
+    mark: String,
+    is_idempotent: bool,
+    told: Option<caller::Told>,
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn each_refusal_is_true_and_nothing_runs_twice(#[case] seed: u64) {
+    block_on(async {
+        let setup = Setup {
+            seed,
+            ..Setup::default()
+        };
+        let mut quartet = start_quartet(&setup).await;
+        let relays = put_relays(&quartet).await;
+        let faults = tokio::spawn(cause_faults(relays, seed));
+
+        let mut callers = tokio::task::JoinSet::new();
+        for number in 0..CALLERS {
+            let ingress = quartet.ingresses[number % 2].callers();
+            callers.spawn(call_in_a_row(ingress, seed, number));
+        }
+        drain_at_times(&quartet, seed).await;
+        drop(quartet.owners.remove(1));
+        let cases: Vec<Case> = callers.join_all().await.into_iter().flatten().collect();
+
+        faults.abort();
+        let unknown = cases.iter().filter(|case| judge(&quartet, case)).count();
+        println!("seed {seed}: {unknown} of {} unknown", cases.len());
+        assert_eq!(cases.len(), REQUESTS / CALLERS * CALLERS);
+    });
+}
+
+/// Checks one case; returns whether its outcome is unknown.
+fn judge(quartet: &Quartet, case: &Case) -> bool {
+    let started = quartet.started(&case.mark);
+    let told = case.told.as_ref();
+    assert!(
+        started <= 1 || case.is_idempotent,
+        "{} ran twice",
+        case.mark
+    );
+    match told.map(|told| told.outcome.as_str()) {
+        Some("done") => {
+            let told = told.unwrap();
+            assert!(started >= 1, "{}: {told:?}", case.mark);
+            assert_eq!(told.mark, case.mark);
+            assert!(told.body == pattern(&case.mark, told.body.len()));
+            false
+        }
+        Some("not-run") => {
+            assert_eq!(started, 0, "{}: {told:?}", case.mark);
+            false
+        }
+        Some("unknown" | "failed") => true,
+        other => panic!("{}: told {other:?}", case.mark),
+    }
+}
+
+async fn call_in_a_row(ingress: std::net::SocketAddr, seed: u64, number: usize) -> Vec<Case> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed * 1_000 + number as u64);
+    let mut cases = Vec::new();
+    for turn in 0..REQUESTS / CALLERS {
+        let mark = format!("m{number}-{turn}");
+        let is_idempotent = random.next_u64().is_multiple_of(4);
+        let path = if is_idempotent { "/browse" } else { "/confirm" };
+        let mut request = caller::post(path)
+            .header(MARK_HEADER, mark.as_str())
+            .header(SLEEP_HEADER, random.next_u64() % 12)
+            .header(ANSWER_HEADER, random.next_u64() % 60_000)
+            .header("x-jayrack-deadline-ms", 20 + random.next_u64() % 3_000);
+        if random.next_u64().is_multiple_of(30) {
+            request = request.header(CUT_HEADER, "1");
+        }
+        if random.next_u64().is_multiple_of(3) {
+            request = request.header("idempotency-key", mark.as_str());
+        }
+        let body = pattern(&mark, (random.next_u64() % 50_000) as usize);
+        let told = caller::try_call(ingress, request, body).await;
+        cases.push(Case {
+            mark,
+            is_idempotent,
+            told,
+        });
+    }
+    cases
+}
+
+async fn put_relays(quartet: &Quartet) -> Vec<Relay> {
+    let mut relays = Vec::new();
+    let mut entries = Vec::new();
+    for (index, owner) in quartet.owners.iter().enumerate() {
+        let relay = Relay::start(owner.handle.forward_address()).await;
+        entries.push(server_entry(&format!("s{index}"), owner, relay.address));
+        relays.push(relay);
+    }
+    publish(&quartet.daemons(), &entries);
+    relays
+}
+
+/// Silences flows and drops answers, again and again.
+async fn cause_faults(relays: Vec<Relay>, seed: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    loop {
+        tokio::time::sleep(Duration::from_millis(100 + random.next_u64() % 300)).await;
+        let relay = &relays[(random.next_u64() % 2) as usize];
+        if random.next_u64().is_multiple_of(2) {
+            relay.silence_flows();
+        } else {
+            relay.set_drop_answers(true);
+            tokio::time::sleep(Duration::from_millis(random.next_u64() % 200)).await;
+            relay.set_drop_answers(false);
+        }
+    }
+}
+
+async fn drain_at_times(quartet: &Quartet, seed: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed + 77);
+    for turn in 0..6 {
+        tokio::time::sleep(Duration::from_millis(50 + random.next_u64() % 200)).await;
+        let mut server = local_server("s0", quartet.backends[0].address);
+        server.draining = turn % 2 == 0;
+        let servers = Arc::new(vec![server]);
+        quartet.owners[0].shared.servers.store(servers);
+    }
+}
