feat: serve metrics, and let a home vouch for keys at once in a fleet without a history

Cause: a daemon vouches for Idempotency-Keys only after claims of an earlier run are past their retention of 60 s, so a new fleet answered keyed requests with code 600 in its first minute. Where the log was empty when the daemon became ready, no route and so no claim can have existed. A fleet that restarts whole still answers 600 for the retention time, which is the truth.

--- a/jayrack-traffic/src/claim.rs
+++ b/jayrack-traffic/src/claim.rs
@@ -142,7 +142,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ClaimRegistry {
     options: Options,
-    started_ms: u64,
+    /// When claims that the daemon may have forgotten at its start are past their retention.
+    vouches_from_ms: u64,
     purged_ms: u64,
     claims: BTreeMap<u128, ClaimRecord>,
 }
@@ -151,13 +152,19 @@
     /// Creates the empty registry of a daemon that started at `now_ms`.
     pub fn new(now_ms: u64, options: Options) -> Self {
         Self {
+            vouches_from_ms: now_ms.saturating_add(options.retention_ms),
             options,
-            started_ms: now_ms,
             purged_ms: now_ms,
             claims: BTreeMap::new(),
         }
     }
 
+    /// Lets the registry vouch at once: no claim can have been made before it was created, as when
+    /// the fleet had no configuration yet.
+    pub fn assume_complete(&mut self) {
+        self.vouches_from_ms = 0;
+    }
+
     /// Records `claim` unless another request holds its key.
     ///
     /// A claim that arrives again leaves the record as it is, since the holder may have gone on to
@@ -237,7 +244,7 @@
     }
 
     fn can_vouch(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.started_ms) >= self.options.retention_ms
+        now_ms >= self.vouches_from_ms
     }
 
     /// Forgets claims past their retention, a few times within it.
--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -7,6 +7,7 @@
 pub mod operations;
 pub mod peer_calls;
 pub mod publish;
+mod sample;
 mod start;
 mod state;
 pub mod views;
@@ -63,9 +64,15 @@
 pub struct ControlLoop {
     state: ControlState,
     queues: EventQueues,
+    edges: DaemonEdges,
+    shared: Arc<SharedState>,
+}
+
+/// The parts of the daemon that the control state acts through.
+#[derive(Debug)]
+struct DaemonEdges {
     gossip: GossipHandle,
     traffic: TrafficHandle,
-    shared: Arc<SharedState>,
 }
 
 impl ControlLoop {
@@ -77,30 +84,30 @@
         loop {
             tokio::select! {
                 () = &mut stop => break,
-                _ = ticks.tick() => self.state.tick(&self.gossip),
-                Some(event) = self.queues.events.recv() => self.state.event(&self.gossip, event),
-                Some(call) = self.queues.admin.recv() => self.state.admin(&self.gossip, call),
-                Some(call) = self.queues.announcements.recv() => self.state.announcement(&self.gossip, call),
-                Some(call) = self.queues.sync.recv() => self.state.sync_call(&self.gossip, call),
+                _ = ticks.tick() => self.state.tick(&self.edges),
+                Some(event) = self.queues.events.recv() => self.state.event(&self.edges, event),
+                Some(call) = self.queues.admin.recv() => self.state.admin(&self.edges, call),
+                Some(call) = self.queues.announcements.recv() => self.state.announcement(&self.edges, call),
+                Some(call) = self.queues.sync.recv() => self.state.sync_call(&self.edges, call),
                 Ok(()) = self.queues.view.changed() => {
                     let view = self.queues.view.borrow_and_update().clone();
-                    self.state.view_changed(&self.gossip, view);
+                    self.state.view_changed(&self.edges, view);
                 }
-                Some(event) = self.gossip.events.recv() => self.gossip_event(event),
+                Some(event) = self.edges.gossip.events.recv() => self.gossip_event(event),
             }
         }
         self.close().await;
     }
 
     fn gossip_event(&mut self, event: GossipEvent) {
-        self.state.gossip_event(&self.gossip, event);
+        self.state.gossip_event(&self.edges, event);
     }
 
     async fn close(self) {
         log::info!("stopping");
         self.shared.set_leaving();
-        self.gossip.close().await;
-        self.traffic.close().await;
+        self.edges.gossip.close().await;
+        self.edges.traffic.close().await;
         log::info!("stopped");
     }
 }
--- a/jayrackd/src/control/admin_calls.rs
+++ b/jayrackd/src/control/admin_calls.rs
@@ -10,20 +10,20 @@
 use tokio::sync::oneshot;
 
 use super::{
+    DaemonEdges,
     log_calls::AppendResult,
     operations::{OperationKind, PendingOperation},
     publish,
     state::ControlState,
     views::{self, LocalFacts},
 };
-use crate::{
-    admin::{AdminCall, AdminCommand, ApiAnswer, OperatorIdentity, PlanRequest},
-    gossip::GossipHandle,
-};
+use crate::admin::{AdminCall, AdminCommand, ApiAnswer, OperatorIdentity, PlanRequest};
 
 /// Most records read at once to reach an operator's own record.
 const CATCH_UP_RECORDS: usize = 256;
 
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// A record that is ready to be appended for an operator.
 struct PreparedRecord {
     kind: OperationKind,
@@ -35,7 +35,7 @@
 
 impl ControlState {
     /// Carries out one administration request.
-    pub fn admin(&mut self, _gossip: &GossipHandle, call: AdminCall) {
+    pub fn admin(&mut self, edges: &DaemonEdges, call: AdminCall) {
         let reader = OperatorIdentity {
             team: String::new(),
             role: Role::Viewer,
@@ -50,7 +50,7 @@
             AdminCommand::Confirm(plan) => self.prepare_confirm(&operator, plan),
             AdminCommand::Drop(plan) => self.prepare_drop(&operator, plan),
             command => {
-                let _ = call.reply.send(self.read(command));
+                let _ = call.reply.send(self.read(edges, command));
                 return;
             }
         };
@@ -195,7 +195,7 @@
         }
     }
 
-    fn read(&self, command: AdminCommand) -> ApiAnswer {
+    fn read(&self, edges: &DaemonEdges, command: AdminCommand) -> ApiAnswer {
         match command {
             AdminCommand::ShowPlan(plan) => self.show(&plan),
             AdminCommand::ListPlans => {
@@ -209,6 +209,11 @@
             AdminCommand::Members => ApiAnswer::success(200, views::members(&self.view)),
             AdminCommand::Health => ApiAnswer::success(200, json!({})),
             AdminCommand::Readiness => self.readiness(),
+            AdminCommand::Metrics => ApiAnswer::Text {
+                status: 200,
+                media_type: METRICS_TYPE,
+                text: self.parts.metrics.render(&self.sample(edges)),
+            },
             _ => ApiAnswer::refusal(ResultCode::PathUnknown),
         }
     }
--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -8,6 +8,7 @@
 use jayrack_platform::{
     HttpLog, LogService,
     log::{self, Appended, LogEntry, ReadBatch},
+    traffic::TrafficCounts,
 };
 use tokio::sync::mpsc;
 
@@ -51,6 +52,11 @@
         Self { log, events }
     }
 
+    /// Connections and bytes of all calls since the start.
+    pub fn traffic(&self) -> TrafficCounts {
+        self.log.traffic()
+    }
+
     /// Reads the `intents` stream; the result is the next input of the configuration's state machine.
     pub fn read_intents(&self, read: IntentRead) {
         let caller = self.clone();
--- a/jayrackd/src/control/start.rs
+++ b/jayrackd/src/control/start.rs
@@ -8,12 +8,14 @@
 use tokio::sync::mpsc;
 
 use super::{
-    ControlLoop, EventQueues, log_calls::LogCaller, peer_calls::PeerCaller, state::ControlState,
+    ControlLoop, DaemonEdges, EventQueues, log_calls::LogCaller, peer_calls::PeerCaller,
+    state::ControlState,
 };
 use crate::{
     admin, announce,
     clock::{DaemonClock, unix_ms},
     gossip,
+    metrics::MetricRegistry,
     settings::{DaemonSettings, DistributionMode},
     shared::SharedState,
     traffic::{self, TrafficHandle},
@@ -50,6 +52,7 @@
 pub async fn start(settings: DaemonSettings) -> Result<ControlLoop, Error> {
     let settings = Arc::new(settings);
     let seed = settings.seed.unwrap_or_else(unix_ms);
+    let clock = DaemonClock::start();
     let local = MemberId::from_address(settings.listen.gossip);
     let shared = Arc::new(SharedState::new(
         local,
@@ -57,7 +60,7 @@
         &settings.region,
     ));
     let (sync_sender, sync_calls) = mpsc::channel(QUEUE_LENGTH);
-    let traffic = start_traffic(&settings, seed, shared.clone(), sync_sender).await?;
+    let traffic = start_traffic(&settings, seed, clock, shared.clone(), sync_sender).await?;
     let gossip = start_gossip(&settings, seed).await?;
     gossip.seeds(settings.seeds.clone());
     let (admin_sender, admin_calls) = mpsc::channel(QUEUE_LENGTH);
@@ -70,12 +73,12 @@
         .map_err(Error::Listen)?;
     let (event_sender, events) = mpsc::channel(QUEUE_LENGTH);
     let log = Arc::new(HttpLog::new(settings.log.address));
-    let clock = DaemonClock::start();
     let parts = super::state::Parts {
         sync: new_sync(&settings, seed, local, clock.now_ms()),
         log: LogCaller::new(log, event_sender.clone()),
         peers: PeerCaller::new(traffic.peers(), event_sender, local),
         shared: shared.clone(),
+        metrics: MetricRegistry::new(&traffic.counters()),
         settings,
         clock,
         seed,
@@ -90,8 +93,7 @@
     Ok(ControlLoop {
         state: ControlState::new(parts),
         queues,
-        gossip,
-        traffic,
+        edges: DaemonEdges { gossip, traffic },
         shared,
     })
 }
@@ -117,6 +119,7 @@
 async fn start_traffic(
     settings: &DaemonSettings,
     seed: u64,
+    clock: DaemonClock,
     shared: Arc<SharedState>,
     sync_calls: mpsc::Sender<crate::transport::SyncCall>,
 ) -> Result<TrafficHandle, Error> {
@@ -141,7 +144,8 @@
         .limits(limits)
         .timeouts(timeouts)
         .worker_threads(settings.traffic_threads)
-        .seed(seed);
+        .seed(seed)
+        .clock(clock);
     traffic::start(options, shared, sync_calls)
         .await
         .map_err(Error::Traffic)
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -11,7 +11,7 @@
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
 
 use super::{
-    ControlEvent,
+    ControlEvent, DaemonEdges,
     log_calls::{IntentRead, LogCaller},
     operations::OperationTable,
     peer_calls::{self, PeerCaller, PullCall},
@@ -20,7 +20,8 @@
 use crate::{
     announce::{ServerRegistry, api::AnnounceCall},
     clock::{DaemonClock, unix_ms},
-    gossip::{GossipEvent, GossipHandle},
+    gossip::GossipEvent,
+    metrics::MetricRegistry,
     settings::{DaemonSettings, DistributionMode},
     shared::{LocalServer, SharedState},
     transport::{SyncCall, SyncReply, SyncRequest},
@@ -29,6 +30,9 @@
 /// Time between two reads of the log in the polling baseline, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 1_000;
 
+/// Offset of the first record of a log.
+const FIRST_OFFSET: u64 = 1;
+
 /// What a control state is made of.
 #[derive(Debug)]
 pub struct Parts {
@@ -46,6 +50,8 @@
     pub peers: PeerCaller,
     /// What traffic reads.
     pub shared: Arc<SharedState>,
+    /// All metrics.
+    pub metrics: MetricRegistry,
 }
 
 /// All control state of one daemon.
@@ -95,11 +101,11 @@
     }
 
     /// Time passes.
-    pub fn tick(&mut self, gossip: &GossipHandle) {
+    pub fn tick(&mut self, edges: &DaemonEdges) {
         let now_ms = self.now_ms();
         self.registry.expire(now_ms);
-        self.publish_servers(gossip);
-        self.step(gossip, Input::Tick);
+        self.publish_servers(edges);
+        self.step(edges, Input::Tick);
         self.operations.expire(now_ms, self.parts.sync.state());
         if std::mem::take(&mut self.table_is_stale) {
             publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
@@ -107,26 +113,26 @@
     }
 
     /// A task reports a result.
-    pub fn event(&mut self, gossip: &GossipHandle, event: ControlEvent) {
+    pub fn event(&mut self, edges: &DaemonEdges, event: ControlEvent) {
         match event {
             ControlEvent::Log(input) => {
                 self.log_is_up = !matches!(input, Input::LogFailed | Input::SnapshotsFailed);
-                self.step(gossip, input);
+                self.step(edges, input);
             }
-            ControlEvent::Peer(input) => self.step(gossip, input),
+            ControlEvent::Peer(input) => self.step(edges, input),
             ControlEvent::Appended { record, result } => self.appended(&record, result),
         }
     }
 
     /// A backend server announces itself.
-    pub fn announcement(&mut self, gossip: &GossipHandle, call: AnnounceCall) {
+    pub fn announcement(&mut self, edges: &DaemonEdges, call: AnnounceCall) {
         let result = self.registry.announce(self.now_ms(), call.announcement);
         let _ = call.reply.send(result);
-        self.publish_servers(gossip);
+        self.publish_servers(edges);
     }
 
     /// A peer pulls or pushes configuration.
-    pub fn sync_call(&mut self, gossip: &GossipHandle, call: SyncCall) {
+    pub fn sync_call(&mut self, edges: &DaemonEdges, call: SyncCall) {
         let reply = match call.request {
             SyncRequest::Pull(request) => {
                 let floor = self.floor_of(MemberId(request.sender));
@@ -140,7 +146,7 @@
                     records: peer_calls::from_wire(request.records),
                     hops: request.hops,
                 };
-                self.step(gossip, Input::Pushed(push));
+                self.step(edges, Input::Pushed(push));
                 SyncReply::Push(peer_calls::push_reply(
                     self.parts.sync.state().next_offset(),
                 ))
@@ -150,7 +156,7 @@
     }
 
     /// The membership view changed.
-    pub fn view_changed(&mut self, gossip: &GossipHandle, view: Arc<MemberView>) {
+    pub fn view_changed(&mut self, edges: &DaemonEdges, view: Arc<MemberView>) {
         let is_new = view.generation != self.view.generation;
         self.view = view;
         if !is_new {
@@ -160,11 +166,11 @@
         self.budget.resize(self.view.alive().count(), now_ms);
         publish::publish_peers(&self.parts.shared, &self.view);
         self.table_is_stale = true;
-        self.step(gossip, Input::Members(publish::fleet_members(&self.view)));
+        self.step(edges, Input::Members(publish::fleet_members(&self.view)));
     }
 
     /// A peer told its state or this daemon's floor.
-    pub fn gossip_event(&mut self, gossip: &GossipHandle, event: GossipEvent) {
+    pub fn gossip_event(&mut self, edges: &DaemonEdges, event: GossipEvent) {
         let input = match event {
             GossipEvent::Floor(version) => Input::Floor(version),
             GossipEvent::Peer(report) => Input::PeerDigest(PeerDigest {
@@ -175,7 +181,7 @@
                 log_now_ms: None,
             }),
         };
-        self.step(gossip, input);
+        self.step(edges, input);
     }
 
     /// Milliseconds of the daemon's clock.
@@ -184,17 +190,17 @@
     }
 
     /// Hands one input to the configuration's state machine and carries out what it wants.
-    pub(super) fn step(&mut self, gossip: &GossipHandle, input: Input) {
+    pub(super) fn step(&mut self, edges: &DaemonEdges, input: Input) {
         let now_ms = self.now_ms();
         let actions = self.parts.sync.handle(now_ms, input);
         for action in actions {
-            self.act(gossip, action);
+            self.act(edges, action);
         }
         self.operations.settle(self.parts.sync.state());
-        self.publish_applied(gossip);
+        self.publish_applied(edges);
     }
 
-    fn act(&mut self, gossip: &GossipHandle, action: Action) {
+    fn act(&mut self, edges: &DaemonEdges, action: Action) {
         match action {
             Action::ReadLog { from, max, wait_ms } => self.read_log(from, max, wait_ms),
             Action::ReadSnapshots => self.parts.log.read_snapshots(),
@@ -222,8 +228,11 @@
             Action::Ready => {
                 log::info!(version = self.parts.sync.state().version(); "ready");
                 publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
+                if self.parts.sync.state().next_offset() == FIRST_OFFSET {
+                    edges.traffic.assume_claims_complete();
+                }
                 self.parts.shared.set_ready();
-                gossip.ready(true);
+                edges.gossip.ready(true);
             }
             Action::Report { code, detail } => log::warn!(code = code.number(); "{detail}"),
         }
@@ -282,18 +291,18 @@
         }
     }
 
-    fn publish_servers(&mut self, gossip: &GossipHandle) {
+    fn publish_servers(&mut self, edges: &DaemonEdges) {
         let servers = self.registry.servers(self.now_ms());
         if servers == self.servers {
             return;
         }
         log::info!(servers = servers.len(); "backend servers changed");
-        gossip.servers(publish::server_records(&servers));
+        edges.gossip.servers(publish::server_records(&servers));
         self.parts.shared.servers.store(Arc::new(servers.clone()));
         self.servers = servers;
     }
 
-    fn publish_applied(&mut self, gossip: &GossipHandle) {
+    fn publish_applied(&mut self, edges: &DaemonEdges) {
         let (version, digest) = self.parts.sync.announced();
         let mark = AppliedMark {
             version,
@@ -302,7 +311,9 @@
         };
         if mark != self.published {
             self.published = mark;
-            gossip.applied(mark.version, mark.digest, mark.next_offset);
+            edges
+                .gossip
+                .applied(mark.version, mark.digest, mark.next_offset);
         }
     }
 
--- a/jayrackd/src/ingress/claim/home.rs
+++ b/jayrackd/src/ingress/claim/home.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Lets this home vouch at once, since no claim can have been made before it started.
+    pub(crate) fn assume_complete(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.assume_complete();
+    }
+
     /// Does what `call` asks for; `None` when it is not well formed.
     fn answer(&self, call: &ClaimCall) -> Option<ClaimAnswer> {
         let now_ms = self.clock.now_ms();
--- a/jayrackd/src/lib.rs
+++ b/jayrackd/src/lib.rs
@@ -5,7 +5,7 @@
 //! * [`traffic`]: the traffic threads; [`ingress`], [`owner`], [`backend`] and [`transport`] are
 //!   their parts.
 //! * [`shared`]: what the control thread publishes to the traffic threads.
-//! * [`clock`], [`logging`]: time and logs.
+//! * [`clock`], [`logging`], [`metrics`]: time, logs and metrics.
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admin;
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod ingress;
 pub mod logging;
+pub mod metrics;
 pub mod owner;
 pub mod settings;
 pub mod shared;
--- a/jayrackd/src/traffic.rs
+++ b/jayrackd/src/traffic.rs
@@ -176,6 +176,11 @@
         self.state.peers.clone()
     }
 
+    /// Lets this daemon vouch for Idempotency-Keys at once: the fleet had no route before it started.
+    pub fn assume_claims_complete(&self) {
+        self.state.claims.assume_complete();
+    }
+
     /// Counters and histograms, to be registered for `/metrics`.
     pub fn counters(&self) -> TrafficCounters {
         self.state.counters.clone()
