feat: count requests against objectives and report burn from the whole fleet

The daemon that is asked gathers from all running daemons, 16 at a time, one second each, 64 KB each, and shows the result again for 10 s. The page's forms carry a keyed hash of the plan, since the browser repeats the credentials by itself.

--- a/jayrackd/src/admin.rs
+++ b/jayrackd/src/admin.rs
@@ -2,30 +2,25 @@
 //!
 //! Every refusal carries a result code as `{"code", "name", "message", "reasons"}` and changes nothing.
 mod answer;
+mod identity;
 mod route;
 
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::{Buf, BytesMut};
 use futures_core::Stream;
-use jayrack_config::record::Role;
 use jayrack_protocol::ResultCode;
 use tokio::sync::{mpsc, oneshot};
 use warp::{Filter, reply::Response};
 
 pub use answer::ApiAnswer;
+pub use identity::{OperatorIdentity, form_check};
 pub use route::{AdminCommand, PlanRequest};
 
 use crate::settings::OperatorSettings;
 
-/// Who sent an administration request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OperatorIdentity {
-    /// Name of the team.
-    pub team: String,
-    /// What the token allows.
-    pub role: Role,
-}
+/// Lowest HTTP status of a refusal.
+const BAD_REQUEST: u16 = 400;
 
 /// One administration request on its way to the control thread.
 #[derive(Debug)]
@@ -89,6 +84,14 @@
         Ok((operator, command)) => ask(calls, operator, command).await,
         Err(refusal) => refusal,
     };
+    let answer = match answer {
+        ApiAnswer::Json { status, .. } if route::is_form(&head.path) && status < BAD_REQUEST => {
+            ApiAnswer::SeeOther {
+                location: "/report",
+            }
+        }
+        answer => answer,
+    };
     answer.into_response()
 }
 
@@ -104,47 +107,14 @@
     if let Some(command) = route::public_command(&head.method, &head.path) {
         return Ok((None, command));
     }
-    let operator = authenticate(&options.operators, head.token.as_deref())?;
+    let operator = identity::authenticate(&options.operators, head.token.as_deref())?;
     let target = route::target_of(&head.method, &head.path)?;
     route::check_role(&target, operator.role)?;
     let body = read_body(body, options.body_bytes).await?;
-    let command = route::command_of(target, &body)?;
+    let command = route::command_of(target, &operator, &body)?;
     Ok((Some(operator), command))
 }
 
-fn authenticate(
-    operators: &[OperatorSettings],
-    header: Option<&str>,
-) -> Result<OperatorIdentity, ApiAnswer> {
-    let token = header
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .map(str::trim);
-    let Some(token) = token.filter(|token| !token.is_empty()) else {
-        return Err(ApiAnswer::refusal(ResultCode::TokenMissing));
-    };
-    let known = operators
-        .iter()
-        .find(|operator| is_same_secret(&operator.token, token));
-    known.map_or(
-        Err(ApiAnswer::refusal(ResultCode::TokenInvalid)),
-        |operator| {
-            Ok(OperatorIdentity {
-                team: operator.team.clone(),
-                role: operator.role,
-            })
-        },
-    )
-}
-
-/// Compares two secrets in a time that does not depend on where they differ.
-fn is_same_secret(left: &str, right: &str) -> bool {
-    if left.len() != right.len() {
-        return false;
-    }
-    let pairs = left.bytes().zip(right.bytes());
-    pairs.fold(0, |difference, (l, r)| difference | (l ^ r)) == 0
-}
-
 async fn read_body<S, B>(body: S, limit: usize) -> Result<Vec<u8>, ApiAnswer>
 where
     S: Stream<Item = Result<B, warp::Error>>,
--- a/jayrackd/src/admin/answer.rs
+++ b/jayrackd/src/admin/answer.rs
@@ -6,6 +6,9 @@
     reply::Response,
 };
 
+const UNAUTHORIZED: u16 = 401;
+const SEE_OTHER: u16 = 303;
+
 /// One answer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ApiAnswer {
@@ -18,6 +21,11 @@
         /// Fields besides `code`, `name` and `message`.
         fields: Map<String, Value>,
     },
+    /// The result stands at another path.
+    SeeOther {
+        /// The path.
+        location: &'static str,
+    },
     /// Text of another media type.
     Text {
         /// HTTP status.
@@ -64,30 +72,48 @@
 
     /// Turns the answer into an HTTP response.
     pub fn into_response(self) -> Response {
-        let (status, media_type, text) = match self {
+        match self {
             ApiAnswer::Json {
                 code,
                 status,
                 fields,
-            } => (status, "application/json", json_text(code, fields)),
+            } => {
+                let mut response =
+                    text_response(status, "application/json", json_text(code, fields));
+                if status == UNAUTHORIZED {
+                    let challenge = header::HeaderValue::from_static("Basic realm=\"jayrack\"");
+                    response
+                        .headers_mut()
+                        .insert(header::WWW_AUTHENTICATE, challenge);
+                }
+                response
+            }
+            ApiAnswer::SeeOther { location } => {
+                let mut response = text_response(SEE_OTHER, "text/plain", String::new());
+                let location = header::HeaderValue::from_static(location);
+                response.headers_mut().insert(header::LOCATION, location);
+                response
+            }
             ApiAnswer::Text {
                 status,
                 media_type,
                 text,
-            } => (status, media_type, text),
-        };
-        let mut response = Response::new(text.into());
-        *response.status_mut() =
-            StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let headers = response.headers_mut();
-        headers.insert(
-            header::CONTENT_TYPE,
-            header::HeaderValue::from_static(media_type),
-        );
-        response
+            } => text_response(status, media_type, text),
+        }
     }
 }
 
+fn text_response(status: u16, media_type: &'static str, text: String) -> Response {
+    let mut response = Response::new(text.into());
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let media_type = header::HeaderValue::from_static(media_type);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, media_type);
+    response
+}
+
 fn json_text(code: ResultCode, mut fields: Map<String, Value>) -> String {
     fields.insert("code".into(), code.number().into());
     if code != ResultCode::Ok {
--- /dev/null
+++ b/jayrackd/src/admin/identity.rs
@@ -0,0 +1,80 @@
+//! Who sends an administration request.
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hmac::{Hmac, KeyInit, Mac};
+use jayrack_config::record::Role;
+use jayrack_protocol::ResultCode;
+use sha2::Sha256;
+
+use super::ApiAnswer;
+use crate::settings::OperatorSettings;
+
+/// Bytes of the value that proves where a form came from.
+const CHECK_BYTES: usize = 16;
+
+/// Who sent an administration request.
+#[derive(Clone, PartialEq, Eq)]
+pub struct OperatorIdentity {
+    /// Name of the team.
+    pub team: String,
+    /// What the token allows.
+    pub role: Role,
+    /// The token.
+    pub token: String,
+}
+
+impl std::fmt::Debug for OperatorIdentity {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "OperatorIdentity({}, {:?})", self.team, self.role)
+    }
+}
+
+/// Finds whose token the `Authorization` header carries, as `Bearer TOKEN` or as the password of `Basic`.
+pub fn authenticate(
+    operators: &[OperatorSettings],
+    header: Option<&str>,
+) -> Result<OperatorIdentity, ApiAnswer> {
+    let Some(token) = header.and_then(token_of).filter(|token| !token.is_empty()) else {
+        return Err(ApiAnswer::refusal(ResultCode::TokenMissing));
+    };
+    let known = operators
+        .iter()
+        .find(|operator| is_same_secret(&operator.token, &token));
+    let operator = known.ok_or_else(|| ApiAnswer::refusal(ResultCode::TokenInvalid))?;
+    Ok(OperatorIdentity {
+        team: operator.team.clone(),
+        role: operator.role,
+        token,
+    })
+}
+
+/// Value that proves that a form about `plan` came from a page made for the holder of `token`.
+pub fn form_check(token: &str, plan: &str) -> String {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(token.as_bytes()).expect("HMAC takes keys of any length");
+    mac.update(plan.as_bytes());
+    let tag = mac.finalize().into_bytes();
+    tag[..CHECK_BYTES]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// Compares two secrets in a time that does not depend on where they differ.
+pub fn is_same_secret(left: &str, right: &str) -> bool {
+    if left.len() != right.len() {
+        return false;
+    }
+    let pairs = left.bytes().zip(right.bytes());
+    pairs.fold(0, |difference, (l, r)| difference | (l ^ r)) == 0
+}
+
+fn token_of(header: &str) -> Option<String> {
+    if let Some(token) = header.strip_prefix("Bearer ") {
+        return Some(token.trim().to_string());
+    }
+    let encoded = header.strip_prefix("Basic ")?;
+    let decoded = STANDARD.decode(encoded.trim()).ok()?;
+    let text = String::from_utf8(decoded).ok()?;
+    text.split_once(':')
+        .map(|(_, password)| password.to_string())
+}
--- a/jayrackd/src/admin/route.rs
+++ b/jayrackd/src/admin/route.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use warp::http::Method;
 
-use super::ApiAnswer;
+use super::{ApiAnswer, OperatorIdentity, form_check, identity::is_same_secret};
 
 /// Body of `POST /v1/plans`.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -53,6 +53,13 @@
 pub enum RouteTarget {
     /// `POST /v1/plans`; the body is a [`PlanRequest`].
     Propose,
+    /// `POST /report/plans/PLAN/VERB`; the body is a form with the field `check`.
+    Form {
+        /// The plan.
+        plan: String,
+        /// What the form asks for.
+        command: AdminCommand,
+    },
     /// A command that takes no body.
     Command(AdminCommand),
 }
@@ -83,6 +90,12 @@
         ["v1", "report"] if is_get => AdminCommand::Report,
         ["v1", "report", "local"] if is_get => AdminCommand::LocalReport,
         ["report"] if is_get => AdminCommand::ReportPage,
+        ["report", "plans", plan, "confirm"] if is_post => {
+            return Ok(form_target(plan, AdminCommand::Confirm(plan.to_string())));
+        }
+        ["report", "plans", plan, "drop"] if is_post => {
+            return Ok(form_target(plan, AdminCommand::Drop(plan.to_string())));
+        }
         ["v1", "plans"]
         | ["v1", "plans", _]
         | ["v1", "plans", _, "confirm" | "drop"]
@@ -108,10 +121,34 @@
 }
 
 /// Reads the body that `target` takes.
-pub fn command_of(target: RouteTarget, body: &[u8]) -> Result<AdminCommand, ApiAnswer> {
+pub fn command_of(
+    target: RouteTarget,
+    operator: &OperatorIdentity,
+    body: &[u8],
+) -> Result<AdminCommand, ApiAnswer> {
     match target {
         RouteTarget::Command(command) => Ok(command),
         RouteTarget::Propose => parse_plan(body).map(AdminCommand::Propose),
+        RouteTarget::Form { plan, command } => {
+            let expected = format!("check={}", form_check(&operator.token, &plan));
+            let body = std::str::from_utf8(body).unwrap_or_default();
+            match is_same_secret(body.trim(), &expected) {
+                true => Ok(command),
+                false => Err(ApiAnswer::refusal(ResultCode::TokenInvalid)),
+            }
+        }
+    }
+}
+
+/// Whether requests to `path` come from a form on the report page.
+pub fn is_form(path: &str) -> bool {
+    path.starts_with("/report/plans/")
+}
+
+fn form_target(plan: &str, command: AdminCommand) -> RouteTarget {
+    RouteTarget::Form {
+        plan: plan.to_string(),
+        command,
     }
 }
 
--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -7,6 +7,8 @@
 pub mod operations;
 pub mod peer_calls;
 pub mod publish;
+mod report;
+mod report_calls;
 mod sample;
 mod start;
 mod state;
@@ -47,6 +49,8 @@
         /// What the log answered.
         result: log_calls::AppendResult,
     },
+    /// The fleet answered for a report.
+    Gathered(report_calls::GatheredReport),
 }
 
 /// Queues that the loop takes its events from.
--- a/jayrackd/src/control/admin_calls.rs
+++ b/jayrackd/src/control/admin_calls.rs
@@ -14,6 +14,7 @@
     log_calls::AppendResult,
     operations::{OperationKind, PendingOperation},
     publish,
+    report::{ReportForm, ReportWaiter},
     state::ControlState,
     views::{self, LocalFacts},
 };
@@ -39,6 +40,7 @@
         let reader = OperatorIdentity {
             team: String::new(),
             role: Role::Viewer,
+            token: String::new(),
         };
         let identity = call.operator.unwrap_or(reader);
         let operator = Operator {
@@ -49,6 +51,18 @@
             AdminCommand::Propose(request) => self.prepare_proposal(&operator, request),
             AdminCommand::Confirm(plan) => self.prepare_confirm(&operator, plan),
             AdminCommand::Drop(plan) => self.prepare_drop(&operator, plan),
+            AdminCommand::Report | AdminCommand::ReportPage => {
+                let form = match call.command {
+                    AdminCommand::ReportPage => ReportForm::Page,
+                    _ => ReportForm::Json,
+                };
+                self.report(ReportWaiter {
+                    form,
+                    identity,
+                    reply: call.reply,
+                });
+                return;
+            }
             command => {
                 let _ = call.reply.send(self.read(edges, command));
                 return;
@@ -207,6 +221,7 @@
                 ApiAnswer::success(200, body)
             }
             AdminCommand::Members => ApiAnswer::success(200, views::members(&self.view)),
+            AdminCommand::LocalReport => self.local_report(),
             AdminCommand::Health => ApiAnswer::success(200, json!({})),
             AdminCommand::Readiness => self.readiness(),
             AdminCommand::Metrics => ApiAnswer::Text {
--- /dev/null
+++ b/jayrackd/src/control/report_calls.rs
@@ -0,0 +1,87 @@
+//! Gathers the burn report from the fleet.
+//!
+//! Each running daemon is asked once; at most [`CONCURRENT_CALLS`] calls run at once, and a gathered
+//! report is shown again for [`CACHE_MS`], so that the cost is bounded whoever refreshes the page.
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::{Request, body::Bytes, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use jayrack_burn::report::LocalReport;
+use tokio::{sync::Semaphore, task::JoinSet};
+
+/// Time for which a gathered report is shown again, in milliseconds.
+pub const CACHE_MS: u64 = 10_000;
+
+/// Calls that run at once.
+pub const CONCURRENT_CALLS: usize = 16;
+
+/// Longest wait for one daemon.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest answer of one daemon, in bytes.
+const ANSWER_BYTES: usize = 64 * 1024;
+
+type HttpClient = Client<HttpConnector, Empty<Bytes>>;
+
+/// A daemon to be asked.
+#[derive(Debug, Clone)]
+pub struct ReportSource {
+    /// Where it stands, as shown to operators.
+    pub label: String,
+    /// Address of its administration API.
+    pub address: SocketAddr,
+}
+
+/// What was gathered.
+#[derive(Debug, Clone, Default)]
+pub struct GatheredReport {
+    /// Reports of the daemons that answered.
+    pub reports: Vec<LocalReport>,
+    /// Daemons that did not answer, ordered by label.
+    pub missing: Vec<String>,
+}
+
+/// Asks all `sources` with `token`.
+pub async fn gather(sources: Vec<ReportSource>, token: &str) -> GatheredReport {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let permits = Arc::new(Semaphore::new(CONCURRENT_CALLS));
+    let mut calls = JoinSet::new();
+    for source in sources {
+        let permits = permits.clone();
+        let client: HttpClient = client.clone();
+        let token = token.to_string();
+        calls.spawn(async move {
+            let _permit = permits.acquire().await;
+            let report =
+                tokio::time::timeout(CALL_TIMEOUT, ask(&client, source.address, &token)).await;
+            report.ok().flatten().ok_or(source.label)
+        });
+    }
+    let mut gathered = GatheredReport::default();
+    while let Some(result) = calls.join_next().await {
+        match result {
+            Ok(Ok(report)) => gathered.reports.push(report),
+            Ok(Err(label)) => gathered.missing.push(label),
+            Err(error) => log::warn!("report call ended: {error}"),
+        }
+    }
+    gathered.missing.sort();
+    gathered
+}
+
+async fn ask(client: &HttpClient, address: SocketAddr, token: &str) -> Option<LocalReport> {
+    let request = Request::get(format!("http://{address}/v1/report/local"))
+        .header(header::AUTHORIZATION, format!("Bearer {token}"))
+        .body(Empty::new())
+        .ok()?;
+    let response = client.request(request).await.ok()?;
+    let body = Limited::new(response.into_body(), ANSWER_BYTES)
+        .collect()
+        .await
+        .ok()?;
+    serde_json::from_slice(&body.to_bytes()).ok()
+}
--- a/jayrackd/src/control/start.rs
+++ b/jayrackd/src/control/start.rs
@@ -76,8 +76,9 @@
     let parts = super::state::Parts {
         sync: new_sync(&settings, seed, local, clock.now_ms()),
         log: LogCaller::new(log, event_sender.clone()),
-        peers: PeerCaller::new(traffic.peers(), event_sender, local),
+        peers: PeerCaller::new(traffic.peers(), event_sender.clone(), local),
         shared: shared.clone(),
+        events: event_sender,
         metrics: MetricRegistry::new(&traffic.counters()),
         settings,
         clock,
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -9,6 +9,7 @@
 use jayrack_membership::MemberView;
 use jayrack_protocol::{MemberId, ResultCode};
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
+use tokio::sync::mpsc;
 
 use super::{
     ControlEvent, DaemonEdges,
@@ -16,6 +17,7 @@
     operations::OperationTable,
     peer_calls::{self, PeerCaller, PullCall},
     publish,
+    report::{ReportCache, ReportWaiter},
 };
 use crate::{
     announce::{ServerRegistry, api::AnnounceCall},
@@ -52,6 +54,8 @@
     pub shared: Arc<SharedState>,
     /// All metrics.
     pub metrics: MetricRegistry,
+    /// Takes the results of tasks.
+    pub events: mpsc::Sender<ControlEvent>,
 }
 
 /// All control state of one daemon.
@@ -64,6 +68,8 @@
     pub(super) view: Arc<MemberView>,
     pub(super) log_is_up: bool,
     pub(super) rng: Pcg64,
+    pub(super) report_cache: Option<ReportCache>,
+    pub(super) report_waiters: Vec<ReportWaiter>,
     registry: ServerRegistry,
     servers: Vec<LocalServer>,
     published: AppliedMark,
@@ -92,6 +98,8 @@
             view: Arc::new(MemberView::default()),
             log_is_up: false,
             rng: Pcg64::seed_from_u64(parts.seed),
+            report_cache: None,
+            report_waiters: Vec::new(),
             registry: ServerRegistry::new(parts.settings.timeouts.announce_ms),
             servers: Vec::new(),
             published: AppliedMark::default(),
@@ -120,6 +128,7 @@
                 self.step(edges, input);
             }
             ControlEvent::Peer(input) => self.step(edges, input),
+            ControlEvent::Gathered(gathered) => self.gathered(gathered),
             ControlEvent::Appended { record, result } => self.appended(&record, result),
         }
     }
--- a/jayrackd/src/ingress.rs
+++ b/jayrackd/src/ingress.rs
@@ -13,6 +13,7 @@
 mod flow;
 mod guard;
 mod meta;
+mod objective;
 mod replay;
 mod router;
 pub mod scan;
--- a/jayrackd/src/ingress/serve.rs
+++ b/jayrackd/src/ingress/serve.rs
@@ -10,6 +10,7 @@
     flow::{self, FlowRequest},
     guard::ConnectionNotes,
     meta,
+    objective::{self, RequestSubject},
     replay::ReplayBody,
 };
 use crate::{
@@ -27,20 +28,22 @@
     let flight = state.in_flight.enter();
     let service = notes.enter();
     let started = Instant::now();
-    let mut rank = String::new();
+    let mut subject = RequestSubject::default();
     let result = match service.refusal {
         Some(code) => Err(code),
-        None => forward(&state, &notes, request, &mut rank).await,
+        None => forward(&state, &notes, request, &mut subject).await,
     };
     let code = match &result {
         Ok(answer) => answer.code(),
         Err(code) => *code,
     };
+    let elapsed = started.elapsed();
     state.counters.observe(&RequestReport {
-        rank: &rank,
+        rank: &subject.rank,
         code,
-        elapsed: started.elapsed(),
+        elapsed,
     });
+    objective::observe(&state, &subject, code, elapsed);
     let response = to_response(result);
     response.map(|body| body.holding(flight))
 }
@@ -66,7 +69,7 @@
     state: &Arc<TrafficState>,
     notes: &ConnectionNotes,
     request: Request<Incoming>,
-    rank: &mut String,
+    subject: &mut RequestSubject,
 ) -> Result<OwnerAnswer, ResultCode> {
     if state.shared.is_leaving() {
         return Err(ResultCode::Draining);
@@ -82,7 +85,7 @@
         .ok_or(ResultCode::RouteUnknown)?;
     let key = meta::idempotency_key(&parts.headers)?;
     let head = meta::to_head(&table, route, parts, state.router.new_ids())?;
-    head.rank_name.clone_into(rank);
+    *subject = RequestSubject::of(&table, route);
     if route.servers.is_empty() {
         return Err(ResultCode::RouteInactive);
     }
--- a/jayrackd/src/shared.rs
+++ b/jayrackd/src/shared.rs
@@ -1,10 +1,14 @@
 //! What the control thread publishes to the traffic threads.
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
+use jayrack_burn::tracker::BurnTracker;
 use jayrack_config::table::RouteTable;
 use jayrack_protocol::MemberId;
 
@@ -61,6 +65,8 @@
     pub servers: ArcSwap<Vec<LocalServer>>,
     /// All daemons known, this one included, ordered by identifier.
     pub peers: ArcSwap<Vec<PeerEntry>>,
+    /// Requests counted against the objectives of their services.
+    pub burn: Mutex<BurnTracker>,
     ready: AtomicBool,
     leaving: AtomicBool,
 }
@@ -75,11 +81,17 @@
             table: ArcSwap::default(),
             servers: ArcSwap::default(),
             peers: ArcSwap::default(),
+            burn: Mutex::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
         }
     }
 
+    /// Locks the requests counted against objectives.
+    pub fn lock_burn(&self) -> MutexGuard<'_, BurnTracker> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the daemon has caught up with the configuration and may serve.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Acquire)
