--- a/jayrack-membership/src/core/applied.rs
+++ b/jayrack-membership/src/core/applied.rs
@@ -22,6 +22,9 @@
 /// Bytes of a report besides its rows.
 pub(super) const REPORT_BYTES: usize = 24;
 
+/// Transmissions of a row that only repeats what others should know.
+const REPEATS: u32 = 2;
+
 /// What one bucket says of the highest version.
 struct AppliedRow {
     members: u32,
@@ -63,6 +66,32 @@
         report.bits.push(row.bits);
     }
 
+    /// Sends rows that are news to a member anywhere, since most probes stay in one data centre.
+    pub(super) fn spread_applied(&mut self, now_ms: u64) {
+        let limit = self.retransmit_limit();
+        if self
+            .updates
+            .has_patient_below(limit.saturating_sub(REPEATS))
+        {
+            self.send_updates(now_ms);
+        }
+    }
+
+    /// Queues rows in which members are behind, so that a receiver that knows better says so.
+    pub(super) fn question_applied(&mut self) {
+        let first = self.random_index(BUCKETS).unwrap_or(0);
+        let version = self.highest_applied;
+        let behind = self.view.members.range(bucket_range(first).start()..);
+        let behind = behind
+            .map(|(_, entry)| entry)
+            .find(|entry| entry.status.is_running() && entry.applied_version < version);
+        if let Some(bucket) = behind.map(|entry| bucket_of(entry.record.id) as u8) {
+            let limit = self.retransmit_limit();
+            self.updates
+                .repeat(UpdateKey::Applied(bucket), limit.saturating_sub(REPEATS));
+        }
+    }
+
     pub(super) fn merge_applied(&mut self, now_ms: u64, report: &AppliedReport) {
         let rows = report.buckets.iter().zip(&report.members).zip(&report.bits);
         for ((bucket, members), bits) in rows {
@@ -89,10 +118,10 @@
                 self.raise_applied(now_ms, id, version);
             }
         }
-        if row.bits == own.bits && version == self.highest_applied {
-            let limit = self.retransmit_limit();
-            let key = UpdateKey::Applied(bucket as u8);
-            self.updates.count_transmission(key, limit);
+        let limit = self.retransmit_limit();
+        let key = UpdateKey::Applied(bucket as u8);
+        if own.bits & !row.bits != 0 {
+            self.updates.repeat(key, limit.saturating_sub(REPEATS));
         }
     }
 
--- a/jayrack-membership/src/core/merge.rs
+++ b/jayrack-membership/src/core/merge.rs
@@ -18,6 +18,8 @@
 /// A member heard within this time is suspected first when others say that it is dead.
 const FRESH_EVIDENCE_MS: u64 = 3_000;
 const SUSPICION_MIN_PROBES: f64 = 2.0;
+/// Transmissions of an update for each tenfold of members.
+const TRANSMISSIONS_PER_DECADE: f64 = 4.0;
 const SUSPICION_MAX_FACTOR: u64 = 4;
 
 /// How a record reached this daemon.
@@ -71,13 +73,20 @@
                 self.updates
                     .count_transmission(UpdateKey::Record(id), limit);
             }
-            RecordOrigin::Sync => {
-                self.rechecks.insert(id);
-            }
+            RecordOrigin::Sync => self.dispute(id),
         }
         self.raise_applied(now_ms, id, message.applied_version);
     }
 
+    /// Notes that another member believes an ended member to run.
+    fn dispute(&mut self, id: MemberId) {
+        let entry = self.view.get(id);
+        if entry.is_some_and(|entry| !entry.status.is_running()) {
+            self.rechecks.insert(id);
+            self.disputes.push(id);
+        }
+    }
+
     fn merge_own_record(&mut self, now_ms: u64, record: &MemberRecord) {
         if record.age() > self.local.age() {
             self.raise_incarnation(now_ms, record.incarnation);
@@ -105,7 +114,10 @@
                 self.suspicions.remove(&id);
                 self.updates.remove(UpdateKey::Status(id));
             }
-            None => self.note_learned(now_ms),
+            None => {
+                self.note_learned(now_ms);
+                self.drop_lead(entry.record.gossip_address);
+            }
         }
         self.put(entry);
     }
@@ -128,11 +140,7 @@
             Ordering::Equal if status == MemberStatus::Suspect => {
                 self.suspect(now_ms, id, MemberId(update.source))
             }
-            Ordering::Equal => {
-                let limit = self.retransmit_limit();
-                self.updates
-                    .count_transmission(UpdateKey::Status(id), limit);
-            }
+            Ordering::Equal => {}
             Ordering::Greater => self.take_status(now_ms, update, status),
         }
     }
@@ -219,9 +227,8 @@
 
     /// How often this daemon passes an update on.
     pub(super) fn retransmit_limit(&self) -> u32 {
-        const EXTRA_TRANSMISSIONS: u32 = 2;
-        let members = self.view.members.len() as u32 + 1;
-        members.ilog2() + EXTRA_TRANSMISSIONS
+        let members = self.view.members.len() as f64 + 1.0;
+        (members.log10() * TRANSMISSIONS_PER_DECADE).ceil() as u32
     }
 }
 
--- a/jayrack-membership/src/core/mod.rs
+++ b/jayrack-membership/src/core/mod.rs
@@ -7,8 +7,10 @@
 //! * `outgoing`: composition of datagrams.
 //! * `sync`: anti-entropy.
 //! * `retry`: tries of addresses at which no running member is known.
+//! * `leads`: addresses told to a daemon that is new.
 //! * `applied`: aggregation of the versions in force.
 mod applied;
+mod leads;
 mod merge;
 mod options;
 mod outgoing;
@@ -127,8 +129,10 @@
     learned: usize,
     sync_budget: TokenBudget,
     rechecks: BTreeSet<MemberId>,
+    disputes: Vec<MemberId>,
     probe: probe::ProbeState,
     seeds: Vec<SocketAddr>,
+    leads: Vec<SocketAddr>,
     rng: Pcg32,
     sequence: u32,
     schedule: Schedule,
@@ -149,7 +153,9 @@
     last_tick_ms: u64,
     next_gossip_ms: u64,
     next_retry_ms: u64,
+    last_sync_ms: u64,
     next_sync_ms: u64,
+    sync_interval_ms: u64,
     next_recheck_ms: u64,
     next_applied_ms: u64,
     next_forget_ms: u64,
@@ -166,7 +172,7 @@
 
 const LEAVE_ROUNDS: u32 = 5;
 const FORGET_INTERVAL_MS: u64 = 10_000;
-const APPLIED_CHANGE_INTERVAL_MS: u64 = 1_000;
+const APPLIED_INTERVAL_MS: u64 = 1_000;
 /// Bytes of updates sent per second, with probes or for their own sake.
 const UPDATE_BYTES_PER_S: u64 = 1_400;
 const UPDATE_BURST_BYTES: u64 = 8_000;
@@ -187,7 +193,9 @@
             last_tick_ms: now_ms,
             next_gossip_ms: now_ms,
             next_retry_ms: now_ms,
+            last_sync_ms: now_ms,
             next_sync_ms: now_ms,
+            sync_interval_ms: sync::CATCH_UP_INTERVAL_MS,
             next_recheck_ms: now_ms,
             next_applied_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
@@ -211,7 +219,9 @@
             learned: 0,
             sync_budget: TokenBudget::new(now_ms, SYNC_REPLIES_PER_S, SYNC_REPLY_BURST),
             rechecks: BTreeSet::new(),
+            disputes: Vec::new(),
             seeds: Vec::new(),
+            leads: Vec::new(),
             sequence: 0,
             schedule,
             departure: Departure::Staying,
@@ -258,6 +268,7 @@
         self.tick_probe(now_ms);
         self.expire_suspicions(now_ms);
         self.tick_gossip(now_ms);
+        self.tick_sync(now_ms);
         self.tick_retry(now_ms);
         self.tick_recheck(now_ms);
         self.tick_applied(now_ms);
@@ -331,9 +342,13 @@
     }
 
     fn tick_applied(&mut self, now_ms: u64) {
-        if self.is_applied_changed && now_ms >= self.schedule.next_applied_ms {
-            self.schedule.next_applied_ms = now_ms + APPLIED_CHANGE_INTERVAL_MS;
-            self.is_applied_changed = false;
+        if now_ms < self.schedule.next_applied_ms {
+            return;
+        }
+        self.schedule.next_applied_ms = now_ms + APPLIED_INTERVAL_MS;
+        self.question_applied();
+        self.spread_applied(now_ms);
+        if std::mem::take(&mut self.is_applied_changed) {
             self.actions.push(Action::Changed);
         }
     }
@@ -393,7 +408,7 @@
     }
 
     fn raise_incarnation(&mut self, now_ms: u64, above: u64) {
-        self.local.incarnation = self.local.incarnation.max(above) + 1;
+        self.local.incarnation = self.local.incarnation.max(above).saturating_add(1);
         self.local.revision = 0;
         self.store_local(now_ms);
     }
--- a/jayrack-membership/src/core/options.rs
+++ b/jayrack-membership/src/core/options.rs
@@ -29,7 +29,7 @@
             helpers: 3,
             gossip_interval_ms: 200,
             retry_interval_ms: 2_000,
-            sync_interval_ms: 10_000,
+            sync_interval_ms: 5_000,
             forget_dead_ms: 21_600_000,
             forget_left_ms: 600_000,
         }
--- a/jayrack-membership/src/core/outgoing.rs
+++ b/jayrack-membership/src/core/outgoing.rs
@@ -31,6 +31,7 @@
     /// Sends `body` with as many pending updates as fit.
     pub(super) fn send(&mut self, now_ms: u64, to: SocketAddr, body: Option<Body>) {
         let mut datagram = self.header(to, body);
+        self.add_leads(now_ms, to, &mut datagram);
         self.add_updates(now_ms, &mut datagram);
         self.emit(to, datagram);
     }
@@ -157,19 +158,19 @@
 
     /// Sends pending updates to a random running member.
     pub(super) fn send_updates(&mut self, now_ms: u64) {
-        let Some(id) = self.random_running() else {
-            return;
-        };
-        let to = self.view.members[&id].record.gossip_address;
-        self.send(now_ms, to, None);
+        if let Some(to) = self.random_address() {
+            self.send(now_ms, to, None);
+        }
     }
 
-    fn random_running(&mut self) -> Option<MemberId> {
+    /// A random member that is believed to run or that another member named.
+    pub(super) fn random_address(&mut self) -> Option<SocketAddr> {
         let local = self.local.id;
-        let ids: Vec<MemberId> = self.view.alive().map(|entry| entry.record.id).collect();
-        let others: Vec<MemberId> = ids.into_iter().filter(|id| *id != local).collect();
-        let index = self.random_index(others.len())?;
-        Some(others[index])
+        let others = self.view.alive().filter(|entry| entry.record.id != local);
+        let addresses = others.map(|entry| entry.record.gossip_address);
+        let addresses: Vec<SocketAddr> = addresses.chain(self.leads.iter().copied()).collect();
+        let index = self.random_index(addresses.len())?;
+        Some(addresses[index])
     }
 
     pub(super) fn random_index(&mut self, length: usize) -> Option<usize> {
--- a/jayrack-membership/src/core/receive.rs
+++ b/jayrack-membership/src/core/receive.rs
@@ -37,6 +37,7 @@
         if let Some(report) = &datagram.applied {
             self.merge_applied(now_ms, report);
         }
+        self.take_leads(&datagram.leads);
         self.note_sender_state(now_ms, sender, datagram);
         self.request_sender_record(now_ms, from, datagram);
         self.answer(now_ms, from, datagram);
@@ -91,7 +92,8 @@
             Some(Body::SyncDigest(digest)) => self.receive_digest(now_ms, from, digest),
             Some(Body::SyncSummary(summary)) => self.receive_summary(now_ms, from, summary),
             Some(Body::SyncPull(pull)) => self.receive_pull(from, pull),
-            Some(Body::SyncRecords(_)) | None => {}
+            Some(Body::SyncRecords(_)) => self.answer_disputes(from),
+            None => {}
         }
     }
 }
--- a/jayrack-membership/src/core/sync.rs
+++ b/jayrack-membership/src/core/sync.rs
@@ -17,7 +17,8 @@
 
 /// New members in one exchange after which the next exchange follows soon.
 const CATCH_UP_MEMBERS: usize = 4;
-const CATCH_UP_INTERVAL_MS: u64 = 400;
+pub(super) const CATCH_UP_INTERVAL_MS: u64 = 400;
+const SUSPECTING_INTERVAL_MS: u64 = 1_000;
 /// Datagrams of records sent at most in one step of an exchange.
 const MAX_RECORD_DATAGRAMS: usize = 3;
 /// Members listed at most in one summary.
@@ -34,28 +35,48 @@
     pub(super) fn start_sync(&mut self, now_ms: u64, from: SocketAddr, datagram: &Datagram) {
         let is_probe = matches!(datagram.body, Some(Body::Ping(_) | Body::Ack(_)));
         let is_equal = datagram.view_digest == self.digest.root();
-        if !is_probe || is_equal || now_ms < self.schedule.next_sync_ms {
-            return;
+        if is_probe && !is_equal && now_ms >= self.sync_due_ms() {
+            self.send_digest(now_ms, from);
+        }
+    }
+
+    /// A daemon that suspects a member looks sooner whether it has missed the refutation.
+    fn sync_due_ms(&self) -> u64 {
+        let soon_ms = self.schedule.last_sync_ms + SUSPECTING_INTERVAL_MS;
+        match self.suspicions.is_empty() {
+            true => self.schedule.next_sync_ms,
+            false => self.schedule.next_sync_ms.min(soon_ms),
         }
-        self.schedule.next_sync_ms = now_ms + self.sync_interval_ms();
-        self.learned = 0;
-        let buckets = self.digest.to_bytes();
-        self.send(now_ms, from, Some(Body::SyncDigest(SyncDigest { buckets })));
     }
 
-    fn sync_interval_ms(&self) -> u64 {
-        match self.learned >= CATCH_UP_MEMBERS || self.view.members.len() <= CATCH_UP_MEMBERS {
-            true => CATCH_UP_INTERVAL_MS,
-            false => self.options.sync_interval_ms,
+    /// Starts exchanges with random members while this daemon is new.
+    pub(super) fn tick_sync(&mut self, now_ms: u64) {
+        let is_catching_up = self.schedule.sync_interval_ms == CATCH_UP_INTERVAL_MS;
+        if !is_catching_up || now_ms < self.schedule.next_sync_ms {
+            return;
+        }
+        if let Some(to) = self.random_address() {
+            self.send_digest(now_ms, to);
         }
     }
 
+    fn send_digest(&mut self, now_ms: u64, to: SocketAddr) {
+        self.schedule.last_sync_ms = now_ms;
+        self.schedule.next_sync_ms = now_ms + self.schedule.sync_interval_ms;
+        let longer_ms = self.schedule.sync_interval_ms * 2;
+        self.schedule.sync_interval_ms = longer_ms.min(self.options.sync_interval_ms);
+        self.learned = 0;
+        let buckets = self.digest.to_bytes();
+        self.send(now_ms, to, Some(Body::SyncDigest(SyncDigest { buckets })));
+    }
+
     /// Counts a member learned of, and brings the next exchange forward while there are many.
     pub(super) fn note_learned(&mut self, now_ms: u64) {
         self.learned += 1;
-        if self.learned >= CATCH_UP_MEMBERS {
+        if self.learned == CATCH_UP_MEMBERS {
             let soon_ms = now_ms + CATCH_UP_INTERVAL_MS;
             self.schedule.next_sync_ms = self.schedule.next_sync_ms.min(soon_ms);
+            self.schedule.sync_interval_ms = CATCH_UP_INTERVAL_MS;
         }
     }
 
@@ -178,6 +199,17 @@
         message
     }
 
+    /// Tells a peer of the members that it believes to run and that have ended.
+    pub(super) fn answer_disputes(&mut self, to: SocketAddr) {
+        let disputes = std::mem::take(&mut self.disputes);
+        let entries = disputes.iter().filter_map(|id| self.view.get(*id));
+        let claims = entries.map(|entry| self.claim_of_end(entry.record.id, entry));
+        let claims: Vec<gossip::StatusUpdate> = claims.take(MAX_CLAIMS).collect();
+        if !claims.is_empty() {
+            self.send_records(to, &[], claims);
+        }
+    }
+
     fn newer_than(&self, summary: &SyncSummary) -> Vec<MemberId> {
         let listed = |id: MemberId| {
             let index = summary.ids.iter().position(|other| *other == id.0)?;
--- a/jayrack-membership/src/updates.rs
+++ b/jayrack-membership/src/updates.rs
@@ -47,9 +47,20 @@
 impl UpdateQueue {
     /// Adds an update, or starts it anew when it is queued already.
     pub fn push(&mut self, key: UpdateKey) {
+        self.push_sent(key, 0);
+    }
+
+    /// Adds an update that is not queued as though it had been sent `sent` times.
+    pub fn repeat(&mut self, key: UpdateKey, sent: u32) {
+        if !self.positions.contains_key(&key) {
+            self.push_sent(key, sent);
+        }
+    }
+
+    fn push_sent(&mut self, key: UpdateKey, sent: u32) {
         self.added += 1;
         self.place(Position {
-            sent: 0,
+            sent,
             added: Reverse(self.added),
             key,
         });
@@ -91,6 +102,14 @@
         self.urgent > 0
     }
 
+    /// Whether an update that is not urgent was sent fewer than `sent` times.
+    pub fn has_patient_below(&self, sent: u32) -> bool {
+        self.order
+            .iter()
+            .take_while(|position| position.sent < sent)
+            .any(|position| !position.key.is_urgent())
+    }
+
     fn place(&mut self, position: Position) {
         self.remove(position.key);
         self.urgent += usize::from(position.key.is_urgent());
--- a/jayrack-membership/src/wire.rs
+++ b/jayrack-membership/src/wire.rs
@@ -104,7 +104,8 @@
     })
 }
 
-fn full_address(address: SocketAddr) -> Vec<u8> {
+/// The bytes of an address.
+pub(crate) fn full_address(address: SocketAddr) -> Vec<u8> {
     let mut bytes = match address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -120,7 +121,8 @@
     full_address(address)
 }
 
-fn parse_full(bytes: &[u8]) -> Option<SocketAddr> {
+/// Reads the bytes of an address.
+pub(crate) fn parse_full(bytes: &[u8]) -> Option<SocketAddr> {
     let split = bytes.len().checked_sub(PORT_BYTES)?;
     let (ip, port) = bytes.split_at(split);
     Some(SocketAddr::new(parse_ip(ip)?, parse_port(port)?))
--- /dev/null
+++ b/jayrack-membership/tests/detection.rs
@@ -0,0 +1,151 @@
+//! Crashes are found; slow, paused, cut-off and leaving daemons are not taken for crashed ones.
+mod support;
+
+use jayrack_membership::{Input, MemberStatus};
+use rstest::rstest;
+use support::{FakeNetwork, address, id, settled, status};
+
+/// Time within which all daemons must know of a crash.
+const DETECTION_LIMIT_MS: u64 = 30_000;
+
+fn believe(network: &FakeNetwork, member: usize, expected: MemberStatus) -> bool {
+    let beliefs = network.nodes.values().map(|node| {
+        let entry = node.core.view().get(id(member))?;
+        Some(entry.status)
+    });
+    beliefs.into_iter().all(|status| status == Some(expected))
+}
+
+#[rstest]
+#[case(3, 1)]
+#[case(10, 2)]
+#[case(80, 3)]
+fn all_find_a_crash(#[case] size: usize, #[case] seed: u64) {
+    let mut network = settled(size, seed);
+
+    network.nodes.remove(&address(size - 1));
+
+    let time_ms = network.run_until(DETECTION_LIMIT_MS, |network| {
+        believe(network, size - 1, MemberStatus::Dead)
+    });
+    assert!(time_ms.is_some());
+    assert!(network.false_deaths.is_empty());
+}
+
+#[test]
+fn crash_is_found_in_spite_of_loss() {
+    let mut network = settled(30, 4);
+    network.loss_percent = 20;
+
+    network.nodes.remove(&address(7));
+
+    let time_ms = network.run_until(2 * DETECTION_LIMIT_MS, |network| {
+        believe(network, 7, MemberStatus::Dead)
+    });
+    assert!(time_ms.is_some());
+}
+
+#[rstest]
+#[case::loss(10, 5, 0)]
+#[case::delay(0, 250, 0)]
+#[case::starvation(0, 5, 900)]
+#[case::all(5, 150, 400)]
+fn nobody_is_found_dead_without_a_crash(
+    #[case] loss_percent: u32,
+    #[case] max_delay_ms: u32,
+    #[case] max_tick_delay_ms: u32,
+) {
+    let mut network = settled(40, 5);
+    network.loss_percent = loss_percent;
+    network.max_delay_ms = max_delay_ms;
+    network.max_tick_delay_ms = max_tick_delay_ms;
+    network.duplicate_percent = 10;
+
+    network.run_ms(600_000);
+
+    assert!(network.false_deaths.is_empty());
+}
+
+#[test]
+fn paused_daemon_does_not_rule_on_old_beliefs() {
+    let mut network = settled(20, 6);
+    network.node(3).is_paused = true;
+    network.run_ms(60_000);
+    let paused_beliefs = network.false_deaths.clone();
+
+    network.resume(3);
+    network.run_ms(300);
+    network.run_until(60_000, FakeNetwork::is_agreed).unwrap();
+
+    let by_paused = |(observer, _): &&(_, _)| *observer == address(3);
+    assert_eq!(network.false_deaths.iter().filter(by_paused).count(), 0);
+    assert!(paused_beliefs.is_empty());
+}
+
+#[test]
+fn most_daemons_paused_at_once_come_back() {
+    let mut network = settled(30, 7);
+    (0..25).for_each(|index| network.node(index).is_paused = true);
+    network.run_ms(120_000);
+
+    (0..25).for_each(|index| network.resume(index));
+
+    assert!(network.run_until(60_000, FakeNetwork::is_agreed).is_some());
+}
+
+#[test]
+fn partition_heals() {
+    let mut network = settled(40, 8);
+    network.island = (0..15).map(address).collect();
+    network.run_ms(180_000);
+    let is_split = status(&network, 0, 39) == Some(MemberStatus::Dead)
+        && status(&network, 39, 0) == Some(MemberStatus::Dead);
+
+    network.island.clear();
+
+    let time_ms = network.run_until(60_000, FakeNetwork::is_agreed);
+    assert!(is_split);
+    assert!(time_ms.is_some());
+}
+
+#[test]
+fn leave_is_told_from_death() {
+    let mut network = settled(20, 9);
+
+    network.input(4, Input::Leave);
+    let has_left = network.run_until(5_000, |network| network.nodes[&address(4)].has_left);
+    network.nodes.remove(&address(4));
+    let time_ms = network.run_until(10_000, |network| believe(network, 4, MemberStatus::Left));
+
+    assert!(has_left.is_some());
+    assert!(time_ms.is_some());
+}
+
+#[test]
+fn daemon_that_left_comes_back() {
+    let mut network = settled(10, 10);
+    network.input(4, Input::Leave);
+    network.run_ms(10_000);
+
+    network.start(4, &[0]);
+
+    assert!(network.run_until(30_000, FakeNetwork::is_agreed).is_some());
+}
+
+#[test]
+fn daemon_with_a_clock_set_back_comes_back() {
+    let mut network = settled(10, 11);
+    network.node(4).is_paused = true;
+    network.run_ms(30_000);
+    network.resume(4);
+    network.run_until(30_000, FakeNetwork::is_agreed).unwrap();
+    let incarnation = network.node(4).core.local().incarnation;
+    let now_ms = std::mem::take(&mut network.now_ms);
+
+    network.start(4, &[0]);
+    let is_lower = network.node(4).core.local().incarnation < incarnation;
+    network.now_ms = now_ms;
+
+    assert!(is_lower);
+    assert!(network.run_until(60_000, FakeNetwork::is_agreed).is_some());
+}
--- /dev/null
+++ b/jayrack-membership/tests/support/network.rs
@@ -0,0 +1,256 @@
+//! A fake network in virtual time: a queue of datagrams and one state machine per address.
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use jayrack_membership::{
+    Action, Input, MemberRecord, MemberStatus, MembershipCore,
+    core::{Options, TICK_INTERVAL_MS},
+    wire,
+};
+use jayrack_protocol::{gossip::Datagram, seal};
+use rand_pcg::{Pcg32, rand_core::Rng};
+
+use super::{address, record};
+
+/// Bytes of the headers of UDP and IPv4.
+pub const HEADER_BYTES: usize = 28;
+
+/// Largest network in which false deaths are looked for.
+const MAX_WATCHED: usize = 200;
+
+pub struct FakeNode {
+    pub core: MembershipCore,
+    pub is_paused: bool,
+    pub floors: BTreeSet<u64>,
+    pub contact_requests: u64,
+    pub has_left: bool,
+    pub bytes: u64,
+    backlog: Vec<Delivery>,
+}
+
+#[derive(Clone)]
+pub struct Delivery {
+    pub from: SocketAddr,
+    pub to: SocketAddr,
+    pub datagram: Arc<Datagram>,
+}
+
+enum Event {
+    Tick(SocketAddr),
+    Deliver(Delivery),
+}
+
+pub struct FakeNetwork {
+    pub now_ms: u64,
+    pub nodes: BTreeMap<SocketAddr, FakeNode>,
+    pub loss_percent: u32,
+    pub duplicate_percent: u32,
+    pub max_delay_ms: u32,
+    /// Longest delay of a tick, for daemons that get too little of the processor.
+    pub max_tick_delay_ms: u32,
+    /// Addresses cut off from all others.
+    pub island: BTreeSet<SocketAddr>,
+    /// Running members that were believed dead: by whom, of whom.
+    pub false_deaths: BTreeSet<(SocketAddr, SocketAddr)>,
+    /// All datagrams sent, when set.
+    pub recorded: Option<Vec<Delivery>>,
+    events: BTreeMap<(u64, u64), Event>,
+    count: u64,
+    rng: Pcg32,
+}
+
+impl FakeNetwork {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now_ms: 0,
+            nodes: BTreeMap::new(),
+            loss_percent: 0,
+            duplicate_percent: 0,
+            max_delay_ms: 5,
+            max_tick_delay_ms: 0,
+            island: BTreeSet::new(),
+            false_deaths: BTreeSet::new(),
+            recorded: None,
+            events: BTreeMap::new(),
+            count: 0,
+            rng: Pcg32::new(seed, 1),
+        }
+    }
+
+    /// Starts a daemon with empty memory.
+    pub fn start(&mut self, index: usize, seeds: &[usize]) {
+        let (now_ms, seed) = (self.now_ms, self.rng.next_u64());
+        let record = record(index, now_ms);
+        let node = FakeNode {
+            core: MembershipCore::new(Options::default(), record, seed, now_ms),
+            is_paused: false,
+            floors: BTreeSet::new(),
+            contact_requests: 0,
+            has_left: false,
+            bytes: 0,
+            backlog: Vec::new(),
+        };
+        let at = address(index);
+        self.nodes.insert(at, node);
+        let seeds = seeds.iter().map(|seed| address(*seed)).collect();
+        self.handle(at, Input::Seeds(seeds));
+        let is_ticking = |event: &Event| matches!(event, Event::Tick(ticking) if *ticking == at);
+        if !self.events.values().any(is_ticking) {
+            let phase_ms = self.below(TICK_INTERVAL_MS as u32);
+            self.schedule(phase_ms, Event::Tick(at));
+        }
+    }
+
+    pub fn input(&mut self, index: usize, input: Input) {
+        self.handle(address(index), input);
+    }
+
+    pub fn node(&mut self, index: usize) -> &mut FakeNode {
+        self.nodes.get_mut(&address(index)).unwrap()
+    }
+
+    /// Lets a paused daemon go on: it takes what waited for it before time passes.
+    pub fn resume(&mut self, index: usize) {
+        let node = self.node(index);
+        node.is_paused = false;
+        for delivery in std::mem::take(&mut node.backlog) {
+            self.deliver(delivery);
+        }
+    }
+
+    pub fn run_ms(&mut self, time_ms: u64) {
+        let end_ms = self.now_ms + time_ms;
+        while let Some(next) = self.events.first_entry() {
+            if next.key().0 > end_ms {
+                break;
+            }
+            self.now_ms = next.key().0;
+            match next.remove() {
+                Event::Tick(at) => self.tick(at),
+                Event::Deliver(delivery) => self.deliver(delivery),
+            }
+        }
+        self.now_ms = end_ms;
+    }
+
+    /// Runs until `is_met`, at most `limit_ms`; returns the time that it took.
+    pub fn run_until(&mut self, limit_ms: u64, is_met: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start_ms = self.now_ms;
+        while !is_met(self) {
+            if self.now_ms - start_ms > limit_ms {
+                return None;
+            }
+            self.run_ms(TICK_INTERVAL_MS);
+        }
+        Some(self.now_ms - start_ms)
+    }
+
+    /// Whether every daemon sees exactly the running ones alive, each with its present record.
+    pub fn is_agreed(&self) -> bool {
+        let truth: Vec<&MemberRecord> = self.nodes.values().map(|node| node.core.local()).collect();
+        self.nodes.values().all(|node| node.alive() == truth)
+    }
+
+    pub fn deliver(&mut self, delivery: Delivery) {
+        let Delivery { from, to, datagram } = &delivery;
+        let is_cut = self.island.contains(from) != self.island.contains(to);
+        let Some(node) = self.nodes.get_mut(to).filter(|_| !is_cut) else {
+            return;
+        };
+        if node.is_paused {
+            return node.backlog.push(delivery);
+        }
+        node.bytes += wire_bytes(datagram);
+        let datagram = Box::new(Datagram::clone(datagram));
+        let from = *from;
+        self.handle(delivery.to, Input::Datagram { from, datagram });
+    }
+
+    fn tick(&mut self, at: SocketAddr) {
+        let Some(node) = self.nodes.get(&at) else {
+            return;
+        };
+        if !node.is_paused {
+            self.handle(at, Input::Tick);
+        }
+        let late_ms = self.below(self.max_tick_delay_ms);
+        self.schedule(TICK_INTERVAL_MS + late_ms, Event::Tick(at));
+    }
+
+    fn handle(&mut self, at: SocketAddr, input: Input) {
+        let node = self.nodes.get_mut(&at).unwrap();
+        for action in node.core.handle(self.now_ms, input) {
+            let node = self.nodes.get_mut(&at).unwrap();
+            match action {
+                Action::Send { to, datagram } => self.send(at, to, *datagram),
+                Action::Floor { version } => _ = node.floors.insert(version),
+                Action::HasLeft => node.has_left = true,
+                Action::NeedContacts => node.contact_requests += 1,
+                Action::Changed => self.note_false_deaths(at),
+                Action::PeerState { .. } => {}
+            }
+        }
+    }
+
+    fn note_false_deaths(&mut self, at: SocketAddr) {
+        if self.nodes.len() > MAX_WATCHED {
+            return;
+        }
+        let members = self.nodes[&at].core.view().members.values();
+        let dead = members.filter(|entry| entry.status == MemberStatus::Dead);
+        let dead = dead.map(|entry| entry.record.gossip_address);
+        let running = dead.filter(|member| self.nodes.get(member).is_some_and(|n| !n.is_paused));
+        self.false_deaths
+            .extend(running.map(|member| (at, member)).collect::<Vec<_>>());
+    }
+
+    fn send(&mut self, from: SocketAddr, to: SocketAddr, datagram: Datagram) {
+        let bytes = wire_bytes(&datagram);
+        assert!(bytes as usize - HEADER_BYTES <= 1_400, "{datagram:?}");
+        self.nodes.get_mut(&from).unwrap().bytes += bytes;
+        let datagram = Arc::new(datagram);
+        let delivery = Delivery { from, to, datagram };
+        self.recorded
+            .iter_mut()
+            .for_each(|r| r.push(delivery.clone()));
+        let copies = 1 + u32::from(self.below(100) < u64::from(self.duplicate_percent));
+        for _ in 0..copies {
+            let is_lost = self.below(100) < u64::from(self.loss_percent);
+            let delay_ms = 1 + self.below(self.max_delay_ms);
+            if !is_lost {
+                self.schedule(delay_ms, Event::Deliver(delivery.clone()));
+            }
+        }
+    }
+
+    fn schedule(&mut self, delay_ms: u64, event: Event) {
+        self.count += 1;
+        self.events
+            .insert((self.now_ms + delay_ms, self.count), event);
+    }
+
+    fn below(&mut self, bound: u32) -> u64 {
+        (u64::from(self.rng.next_u32()) * u64::from(bound)) >> u32::BITS
+    }
+}
+
+impl FakeNode {
+    /// Records of the members believed alive, ordered by address.
+    pub fn alive(&self) -> Vec<&MemberRecord> {
+        let alive = self.core.view().alive();
+        let mut records: Vec<&MemberRecord> = alive
+            .filter(|entry| entry.status == MemberStatus::Alive)
+            .map(|entry| entry.record.as_ref())
+            .collect();
+        records.sort_by_key(|record| record.gossip_address);
+        records
+    }
+}
+
+/// Bytes of a datagram on the wire, with tag and headers.
+pub fn wire_bytes(datagram: &Datagram) -> u64 {
+    (wire::encode(datagram).len() + seal::TAG_BYTES + HEADER_BYTES) as u64
+}
