fix: serve waiting customers only, and keep slots busy under early shedding

The fair queue chose among kinds and customers without waiting requests, so that the slots stood idle while requests waited; failures of lookups lowered the slots; early shedding scaled deeper requests, which it never refuses, as if it had.

--- a/jayrack-traffic/src/admission.rs
+++ b/jayrack-traffic/src/admission.rs
@@ -181,12 +181,12 @@
         self.waiting
             .correct(running.rank, running.estimate_us, service_us);
         match result {
-            Result::Ok | Result::Failed => {
+            Result::Ok => {
                 let stretch = self.estimate.observe(&running.kind, service_us);
                 self.limit.observe(now_ms, stretch);
             }
             Result::ServerShed => self.limit.shed(now_ms),
-            Result::Cancelled => {}
+            Result::Failed | Result::Cancelled => {}
         }
     }
 
--- a/jayrack-traffic/src/admission/level.rs
+++ b/jayrack-traffic/src/admission/level.rs
@@ -6,7 +6,7 @@
 /// Time between two levels, in milliseconds.
 const WINDOW_MS: u64 = 200;
 /// Work let through to the owner, in percent of its capacity, so that its slots stay busy.
-const SURPLUS_PERCENT: u64 = 130;
+const SURPLUS_PERCENT: u64 = 400;
 /// Share of a rank's floor that is let through to the owner, in percent.
 const FLOOR_SURPLUS_PERCENT: u64 = 200;
 /// One whole in shares.
@@ -59,8 +59,14 @@
 #[derive(Debug, Default)]
 struct RankDemand {
     floor_percent: u8,
-    window_us: u64,
+    /// Work of first requests that arrived in this window.
+    fresh_us: u64,
+    /// Work of deeper requests, which ingresses never refuse.
+    under_way_us: u64,
+    /// Work of first requests offered per window, with what ingresses refused.
     demand_us: u64,
+    /// Work of deeper requests per window.
+    committed_us: u64,
 }
 
 /// Estimates the work offered by each rank, before refusal at ingresses, and sets the level.
@@ -88,7 +94,11 @@
     pub(super) fn offered(&mut self, _now_ms: u64, class: &RequestClass, estimate_us: u64) {
         let demand = self.ranks.entry(class.rank).or_default();
         demand.floor_percent = class.floor_percent;
-        demand.window_us += estimate_us;
+        if class.depth > 0 {
+            demand.under_way_us += estimate_us;
+        } else {
+            demand.fresh_us += estimate_us;
+        }
     }
 
     /// Sets a new level if a window has passed.
@@ -101,16 +111,19 @@
         let capacity_us = elapsed_ms * 1_000 * u64::from(slots);
         for (rank, demand) in &mut self.ranks {
             let passed = WHOLE_SHARE - u64::from(self.level.refused_share(*rank));
-            let whole_us = demand.window_us * WHOLE_SHARE / passed.max(LEAST_PASS_SHARE);
-            let rate_us = whole_us * WINDOW_MS / elapsed_ms;
-            demand.demand_us = (demand.demand_us + rate_us) / 2;
-            demand.window_us = 0;
+            let whole_us = demand.fresh_us * WHOLE_SHARE / passed.max(LEAST_PASS_SHARE);
+            demand.demand_us = (demand.demand_us + whole_us * WINDOW_MS / elapsed_ms) / 2;
+            let committed_us = demand.under_way_us * WINDOW_MS / elapsed_ms;
+            demand.committed_us = (demand.committed_us + committed_us) / 2;
+            demand.fresh_us = 0;
+            demand.under_way_us = 0;
         }
         self.set_level(capacity_us * WINDOW_MS / elapsed_ms);
     }
 
     fn set_level(&mut self, capacity_us: u64) {
-        let mut left_us = capacity_us * SURPLUS_PERCENT / 100;
+        let committed_us: u64 = self.ranks.values().map(|rank| rank.committed_us).sum();
+        let mut left_us = (capacity_us * SURPLUS_PERCENT / 100).saturating_sub(committed_us);
         let floors: Vec<u64> = self
             .ranks
             .values()
--- a/jayrack-traffic/src/admission/queue.rs
+++ b/jayrack-traffic/src/admission/queue.rs
@@ -207,11 +207,13 @@
     }
 
     fn next_id(&self) -> Option<RequestId> {
-        let kind = self.kinds.values().min_by_key(|kind| kind.used_us)?;
-        let customer = kind
+        let waiting = self.kinds.values().filter(|kind| kind.len > 0);
+        let kind = waiting.min_by_key(|kind| kind.used_us)?;
+        let waiting = kind
             .customers
             .values()
-            .min_by_key(|customer| customer.used_us)?;
+            .filter(|customer| customer.len() > 0);
+        let customer = waiting.min_by_key(|customer| customer.used_us)?;
         customer
             .under_way
             .front()
--- /dev/null
+++ b/jayrack-traffic/tests/admission_flood.rs
@@ -0,0 +1,112 @@
+//! Service by rank under floods, in virtual time.
+mod support {
+    pub mod flood;
+}
+
+use rstest::rstest;
+use support::flood::{Deployment, Flood, FloodOutcome, Kind, KindOutcome, run_flood};
+
+/// Availability, bookings and drawings.
+fn turnio() -> Deployment {
+    let kind = Kind {
+        name: "confirm",
+        rank: 0,
+        floor_percent: 0,
+        service: 1,
+        work_us: 30_000,
+        lookup: Some((0, 5_000)),
+        deadline_ms: 1_000,
+        demand_percent: 50,
+    };
+    let drawing = Kind {
+        name: "drawing",
+        rank: 1,
+        floor_percent: 10,
+        service: 2,
+        work_us: 25_000,
+        lookup: Some((1, 3_000)),
+        ..kind
+    };
+    let browse = Kind {
+        name: "browse",
+        rank: 2,
+        floor_percent: 5,
+        service: 0,
+        work_us: 10_000,
+        lookup: None,
+        ..kind
+    };
+    Deployment {
+        servers: [5, 3, 3],
+        kinds: [kind, drawing, browse],
+    }
+}
+
+/// Calendar, order desk and archive.
+fn tugrug() -> Deployment {
+    let [confirm, drawing, browse] = turnio().kinds;
+    let order = Kind {
+        name: "order",
+        ..confirm
+    };
+    let date = Kind {
+        name: "date",
+        rank: 1,
+        floor_percent: 10,
+        work_us: 8_000,
+        ..browse
+    };
+    let bundle = Kind {
+        name: "bundle",
+        rank: 2,
+        floor_percent: 5,
+        work_us: 40_000,
+        lookup: Some((0, 2_000)),
+        ..drawing
+    };
+    Deployment {
+        servers: [6, 5, 3],
+        kinds: [order, date, bundle],
+    }
+}
+
+fn print(name: &str, flood: Flood, factor: u64, outcome: &FloodOutcome) {
+    let wasted = 100.0 * outcome.wasted_us as f64 / outcome.busy_us.max(1) as f64;
+    let share = |kind: &KindOutcome| {
+        format!(
+            "{}/{} ideal {:.1}% floor {:.2} quiet {:.1}%",
+            kind.completed,
+            kind.offered,
+            100.0 * kind.completed as f64 / kind.ideal,
+            kind.completed as f64 / kind.floor.max(1.0),
+            100.0 * kind.quiet_completed as f64 / kind.quiet_offered.max(1) as f64,
+        )
+    };
+    let kinds: Vec<String> = outcome.kinds.iter().map(share).collect();
+    println!(
+        "{name} {flood:?} {factor}x: wasted {wasted:.2}% | {}",
+        kinds.join(" | ")
+    );
+}
+
+#[rstest]
+fn targets_hold(
+    #[values("turnio", "tugrug")] name: &str,
+    #[values(Flood::LeastUrgent, Flood::MostUrgent, Flood::OneCustomer)] flood: Flood,
+    #[values(1, 2, 5, 10)] factor: u64,
+) {
+    let deployment = if name == "turnio" { turnio() } else { tugrug() };
+
+    let outcome = run_flood(deployment, flood, factor);
+
+    print(name, flood, factor, &outcome);
+    let urgent = &outcome.kinds[0];
+    assert!(
+        urgent.completed as f64 >= 0.99 * urgent.ideal,
+        "urgent work"
+    );
+    for kind in &outcome.kinds {
+        assert!(kind.completed as f64 >= kind.floor, "floor");
+    }
+    assert!(outcome.wasted_us * 50 < outcome.busy_us, "wasted work");
+}
--- a/jayrack-traffic/tests/request_model.rs
+++ b/jayrack-traffic/tests/request_model.rs
@@ -1,7 +1,9 @@
 //! Model checking of a non-idempotent request, its repeat and their fences.
 //!
 //! A search stops after [`MAX_STATES`] states; larger spaces are searched up to the depth printed.
-mod support;
+mod support {
+    pub mod world;
+}
 
 use rstest::rstest;
 use support::world::{Budget, Defect, Exploration, Scenario, Told, explore};
--- /dev/null
+++ b/jayrack-traffic/tests/support/flood.rs
@@ -0,0 +1,534 @@
+//! A flood of customer requests in virtual time: real pickers, levels and admission queues, with
+//! backend servers and clients that are only random numbers.
+use std::{cmp::Reverse, collections::BTreeMap, collections::BinaryHeap, sync::Arc};
+
+use jayrack_config::table::ServerEntry;
+use jayrack_protocol::{MemberId, RequestId};
+use jayrack_traffic::{
+    AdmissionQueue, RequestClass, ServerPicker, ShedLevels,
+    admission::{self, Decision},
+    class::request_id,
+    pick::{self, FinishReport, PickContext, PickResult},
+    shed::ShedVerdict,
+};
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+
+const SLOTS: u32 = 12;
+const CUSTOMERS: u64 = 20;
+const INGRESSES: usize = 3;
+/// Customer requests that enter between these times are counted.
+const WARM_UP_US: u64 = 2_000_000;
+const LAST_US: u64 = 4_500_000;
+const END_US: u64 = 5_500_000;
+const TICK_US: u64 = 10_000;
+/// Step through the service times that spreads them evenly.
+const GOLDEN_STEP: u64 = 633;
+
+/// One kind of customer request: a call that holds its slot while its lookup runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind {
+    pub name: &'static str,
+    pub rank: u8,
+    pub floor_percent: u8,
+    pub service: usize,
+    pub work_us: u64,
+    /// Service and work of a lookup made before the answer.
+    pub lookup: Option<(usize, u64)>,
+    pub deadline_ms: u64,
+    /// Share of its service's capacity that is asked for without a flood, in percent.
+    pub demand_percent: u64,
+}
+
+/// Backend servers and kinds of work, the most urgent first.
+#[derive(Debug, Clone, Copy)]
+pub struct Deployment {
+    pub servers: [usize; 3],
+    pub kinds: [Kind; 3],
+}
+
+/// What comes in too much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flood {
+    LeastUrgent,
+    MostUrgent,
+    OneCustomer,
+}
+
+/// What became of one kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct KindOutcome {
+    pub offered: u64,
+    pub completed: u64,
+    /// Completed by the ideal: capacity to the most urgent first, floors kept.
+    pub ideal: f64,
+    /// Completed if the kind had only its floor.
+    pub floor: f64,
+    /// Offered by and completed for customers that do not flood.
+    pub quiet_offered: u64,
+    pub quiet_completed: u64,
+}
+
+/// What became of a flood.
+#[derive(Debug, Default)]
+pub struct FloodOutcome {
+    pub kinds: [KindOutcome; 3],
+    pub busy_us: u64,
+    pub wasted_us: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { kind: usize, flood: bool },
+    Offer { server: usize, id: RequestId },
+    Finish { server: usize, id: RequestId },
+    Tick { server: usize },
+}
+
+/// Where a call goes and what it costs.
+#[derive(Debug, Clone, Copy)]
+struct Leg {
+    service: usize,
+    work_us: u64,
+    depth: u32,
+}
+
+#[derive(Debug)]
+struct Call {
+    customer_request: u64,
+    ingress: usize,
+    server: usize,
+    sent_us: u64,
+    started_us: u64,
+    work_us: u64,
+    depth: u32,
+}
+
+#[derive(Debug)]
+struct CustomerRequest {
+    kind: usize,
+    customer: String,
+    is_counted: bool,
+    root: RequestId,
+    deadline_ms: u64,
+    used_us: u64,
+    has_failed: bool,
+}
+
+struct Simulation {
+    deployment: Deployment,
+    now_us: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    random: Pcg64Mcg,
+    servers: Vec<Vec<Arc<ServerEntry>>>,
+    names: BTreeMap<String, usize>,
+    queues: Vec<AdmissionQueue>,
+    levels: Vec<ShedLevels>,
+    pickers: Vec<ServerPicker>,
+    calls: BTreeMap<RequestId, Call>,
+    requests: BTreeMap<u64, CustomerRequest>,
+    rates: [[f64; 2]; 3],
+    outcome: FloodOutcome,
+}
+
+/// Runs `deployment` with `factor` times the capacity asked for by the kind that floods.
+pub fn run_flood(deployment: Deployment, flood: Flood, factor: u64) -> FloodOutcome {
+    let mut simulation = Simulation::new(deployment, flood, factor);
+    simulation.run();
+    simulation.finish()
+}
+
+impl Deployment {
+    fn capacity_us(&self, service: usize) -> f64 {
+        self.servers[service] as f64 * f64::from(SLOTS) * 1e6
+    }
+
+    /// Slot time of each service that one customer request of `kind` holds, the lookup's included.
+    fn work_us(&self, kind: &Kind) -> [f64; 3] {
+        let mut work = [0.0; 3];
+        work[kind.service] += kind.work_us as f64;
+        if let Some((service, work_us)) = kind.lookup {
+            work[kind.service] += (work_us + 4_000) as f64;
+            work[service] += work_us as f64;
+        }
+        work
+    }
+
+    /// Customer requests per second that can be completed when `rates` are asked for.
+    fn ideal(&self, rates: &[f64; 3]) -> ([f64; 3], [f64; 3]) {
+        let mut ideal = [0.0; 3];
+        let mut floors = [0.0; 3];
+        for (at, kind) in self.kinds.iter().enumerate() {
+            let work = self.work_us(kind);
+            let mut rate = rates[at];
+            let mut floor = rates[at];
+            for (service, work_us) in work.into_iter().enumerate() {
+                if work_us == 0.0 {
+                    continue;
+                }
+                let mut left = self.capacity_us(service);
+                for (other, other_kind) in self.kinds.iter().enumerate() {
+                    let other_us = self.work_us(other_kind)[service];
+                    let reserved = left * f64::from(other_kind.floor_percent) / 100.0;
+                    left -= match other.cmp(&at) {
+                        std::cmp::Ordering::Less => ideal[other] * other_us,
+                        std::cmp::Ordering::Equal => 0.0,
+                        std::cmp::Ordering::Greater => reserved.min(rates[other] * other_us),
+                    };
+                }
+                rate = rate.min(left.max(0.0) / work_us);
+                let floor_us = self.capacity_us(service) * f64::from(kind.floor_percent) / 100.0;
+                floor = floor.min(floor_us / work_us);
+            }
+            floors[at] = floor;
+            ideal[at] = rate.max(floor);
+        }
+        (ideal, floors)
+    }
+}
+
+impl Simulation {
+    fn new(deployment: Deployment, flood: Flood, factor: u64) -> Self {
+        let mut names = BTreeMap::new();
+        let mut servers = Vec::new();
+        for (service, count) in deployment.servers.iter().enumerate() {
+            let entries = (0..*count).map(|place| Arc::new(server_entry(service, place)));
+            let entries: Vec<Arc<ServerEntry>> = entries.collect();
+            for entry in &entries {
+                names.insert(entry.name.clone(), names.len());
+            }
+            servers.push(entries);
+        }
+        let flooded = if flood == Flood::LeastUrgent { 2 } else { 0 };
+        let mut rates = [[0.0; 2]; 3];
+        for (at, kind) in deployment.kinds.iter().enumerate() {
+            let full =
+                deployment.capacity_us(kind.service) / deployment.work_us(kind)[kind.service];
+            rates[at][0] = full * kind.demand_percent as f64 / 100.0;
+            if at == flooded {
+                rates[at][1] = full * factor as f64 - rates[at][0];
+            }
+        }
+        let queues = (0..names.len()).map(|_| AdmissionQueue::new(admission::Options::default()));
+        let picker = |seed: usize| ServerPicker::new(pick::Options::default(), seed as u64);
+        let spread = flood != Flood::OneCustomer;
+        if spread {
+            rates[flooded] = [rates[flooded][0] + rates[flooded][1], 0.0];
+        }
+        Self {
+            deployment,
+            now_us: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            random: Pcg64Mcg::seed_from_u64(factor),
+            queues: queues.collect(),
+            names,
+            servers,
+            levels: (0..INGRESSES).map(|_| ShedLevels::new()).collect(),
+            pickers: (0..INGRESSES + 32).map(picker).collect(),
+            calls: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            rates,
+            outcome: FloodOutcome::default(),
+        }
+    }
+
+    fn run(&mut self) {
+        for kind in 0..3 {
+            for flood in [false, true] {
+                self.schedule_arrival(kind, flood);
+            }
+        }
+        for server in 0..self.queues.len() {
+            self.at(TICK_US, Event::Tick { server });
+        }
+        while let Some(Reverse((time_us, _, event))) = self.events.pop() {
+            if time_us > END_US {
+                return;
+            }
+            self.now_us = time_us;
+            self.take(event);
+        }
+    }
+
+    fn finish(mut self) -> FloodOutcome {
+        let rates = self.rates.map(|[base, flood]| base + flood);
+        let (ideal, floors) = self.deployment.ideal(&rates);
+        let seconds = (LAST_US - WARM_UP_US) as f64 / 1e6;
+        for (at, kind) in self.outcome.kinds.iter_mut().enumerate() {
+            kind.ideal = (ideal[at] * seconds).min(kind.offered as f64);
+            kind.floor = (floors[at] * seconds).min(kind.offered as f64);
+        }
+        std::mem::take(&mut self.outcome)
+    }
+
+    fn take(&mut self, event: Event) {
+        let now_ms = self.now_us / 1_000;
+        match event {
+            Event::Arrive { kind, flood } => {
+                self.schedule_arrival(kind, flood);
+                self.enter(kind, flood);
+            }
+            Event::Offer { server, id } => {
+                let class = self.class(id);
+                let decisions = self.queues[server].offer(now_ms, id, class);
+                self.decide(server, decisions);
+            }
+            Event::Finish { server, id } => self.finished(server, id, true),
+            Event::Tick { server } => {
+                let decisions = self.queues[server].tick(now_ms);
+                self.decide(server, decisions);
+                self.at(TICK_US, Event::Tick { server });
+            }
+        }
+    }
+
+    fn enter(&mut self, kind: usize, flood: bool) {
+        let customer_request = self.random.next_u64();
+        let ingress = self.random.next_u64() as usize % INGRESSES;
+        let customer = match flood {
+            true => "flood".to_string(),
+            false => format!("customer-{}", self.random.next_u64() % CUSTOMERS),
+        };
+        let spec = self.deployment.kinds[kind];
+        let request = CustomerRequest {
+            kind,
+            customer,
+            is_counted: (WARM_UP_US..LAST_US).contains(&self.now_us),
+            root: RequestId(0),
+            deadline_ms: self.now_us / 1_000 + spec.deadline_ms,
+            used_us: 0,
+            has_failed: false,
+        };
+        if request.is_counted {
+            self.outcome.kinds[kind].offered += 1;
+            self.outcome.kinds[kind].quiet_offered += u64::from(!flood);
+        }
+        let service = spec.service.to_string();
+        let verdict = self.levels[ingress].verdict(
+            self.now_us / 1_000,
+            &service,
+            spec.rank,
+            customer_request,
+        );
+        if verdict == ShedVerdict::Refuse {
+            return;
+        }
+        self.requests.insert(customer_request, request);
+        let leg = Leg {
+            service: spec.service,
+            work_us: spec.work_us,
+            depth: 0,
+        };
+        let root = self.send(customer_request, ingress, leg);
+        if let Some(request) = self.requests.get_mut(&customer_request) {
+            request.root = root;
+        }
+    }
+
+    fn send(&mut self, customer_request: u64, ingress: usize, leg: Leg) -> RequestId {
+        let Leg {
+            service,
+            work_us,
+            depth,
+        } = leg;
+        let request = &self.requests[&customer_request];
+        let context = PickContext {
+            data_centre: "here",
+            region: "here",
+            excluded: &[],
+            rank: self.deployment.kinds[request.kind].rank,
+        };
+        let now_ms = self.now_us / 1_000;
+        let picker = &mut self.pickers[ingress];
+        let place = picker
+            .pick(now_ms, &self.servers[service], &context)
+            .expect("a server");
+        let name = self.servers[service][place].name.clone();
+        picker.started(now_ms, &name);
+        self.sequence += 1;
+        let id = request_id(now_ms, u128::from(self.sequence));
+        let server = self.names[&name];
+        let scatter = 512 + self.sequence * GOLDEN_STEP % 1_024;
+        let call = Call {
+            customer_request,
+            ingress,
+            server,
+            sent_us: self.now_us,
+            started_us: 0,
+            work_us: work_us * scatter / 1_024,
+            depth,
+        };
+        self.calls.insert(id, call);
+        self.at(2_000, Event::Offer { server, id });
+        id
+    }
+
+    fn class(&self, id: RequestId) -> RequestClass {
+        let call = &self.calls[&id];
+        let request = &self.requests[&call.customer_request];
+        let kind = &self.deployment.kinds[request.kind];
+        RequestClass {
+            rank: kind.rank,
+            floor_percent: kind.floor_percent,
+            kind: if call.depth > 0 { "lookup" } else { kind.name }.to_string(),
+            customer: request.customer.clone(),
+            customer_request: call.customer_request,
+            depth: call.depth,
+            deadline_ms: request.deadline_ms,
+            idempotent: true,
+        }
+    }
+
+    fn decide(&mut self, server: usize, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Refuse(id, _) => self.ended(id, PickResult::Refused),
+                Decision::Dispatch(id) => self.dispatch(server, id),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, server: usize, id: RequestId) {
+        let call = self.calls.get_mut(&id).expect("a call");
+        call.started_us = self.now_us;
+        let (customer_request, depth, work_us) = (call.customer_request, call.depth, call.work_us);
+        let kind = self.deployment.kinds[self.requests[&customer_request].kind];
+        match kind.lookup {
+            Some((service, lookup_us)) if depth == 0 => {
+                let leg = Leg {
+                    service,
+                    work_us: lookup_us,
+                    depth: 1,
+                };
+                self.send(customer_request, INGRESSES + server, leg);
+            }
+            _ => self.at(work_us, Event::Finish { server, id }),
+        }
+    }
+
+    /// A dispatched call ended at its server.
+    fn finished(&mut self, server: usize, id: RequestId, is_ok: bool) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let service_us = self.now_us - call.started_us;
+        let result = match is_ok {
+            true => admission::Result::Ok,
+            false => admission::Result::Failed,
+        };
+        if let Some(request) = self.requests.get_mut(&call.customer_request) {
+            request.used_us += service_us;
+        }
+        let decisions = self.queues[server].finished(self.now_us / 1_000, id, service_us, result);
+        self.ended(
+            id,
+            if is_ok {
+                PickResult::Ok
+            } else {
+                PickResult::Failed
+            },
+        );
+        self.decide(server, decisions);
+    }
+
+    /// A call's answer or refusal reached its ingress.
+    fn ended(&mut self, id: RequestId, result: PickResult) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let now_ms = self.now_us / 1_000;
+        let load = self.queues[call.server].load();
+        let report = FinishReport {
+            latency_us: self.now_us - call.sent_us,
+            result: if result == PickResult::Failed {
+                PickResult::Ok
+            } else {
+                result
+            },
+            load: Some(load),
+        };
+        let name = self
+            .servers
+            .iter()
+            .flatten()
+            .nth(call.server)
+            .expect("a server")
+            .name
+            .clone();
+        self.pickers[call.ingress].finished(now_ms, &name, &report);
+        if call.depth > 0 {
+            return self.resume(&call, result);
+        }
+        let service = self.deployment.kinds[self.requests[&call.customer_request].kind].service;
+        self.levels[call.ingress].update(&service.to_string(), &name, load, now_ms);
+        let request = self
+            .requests
+            .remove(&call.customer_request)
+            .expect("a request");
+        self.settle(&request, result == PickResult::Ok && !request.has_failed);
+    }
+
+    /// The lookup of a call ended: its server goes on with its own work, or fails.
+    fn resume(&mut self, lookup: &Call, result: PickResult) {
+        let Some(request) = self.requests.get_mut(&lookup.customer_request) else {
+            return;
+        };
+        request.has_failed = result != PickResult::Ok;
+        let (root, has_failed) = (request.root, request.has_failed);
+        let call = &self.calls[&root];
+        let (server, work_us) = (call.server, call.work_us);
+        if has_failed {
+            return self.finished(server, root, false);
+        }
+        self.at(work_us + 2_000, Event::Finish { server, id: root });
+    }
+
+    fn settle(&mut self, request: &CustomerRequest, is_ok: bool) {
+        let in_time = self.now_us / 1_000 <= request.deadline_ms;
+        if request.is_counted {
+            self.outcome.busy_us += request.used_us;
+            if !(is_ok && in_time) {
+                self.outcome.wasted_us += request.used_us;
+            } else {
+                let kind = &mut self.outcome.kinds[request.kind];
+                kind.completed += 1;
+                kind.quiet_completed += u64::from(request.customer != "flood");
+            }
+        }
+    }
+
+    fn schedule_arrival(&mut self, kind: usize, flood: bool) {
+        let rate = self.rates[kind][usize::from(flood)];
+        if rate <= 0.0 {
+            return;
+        }
+        let uniform = (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        let gap_us = -(1.0 - uniform).ln() * 1e6 / rate;
+        self.at(gap_us as u64, Event::Arrive { kind, flood });
+    }
+
+    fn at(&mut self, after_us: u64, event: Event) {
+        self.sequence += 1;
+        let entry = (self.now_us + after_us, self.sequence, event);
+        self.events.push(Reverse(entry));
+    }
+}
+
+fn server_entry(service: usize, place: usize) -> ServerEntry {
+    ServerEntry {
+        name: format!("{service}-{place}"),
+        service: service.to_string(),
+        owner: MemberId(place as u64),
+        forward_address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: "here".to_string(),
+        region: "here".to_string(),
+        slots: SLOTS,
+        connections: 110,
+        draining: false,
+        warm_percent: 100,
+    }
+}
--- a/jayrack-traffic/tests/support/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Fixtures shared by the tests.
-#![allow(dead_code)]
-pub mod world;
