--- a/jayrackd/src/ingress/flow.rs
+++ b/jayrackd/src/ingress/flow.rs
@@ -89,6 +89,7 @@
                 }
             }
             let next = self.step(input, wait_ms).await;
+            log_input(&self.request.head, &next);
             actions = flow.handle(self.now_ms(), next);
         }
     }
@@ -224,6 +225,23 @@
     }
 }
 
+/// Logs what makes a request take more than one attempt.
+fn log_input(head: &RequestHead, input: &Input<OwnerAnswer>) {
+    let (event, code) = match input {
+        Input::Answer { code, .. } if *code == ResultCode::Ok => return,
+        Input::Answer { code, .. } => ("refused", *code),
+        Input::NotSent { .. } => ("not sent", ResultCode::OwnerUnreachable),
+        Input::Lost { .. } => ("lost", ResultCode::OutcomeUnknown),
+        Input::NoServer(code) => ("no server", *code),
+        Input::Timeout => ("timeout", ResultCode::DeadlinePassed),
+        _ => return,
+    };
+    log::debug!(
+        request = router::id_of(head).to_string(), code = code.number(), event;
+        "attempt ended without an answer"
+    );
+}
+
 enum Step {
     Send { server: usize },
     Query { server: usize, fence: bool },
--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -123,14 +123,21 @@
 }
 
 async fn wait(
-    ticket: Ticket,
+    mut ticket: Ticket,
     cancelled: impl Future<Output = Cancellation>,
 ) -> Result<Permit, ResultCode> {
-    tokio::select! {
+    let cancellation = tokio::select! {
         biased;
-        verdict = ticket.verdict() => verdict,
-        _ = cancelled => Err(ResultCode::Cancelled),
-    }
+        verdict = ticket.verdict() => return verdict,
+        cancellation = cancelled => cancellation,
+    };
+    // A sender that lost the connection asks for the outcome, and may try another owner then.
+    let code = match cancellation {
+        Cancellation::Stated => ResultCode::Cancelled,
+        Cancellation::ConnectionLost => ResultCode::Fenced,
+    };
+    ticket.withdraw(code);
+    Err(code)
 }
 
 fn class_of(state: &TrafficState, head: &RequestHead) -> RequestClass {
--- a/jayrackd/src/owner/gate.rs
+++ b/jayrackd/src/owner/gate.rs
@@ -135,8 +135,8 @@
         let now_ms = self.inner.clock.now_ms();
         let mut core = self.lock();
         let inquiry = core.ledger.query(now_ms, id, fence);
-        if matches!(inquiry, Inquiry::NotRun(_)) {
-            core.withdraw(now_ms, id);
+        if let Inquiry::NotRun(code) = inquiry {
+            core.withdraw(now_ms, id, code);
         }
         inquiry
     }
@@ -252,7 +252,8 @@
         }
     }
 
-    fn withdraw(&mut self, now_ms: u64, id: RequestId) {
+    fn withdraw(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
+        self.ledger.not_run(now_ms, id, code);
         let Some(server) = self.waiting.get(&id).map(|waiting| waiting.server.clone()) else {
             return;
         };
@@ -260,7 +261,7 @@
             let decisions = queue.cancel(now_ms, id);
             self.apply(now_ms, &server, decisions);
         }
-        self.refuse(now_ms, id, ResultCode::Cancelled);
+        self.refuse(now_ms, id, code);
     }
 
     fn end(
@@ -326,30 +327,39 @@
     /// # Errors
     ///
     /// Returns the code that the request is refused with; it was not run.
-    pub(crate) async fn verdict(mut self) -> Result<Permit, ResultCode> {
+    pub(crate) async fn verdict(&mut self) -> Result<Permit, ResultCode> {
         let receiver = self.receiver.as_mut().ok_or(ResultCode::Cancelled)?;
         let verdict = receiver.await;
         self.receiver = None;
         match verdict {
-            Ok(Verdict::Run) => Ok(Permit::new(&self)),
+            Ok(Verdict::Run) => Ok(Permit::new(self)),
             Ok(Verdict::Refuse(code)) => Err(code),
             Err(_) => Err(ResultCode::Cancelled),
         }
     }
-}
 
-impl Drop for Ticket {
-    fn drop(&mut self) {
+    /// Takes the request out of the queue; it did not run and never will.
+    pub(crate) fn withdraw(mut self, code: ResultCode) {
+        self.leave(code);
+    }
+
+    fn leave(&mut self, code: ResultCode) {
         let Some(mut receiver) = self.receiver.take() else {
             return;
         };
         if let Ok(Verdict::Run) = receiver.try_recv() {
             let permit = Permit::new(self);
-            permit.settle(Ending::NotRun(ResultCode::Cancelled));
+            permit.settle(Ending::NotRun(code));
             return;
         }
         let now_ms = self.gate.inner.clock.now_ms();
-        self.gate.lock().withdraw(now_ms, self.id);
+        self.gate.lock().withdraw(now_ms, self.id, code);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.leave(ResultCode::Cancelled);
     }
 }
 
--- a/jayrackd/tests/support/mod.rs
+++ b/jayrackd/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 /// Runs `test` on a small runtime.
 pub fn block_on<T>(test: impl std::future::Future<Output = T>) -> T {
+    let _ = env_logger::builder().is_test(true).try_init();
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
