--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -3,11 +3,12 @@
 
 use jayrack_config::{
     record::StoredRecord,
-    sync::{Input, LogAnswer},
+    sync::{Input, LogAnswer, RecordPush},
 };
 use jayrack_platform::{
     HttpLog, LogService,
     log::{self, Appended, LogEntry, ReadBatch},
+    traffic::TrafficCounts,
 };
 use tokio::sync::mpsc;
 
@@ -22,6 +23,9 @@
 /// Number of the newest snapshots that are read.
 const SNAPSHOTS_READ: u64 = 3;
 
+/// Number of times records read ahead may be handed on.
+const READ_AHEAD_HOPS: u32 = 12;
+
 /// What to read of the `intents` stream.
 #[derive(Debug, Clone, Copy)]
 pub struct IntentRead {
@@ -48,23 +52,47 @@
         Self { log, events }
     }
 
+    /// Connections and bytes of all calls since the start.
+    pub fn traffic(&self) -> TrafficCounts {
+        self.log.traffic()
+    }
+
     /// Reads the `intents` stream; the result is the next input of the configuration's state machine.
     pub fn read_intents(&self, read: IntentRead) {
         let caller = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(std::time::Duration::from_millis(read.delay_ms)).await;
-            let result = caller.log.read(INTENTS, read.from, read.max, read.wait_ms).await;
+            let result = caller
+                .log
+                .read(INTENTS, read.from, read.max, read.wait_ms)
+                .await;
             caller.report(ControlEvent::Log(read_input(result))).await;
         });
     }
 
+    /// Reads records beside the regular reads; they are taken and handed on like a peer's push.
+    pub fn read_ahead(&self, from: u64, max: usize) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let Ok(batch) = caller.log.read(INTENTS, from, max, 0).await else {
+                return;
+            };
+            let push = RecordPush {
+                peer: None,
+                records: stored(batch.records),
+                hops: READ_AHEAD_HOPS,
+            };
+            caller.report(ControlEvent::Log(Input::Pushed(push))).await;
+        });
+    }
+
     /// Reads the newest records of the `snapshots` stream.
     pub fn read_snapshots(&self) {
         let caller = self.clone();
         tokio::spawn(async move {
             let input = match newest_snapshots(&caller.log).await {
                 Ok(records) => Input::SnapshotsRead { records },
-                Err(_) => Input::LogFailed,
+                Err(_) => Input::SnapshotsFailed,
             };
             caller.report(ControlEvent::Log(input)).await;
         });
@@ -75,8 +103,12 @@
         let caller = self.clone();
         tokio::spawn(async move {
             match caller.log.append(SNAPSHOTS, &text).await {
-                Ok(appended) => ::log::info!(offset = appended.offset, bytes = text.len(); "snapshot appended"),
-                Err(error) => ::log::warn!(code = error.code().number(); "snapshot not appended: {error}"),
+                Ok(appended) => {
+                    ::log::info!(offset = appended.offset, bytes = text.len(); "snapshot appended")
+                }
+                Err(error) => {
+                    ::log::warn!(code = error.code().number(); "snapshot not appended: {error}")
+                }
             }
         });
     }
@@ -86,7 +118,9 @@
         let caller = self.clone();
         tokio::spawn(async move {
             let result = caller.log.append(INTENTS, &text).await;
-            caller.report(ControlEvent::Appended { record, result }).await;
+            caller
+                .report(ControlEvent::Appended { record, result })
+                .await;
         });
     }
 
@@ -107,7 +141,15 @@
             now_ms: batch.now_ms,
             records: stored(batch.records),
         }),
-        Err(log::Error::Expired { first, next, now_ms }) => Input::LogExpired { first, next, now_ms },
+        Err(log::Error::Expired {
+            first,
+            next,
+            now_ms,
+        }) => Input::LogExpired {
+            first,
+            next,
+            now_ms,
+        },
         Err(_) => Input::LogFailed,
     }
 }
@@ -123,7 +165,9 @@
     if from >= next {
         return Ok(Vec::new());
     }
-    let batch = log.read(SNAPSHOTS, from, SNAPSHOTS_READ as usize, 0).await?;
+    let batch = log
+        .read(SNAPSHOTS, from, SNAPSHOTS_READ as usize, 0)
+        .await?;
     Ok(stored(batch.records))
 }
 
--- a/jayrackd/src/lib.rs
+++ b/jayrackd/src/lib.rs
@@ -1,15 +1,11 @@
 //! The daemon that runs beside each backend server.
 //!
 //! * [`settings`]: what the daemon is told at its start.
+//! * [`control`]: the control thread; [`gossip`], [`admin`] and [`announce`] are its edges.
+//! * [`traffic`]: the traffic threads; [`ingress`], [`owner`], [`backend`] and [`transport`] are
+//!   their parts.
 //! * [`shared`]: what the control thread publishes to the traffic threads.
-//! * [`admin`]: the administration API.
-//! * [`announce`]: the backend servers on this host.
-//! * [`clock`], [`logging`]: time and logs.
-//! * [`traffic`]: the traffic threads as one unit with a start and an end.
-//! * [`ingress`]: requests of callers.
-//! * [`transport`]: QUIC connections between daemons.
-//! * [`owner`]: requests for the backend servers beside this daemon.
-//! * [`backend`]: HTTP connections to those backend servers.
+//! * [`clock`], [`logging`], [`metrics`]: time, logs and metrics.
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admin;
@@ -17,8 +13,10 @@
 pub mod backend;
 pub mod clock;
 pub mod control;
+pub mod gossip;
 pub mod ingress;
 pub mod logging;
+pub mod metrics;
 pub mod owner;
 pub mod settings;
 pub mod shared;
