--- a/jayrack-config/src/sync.rs
+++ b/jayrack-config/src/sync.rs
@@ -195,6 +195,7 @@
         }
         self.expire_search(now_ms);
         if self.reader.expire(now_ms, self.fleet.len(), &mut self.rng) {
+            self.is_read_wanted = false;
             self.readiness.log_silent();
         }
         self.expire_pull(now_ms);
@@ -209,6 +210,7 @@
         self.log.next = 0;
         self.evidence_ms = now_ms;
         self.schedule.restart_wait();
+        self.schedule.attempted(now_ms);
         self.forget_gap_witnesses(now_ms);
     }
 
--- a/jayrack-config/src/sync/log_reader.rs
+++ b/jayrack-config/src/sync/log_reader.rs
@@ -54,7 +54,13 @@
 
     /// Notes that the outstanding read failed, and waits before the next.
     pub fn failed(&mut self, now_ms: u64, members: usize, rng: &mut Pcg64) {
-        self.deadline_ms = None;
+        if self.deadline_ms.take().is_some() {
+            self.back_off(now_ms, members, rng);
+        }
+    }
+
+    /// Waits before the next read, longer after each time in a row.
+    pub fn back_off(&mut self, now_ms: u64, members: usize, rng: &mut Pcg64) {
         let limit_ms = RETRY_MAX_MS + RETRY_MEMBER_MS * members as u64;
         let delay_ms = (RETRY_MIN_MS << self.failures.min(16)).min(limit_ms);
         self.failures = self.failures.saturating_add(1).min(16);
--- a/jayrack-config/src/sync/restore.rs
+++ b/jayrack-config/src/sync/restore.rs
@@ -165,7 +165,8 @@
             });
             return;
         }
-        self.reader.failed(now_ms, self.fleet.len(), &mut self.rng);
+        self.reader
+            .back_off(now_ms, self.fleet.len(), &mut self.rng);
         let detail = format!("records before offset {first} expired and no snapshot covers them");
         self.report(ResultCode::LogExpired, first, detail, actions);
     }
--- a/jayrack-config/tests/support/mod.rs
+++ b/jayrack-config/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fixtures for the tests of configuration.
 #![allow(dead_code, missing_docs)]
 
+pub mod fleet;
 pub mod naive;
 pub mod steps;
 
