fix(config): ask all readers before a start without the log counts as complete

A daemon that restarts while the log is down could become ready on two members that had not got the version it served before, while a reader had it.

--- a/jayrack-config/src/sync/exchange.rs
+++ b/jayrack-config/src/sync/exchange.rs
@@ -82,6 +82,7 @@
     ) {
         self.pull_ended(peer);
         self.readiness.raise_floor(answer.floor);
+        self.readiness.heard_answer(peer);
         if answer.digest == 0 {
             return;
         }
@@ -194,8 +195,22 @@
             false => PULL_INTERVAL_MS,
         };
         self.next_pull_ms = now_ms + interval_ms / 2 + below(&mut self.rng, interval_ms / 2);
-        if let Some(peer) = self.fleet.choose_peers(1, &mut self.rng).first() {
-            self.start_pull(now_ms, *peer, actions);
+        if let Some(peer) = self.choose_source() {
+            self.start_pull(now_ms, peer, actions);
         }
     }
+
+    /// A reader that has not answered since the start, or any member.
+    fn choose_source(&mut self) -> Option<MemberId> {
+        let readers = self.fleet.other_readers();
+        let unheard: Vec<MemberId> = readers
+            .filter(|reader| !self.readiness.has_answer(*reader))
+            .collect();
+        if !self.is_ready() && !unheard.is_empty() {
+            let index = below(&mut self.rng, unheard.len() as u64) as usize;
+            return Some(unheard[index]);
+        }
+        let peers = self.fleet.choose_peers(1, &mut self.rng);
+        peers.first().copied()
+    }
 }
--- a/jayrack-config/src/sync/fleet.rs
+++ b/jayrack-config/src/sync/fleet.rs
@@ -88,6 +88,12 @@
             .map(|(id, data_centre)| (*id, data_centre.as_str()))
     }
 
+    /// Other living members that read the log.
+    pub fn other_readers(&self) -> impl Iterator<Item = MemberId> {
+        let me = self.me.id;
+        self.readers.iter().copied().filter(move |id| *id != me)
+    }
+
     /// Number of data centres with another living member.
     pub fn other_data_centres(&self) -> usize {
         let names: BTreeSet<&str> = self.others().map(|(_, data_centre)| data_centre).collect();
--- a/jayrack-config/src/sync/readiness.rs
+++ b/jayrack-config/src/sync/readiness.rs
@@ -1,9 +1,10 @@
 //! Decides when a started daemon knows enough to serve.
 //!
 //! The end of the log is the best evidence. When the log cannot tell, peers from different data centres
-//! that are ready themselves take its place. In both cases the version must not be below any version
+//! that are ready themselves take its place, and each reader must have answered, as new versions reach
+//! the fleet through the readers. In both cases the version must not be below any version
 //! that peers have, or that they remember for the daemon's address.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jayrack_protocol::MemberId;
 
@@ -24,6 +25,8 @@
     is_log_silent: bool,
     floor: Version,
     witnesses: BTreeMap<MemberId, String>,
+    /// Peers that answered, ready or not.
+    answered: BTreeSet<MemberId>,
 }
 
 impl Readiness {
@@ -62,6 +65,18 @@
         self.floor = self.floor.max(version);
     }
 
+    /// Notes that a peer answered, ready or not.
+    pub fn heard_answer(&mut self, peer: MemberId) {
+        if !self.is_ready {
+            self.answered.insert(peer);
+        }
+    }
+
+    /// Whether the peer has answered.
+    pub fn has_answer(&self, peer: MemberId) -> bool {
+        self.answered.contains(&peer)
+    }
+
     /// Notes that a ready peer told its state, which is folded here as well.
     pub fn heard_witness(&mut self, peer: MemberId, data_centre: &str) {
         if !self.is_ready {
@@ -84,7 +99,9 @@
         centres.dedup();
         let peers = WITNESSES.min(fleet.len() - 1);
         let data_centres = WITNESS_DATA_CENTRES.min(fleet.other_data_centres());
+        let mut readers = fleet.other_readers();
         self.is_log_silent
+            && readers.all(|reader| self.answered.contains(&reader))
             && !self.witnesses.is_empty()
             && self.witnesses.len() >= peers
             && centres.len() >= data_centres
--- a/jayrack-config/tests/support/naive.rs
+++ b/jayrack-config/tests/support/naive.rs
@@ -143,11 +143,11 @@
     }
 
     fn is_removed_after(&self, key: &ObjectKey, after: u64, now_ms: u64) -> bool {
-        let touches = self
+        let mut touches = self
             .accepted
             .iter()
             .filter(|accepted| accepted.proposed.base.contains_key(key));
-        touches.last().is_some_and(|accepted| {
+        touches.next_back().is_some_and(|accepted| {
             accepted.proposed.change.remove.contains(key)
                 && accepted.version > after
                 && accepted.time_ms + PLAN_LIFETIME_MS > now_ms
--- a/jayrack-config/tests/sync.rs
+++ b/jayrack-config/tests/sync.rs
@@ -117,8 +117,11 @@
     machine.pulled(4, answer(&log));
     let after_one_data_centre = machine.sync.is_ready();
     machine.pulled(2, answer(&log));
+    let after_some_readers = machine.sync.is_ready();
+    machine.pulled(3, PullAnswer::default());
+    machine.pulled(5, PullAnswer::default());
 
-    assert!(!after_unready && !after_one_data_centre);
+    assert!(!after_unready && !after_one_data_centre && !after_some_readers);
     assert!(machine.sync.is_ready());
     assert_eq!(machine.sync.state(), &log.state);
 }
