--- /dev/null
+++ b/jayrack-membership/src/contacts.rs
@@ -0,0 +1,272 @@
+//! Which daemons keep their addresses in the log, and how a newcomer finds or becomes one of them.
+//!
+//! A constant number of members, chosen by rendezvous hash, append their address again and again.
+//! A daemon that knows no other reads the addresses. When none of them is new to it, it appends
+//! its own after a delay that is drawn so that, however many daemons wait, only a few are early;
+//! the others read those few before their own turn.
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use jayrack_protocol::MemberId;
+use rand_pcg::{Pcg32, rand_core::Rng};
+
+use crate::view::{MemberEntry, MemberView, heaviest};
+
+/// Members that keep their address in the log.
+pub const KEEPERS: usize = 5;
+/// Addresses taken from one read, newest first.
+pub const MAX_CONTACTS: usize = 8;
+/// Time between two appends of a keeper, without the jitter of up to a quarter.
+pub const REFRESH_INTERVAL_MS: u64 = 600_000;
+/// Time for which a member must have been a keeper before it appends, without as much jitter.
+pub const KEEPER_SETTLE_MS: u64 = 30_000;
+/// Longest wait of a newcomer for its turn.
+pub const TURN_WINDOW_MS: u64 = 20_000;
+/// Age from which an address is no longer tried, in milliseconds of the log's clock.
+pub const MAX_AGE_MS: u64 = 3 * REFRESH_INTERVAL_MS;
+
+const FIRST_READ_JITTER_MS: u64 = 1_000;
+const RETRY_MIN_MS: u64 = 1_000;
+const RETRY_MAX_MS: u64 = 60_000;
+const KEEPER_KEY: u64 = 0x636f_6e74_6163_7473;
+/// Steepness of the distribution of turns, fit for fleets up to about e to this power.
+const TURN_STEEPNESS: f64 = 10.0;
+
+/// An address found in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ContactRecord {
+    /// Offset of the record.
+    pub offset: u64,
+    /// Time of the record by the log's clock.
+    pub time_ms: u64,
+    /// Gossip address of the daemon that appended it.
+    pub address: SocketAddr,
+}
+
+/// Where a daemon stands among the members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ContactStanding {
+    /// Whether it is one of the keepers.
+    pub is_keeper: bool,
+    /// Whether it knows no other running member.
+    pub is_alone: bool,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input {
+    /// Time passed; expected about every second.
+    Tick,
+    /// The membership view changed.
+    Standing(ContactStanding),
+    /// A read of the log's last records succeeded.
+    Read {
+        /// The addresses found, in any order.
+        contacts: Vec<ContactRecord>,
+        /// The present time by the log's clock.
+        log_now_ms: u64,
+    },
+    /// A read or an append failed, or its outcome is not known.
+    Failed,
+    /// An append succeeded.
+    Appended,
+}
+
+/// Something that the driver has to do; one request at a time is under way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read the last records of the stream.
+    Read,
+    /// Append this daemon's gossip address.
+    Append(SocketAddr),
+    /// Join through these addresses.
+    Seeds(Vec<SocketAddr>),
+}
+
+/// What the daemon does next while it is alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Search {
+    Joined,
+    /// Reads at this time and then waits for its turn.
+    First {
+        at_ms: u64,
+    },
+    /// Reads at its turn and appends unless the read brings new addresses.
+    Turn {
+        at_ms: u64,
+    },
+}
+
+/// Contacts as one daemon decides them.
+#[derive(Debug)]
+pub struct ContactCore {
+    local: SocketAddr,
+    rng: Pcg32,
+    search: Search,
+    tried: BTreeSet<u64>,
+    append_at_ms: Option<u64>,
+    is_busy: bool,
+    not_before_ms: u64,
+    backoff_ms: u64,
+}
+
+impl ContactCore {
+    /// Creates the state of a daemon that is alone.
+    pub fn new(local: SocketAddr, seed: u64, now_ms: u64) -> Self {
+        let mut core = Self {
+            local,
+            rng: Pcg32::new(seed, MemberId::from_address(local).0),
+            search: Search::Joined,
+            tried: BTreeSet::new(),
+            append_at_ms: None,
+            is_busy: false,
+            not_before_ms: now_ms,
+            backoff_ms: RETRY_MIN_MS,
+        };
+        core.start_search(now_ms);
+        core
+    }
+
+    /// Takes one input and returns what is to be done.
+    pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Action> {
+        match input {
+            Input::Tick => self.tick(now_ms).into_iter().collect(),
+            Input::Standing(standing) => {
+                self.set_standing(now_ms, standing);
+                Vec::new()
+            }
+            Input::Read {
+                contacts,
+                log_now_ms,
+            } => self.take_read(now_ms, contacts, log_now_ms),
+            Input::Failed => {
+                self.defer(now_ms);
+                Vec::new()
+            }
+            Input::Appended => {
+                self.note_appended(now_ms);
+                Vec::new()
+            }
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Option<Action> {
+        if self.is_busy || now_ms < self.not_before_ms {
+            return None;
+        }
+        if self.append_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+            self.is_busy = true;
+            return Some(Action::Append(self.local));
+        }
+        let (Search::First { at_ms } | Search::Turn { at_ms }) = self.search else {
+            return None;
+        };
+        (now_ms >= at_ms).then(|| {
+            self.is_busy = true;
+            Action::Read
+        })
+    }
+
+    fn set_standing(&mut self, now_ms: u64, standing: ContactStanding) {
+        match (standing.is_alone, self.search) {
+            (true, Search::Joined) => self.start_search(now_ms),
+            (false, Search::First { .. } | Search::Turn { .. }) => {
+                self.search = Search::Joined;
+                self.append_at_ms = None;
+            }
+            _ => {}
+        }
+        let is_keeper = standing.is_keeper && !standing.is_alone;
+        match (is_keeper, self.append_at_ms) {
+            (true, None) => {
+                let wait_ms = KEEPER_SETTLE_MS + self.below(KEEPER_SETTLE_MS);
+                self.append_at_ms = Some(now_ms + wait_ms);
+            }
+            (false, Some(_)) if !standing.is_alone => self.append_at_ms = None,
+            _ => {}
+        }
+    }
+
+    fn start_search(&mut self, now_ms: u64) {
+        let at_ms = now_ms + self.below(FIRST_READ_JITTER_MS);
+        self.search = Search::First { at_ms };
+        self.append_at_ms = None;
+    }
+
+    fn take_read(
+        &mut self,
+        now_ms: u64,
+        mut contacts: Vec<ContactRecord>,
+        log_now_ms: u64,
+    ) -> Vec<Action> {
+        self.succeed();
+        contacts.retain(|contact| contact.address != self.local);
+        contacts.retain(|contact| log_now_ms.saturating_sub(contact.time_ms) < MAX_AGE_MS);
+        contacts.retain(|contact| !self.tried.contains(&contact.offset));
+        contacts.sort_by_key(|contact| std::cmp::Reverse(contact.offset));
+        contacts.truncate(MAX_CONTACTS);
+        self.advance_search(now_ms, contacts.is_empty());
+        if contacts.is_empty() {
+            return Vec::new();
+        }
+        self.tried = contacts.iter().map(|contact| contact.offset).collect();
+        let seeds = contacts.iter().map(|contact| contact.address).collect();
+        vec![Action::Seeds(seeds)]
+    }
+
+    fn advance_search(&mut self, now_ms: u64, is_empty: bool) {
+        match self.search {
+            Search::Joined => {}
+            Search::Turn { .. } if is_empty => {
+                self.append_at_ms = Some(now_ms);
+                self.next_turn(now_ms);
+            }
+            Search::First { .. } | Search::Turn { .. } => self.next_turn(now_ms),
+        }
+    }
+
+    /// Draws the next turn: the share of daemons whose turn has come grows exponentially over the
+    /// window.
+    fn next_turn(&mut self, now_ms: u64) {
+        let uniform = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let scaled = (1.0 + TURN_STEEPNESS.exp_m1() * uniform).ln() / TURN_STEEPNESS;
+        let wait_ms = (scaled * TURN_WINDOW_MS as f64) as u64;
+        self.search = Search::Turn {
+            at_ms: now_ms + wait_ms,
+        };
+    }
+
+    fn note_appended(&mut self, now_ms: u64) {
+        self.succeed();
+        self.append_at_ms = match self.search {
+            Search::Joined => {
+                let jitter_ms = self.below(REFRESH_INTERVAL_MS / 4);
+                Some(now_ms + REFRESH_INTERVAL_MS - jitter_ms)
+            }
+            Search::First { .. } | Search::Turn { .. } => None,
+        };
+    }
+
+    fn succeed(&mut self) {
+        self.is_busy = false;
+        self.backoff_ms = RETRY_MIN_MS;
+    }
+
+    fn defer(&mut self, now_ms: u64) {
+        self.is_busy = false;
+        self.not_before_ms = now_ms + self.backoff_ms / 2 + self.below(self.backoff_ms);
+        self.backoff_ms = (self.backoff_ms * 2).min(RETRY_MAX_MS);
+    }
+
+    fn below(&mut self, bound_ms: u64) -> u64 {
+        (u64::from(self.rng.next_u32()) * bound_ms) >> u32::BITS
+    }
+}
+
+/// Where `local` stands among the members of `view`.
+pub fn standing(view: &MemberView, local: MemberId) -> ContactStanding {
+    let running: Vec<&MemberEntry> = view.alive().collect();
+    ContactStanding {
+        is_keeper: heaviest(&running, KEEPER_KEY, KEEPERS).contains(&local),
+        is_alone: running.iter().all(|entry| entry.record.id == local),
+    }
+}
--- a/jayrack-membership/src/core/mod.rs
+++ b/jayrack-membership/src/core/mod.rs
@@ -119,6 +119,7 @@
     applied: AppliedState,
     view: MemberView,
     digest: ViewDigest,
+    running: RunningList,
     peers: BTreeMap<MemberId, PeerTrack>,
     suspicions: BTreeMap<MemberId, Suspicion>,
     updates: UpdateQueue,
@@ -147,6 +148,13 @@
     heard_ms: Option<u64>,
 }
 
+/// The other members that are believed to run, collected anew after one came or went.
+#[derive(Debug, Default)]
+struct RunningList {
+    ids: Vec<MemberId>,
+    is_current: bool,
+}
+
 /// When periodic work is due, in milliseconds of the monotonic clock.
 #[derive(Debug)]
 struct Schedule {
@@ -209,6 +217,7 @@
             applied: AppliedState::default(),
             view: MemberView::default(),
             digest: ViewDigest::default(),
+            running: RunningList::default(),
             peers: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             updates: UpdateQueue::default(),
@@ -384,6 +393,7 @@
     fn forget(&mut self, id: MemberId) {
         if let Some(entry) = self.view.members.remove(&id) {
             self.digest.toggle(&entry);
+            self.running.is_current = false;
         }
         self.peers.remove(&id);
         self.updates.remove(UpdateKey::Record(id));
@@ -400,9 +410,14 @@
     /// Stores the entry of a member and keeps the digests in step.
     fn put(&mut self, entry: MemberEntry) {
         let id = entry.record.id;
+        let is_running = entry.status.is_running();
         self.digest.toggle(&entry);
-        if let Some(previous) = self.view.members.insert(id, entry) {
-            self.digest.toggle(&previous);
+        let previous = self.view.members.insert(id, entry);
+        if let Some(previous) = &previous {
+            self.digest.toggle(previous);
+        }
+        if previous.is_some_and(|previous| previous.status.is_running()) != is_running {
+            self.running.is_current = false;
         }
         self.note_change();
     }
--- a/jayrack-membership/src/core/outgoing.rs
+++ b/jayrack-membership/src/core/outgoing.rs
@@ -165,12 +165,27 @@
 
     /// A random member that is believed to run or that another member named.
     pub(super) fn random_address(&mut self) -> Option<SocketAddr> {
-        let local = self.local.id;
-        let others = self.view.alive().filter(|entry| entry.record.id != local);
-        let addresses = others.map(|entry| entry.record.gossip_address);
-        let addresses: Vec<SocketAddr> = addresses.chain(self.leads.iter().copied()).collect();
-        let index = self.random_index(addresses.len())?;
-        Some(addresses[index])
+        let running = self.running_others().len();
+        let index = self.random_index(running + self.leads.len())?;
+        match index.checked_sub(running) {
+            Some(lead) => Some(self.leads[lead]),
+            None => Some(self.address_of(self.running.ids[index])),
+        }
+    }
+
+    pub(super) fn address_of(&self, id: MemberId) -> SocketAddr {
+        self.view.members[&id].record.gossip_address
+    }
+
+    /// The other members that are believed to run.
+    pub(super) fn running_others(&mut self) -> &[MemberId] {
+        if !self.running.is_current {
+            let local = self.local.id;
+            let ids = self.view.alive().map(|entry| entry.record.id);
+            self.running.ids = ids.filter(|id| *id != local).collect();
+            self.running.is_current = true;
+        }
+        &self.running.ids
     }
 
     pub(super) fn random_index(&mut self, length: usize) -> Option<usize> {
--- a/jayrack-membership/src/core/probe.rs
+++ b/jayrack-membership/src/core/probe.rs
@@ -205,7 +205,7 @@
             has_asked_helpers: false,
             nacks_expected: 0,
         });
-        let to = self.view.members[&target].record.gossip_address;
+        let to = self.address_of(target);
         self.send(now_ms, to, Some(Body::Ping(Ping { nonce })));
     }
 
@@ -256,15 +256,15 @@
     }
 
     fn ask_helpers(&mut self, now_ms: u64, target: MemberId, nonce: u32) {
-        let mut helpers: Vec<MemberId> = self.view.alive().map(|e| e.record.id).collect();
-        helpers.retain(|id| *id != target && *id != self.local.id);
+        let mut helpers = self.running_others().to_vec();
+        helpers.retain(|id| *id != target);
         self.shuffle(&mut helpers);
         helpers.truncate(self.options.helpers);
         if let Some(probe) = &mut self.probe.outstanding {
             probe.nacks_expected = helpers.len();
         }
         for helper in helpers {
-            let to = self.view.members[&helper].record.gossip_address;
+            let to = self.address_of(helper);
             let request = PingRequest {
                 nonce,
                 target: target.0,
--- a/jayrack-membership/src/core/retry.rs
+++ b/jayrack-membership/src/core/retry.rs
@@ -25,7 +25,7 @@
         }
         self.schedule.next_retry_ms = now_ms + self.options.retry_interval_ms;
         let targets = self.silent_addresses();
-        let running = self.view.alive().count();
+        let running = self.running_others().len() + 1;
         self.count_lonely_retry(running);
         let wanted = targets.len() as u64 * FLEET_TRIES_PER_S * self.options.retry_interval_ms;
         let spread = running as u64 * MS_PER_S;
--- a/jayrack-membership/src/lib.rs
+++ b/jayrack-membership/src/lib.rs
@@ -3,10 +3,12 @@
 //! * [`core`]: the state machine that decides what to send and whom to believe.
 //! * [`record`]: what a daemon publishes about itself.
 //! * [`view`]: the members known to one daemon.
+//! * [`contacts`]: which daemons keep their addresses in the log.
 //! * [`in_force`]: where a configuration version is in force.
 //! * [`wire`]: translation between records and messages.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod contacts;
 pub mod core;
 pub mod in_force;
 pub mod record;
--- /dev/null
+++ b/jayrack-membership/tests/contacts.rs
@@ -0,0 +1,264 @@
+//! Appends to the contacts stream stay bounded, however many daemons start at once.
+mod support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use jayrack_membership::contacts::{
+    Action, ContactCore, ContactRecord, ContactStanding, Input, KEEPERS, standing,
+};
+use rstest::rstest;
+use support::{address, id, settled};
+
+const TICK_MS: u64 = 100;
+/// Time from an address to being a member.
+const JOIN_MS: u64 = 1_000;
+
+/// A log with delay, and newcomers that join some time after they get the address of a running one.
+struct FakeLog {
+    now_ms: u64,
+    delay_ms: u64,
+    is_down: bool,
+    records: Vec<ContactRecord>,
+    appends: usize,
+    reads: usize,
+    daemons: BTreeMap<SocketAddr, ContactCore>,
+    answers: BTreeMap<(u64, u64), Answer>,
+    count: u64,
+    joined: BTreeSet<SocketAddr>,
+}
+
+enum Answer {
+    Read(SocketAddr),
+    Append(SocketAddr),
+    Join(SocketAddr),
+}
+
+impl FakeLog {
+    fn new(daemons: usize, delay_ms: u64) -> Self {
+        let addresses = (0..daemons).map(address);
+        let cores = addresses.map(|at| (at, ContactCore::new(at, 3, 0)));
+        Self {
+            now_ms: 0,
+            delay_ms,
+            is_down: false,
+            records: Vec::new(),
+            appends: 0,
+            reads: 0,
+            daemons: cores.collect(),
+            answers: BTreeMap::new(),
+            count: 0,
+            joined: BTreeSet::new(),
+        }
+    }
+
+    fn run_ms(&mut self, time_ms: u64) {
+        let end_ms = self.now_ms + time_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += TICK_MS;
+            self.answer_due();
+            let addresses: Vec<SocketAddr> = self.daemons.keys().copied().collect();
+            addresses
+                .into_iter()
+                .for_each(|at| self.input(at, Input::Tick));
+        }
+    }
+
+    fn answer_due(&mut self) {
+        while let Some(next) = self.answers.first_entry() {
+            if next.key().0 > self.now_ms {
+                return;
+            }
+            let answer = next.remove();
+            self.answer(answer);
+        }
+    }
+
+    fn input(&mut self, at: SocketAddr, input: Input) {
+        let core = self.daemons.get_mut(&at).unwrap();
+        for action in core.handle(self.now_ms, input) {
+            match action {
+                Action::Read => {
+                    self.reads += 1;
+                    self.schedule(self.delay_ms, Answer::Read(at));
+                }
+                Action::Append(address) => {
+                    self.appends += 1;
+                    self.schedule(self.delay_ms, Answer::Append(address));
+                }
+                Action::Seeds(seeds) => {
+                    assert!(!seeds.contains(&at));
+                    if seeds.iter().any(|seed| self.daemons.contains_key(seed)) {
+                        self.schedule(JOIN_MS, Answer::Join(at));
+                    }
+                }
+            }
+        }
+    }
+
+    fn schedule(&mut self, delay_ms: u64, answer: Answer) {
+        self.count += 1;
+        self.answers
+            .insert((self.now_ms + delay_ms, self.count), answer);
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        match answer {
+            Answer::Read(at) | Answer::Append(at) if self.is_down => self.input(at, Input::Failed),
+            Answer::Read(at) => {
+                let contacts = self.records.clone();
+                let log_now_ms = self.now_ms;
+                self.input(
+                    at,
+                    Input::Read {
+                        contacts,
+                        log_now_ms,
+                    },
+                );
+            }
+            Answer::Append(address) => {
+                let offset = self.records.len() as u64 + 1;
+                let time_ms = self.now_ms;
+                self.records.push(ContactRecord {
+                    offset,
+                    time_ms,
+                    address,
+                });
+                self.input(address, Input::Appended);
+            }
+            Answer::Join(at) => {
+                self.joined.insert(at);
+                let joined = ContactStanding {
+                    is_keeper: false,
+                    is_alone: false,
+                };
+                self.input(at, Input::Standing(joined));
+            }
+        }
+    }
+}
+
+/// Appends that are few at any fleet size, far below the log's several hundred a second.
+const MAX_APPENDS: usize = 40;
+/// Reads of each newcomer on average.
+const MAX_READS: usize = 5;
+
+#[rstest]
+#[case(2, 50)]
+#[case(10, 300)]
+#[case(80, 300)]
+#[case(760, 50)]
+#[case(760, 1_000)]
+fn newcomers_without_contacts_append_few(#[case] daemons: usize, #[case] delay_ms: u64) {
+    let mut log = FakeLog::new(daemons, delay_ms);
+
+    log.run_ms(90_000);
+
+    println!(
+        "{daemons} daemons: {} appends, {} reads",
+        log.appends, log.reads
+    );
+    assert!(log.appends <= MAX_APPENDS, "{} appends", log.appends);
+    assert!(log.reads <= daemons * MAX_READS, "{} reads", log.reads);
+    assert!(log.joined.len() + log.appends >= daemons);
+}
+
+#[test]
+fn newcomers_join_through_a_contact_without_appending() {
+    let mut log = FakeLog::new(100, 50);
+    let address = address(0);
+    log.records.push(ContactRecord {
+        offset: 1,
+        time_ms: 0,
+        address,
+    });
+
+    log.run_ms(3_000);
+
+    assert_eq!(log.appends, 0);
+    assert_eq!(log.joined.len(), 99);
+}
+
+#[test]
+fn contacts_that_run_no_more_do_not_hold_newcomers_back() {
+    let mut log = FakeLog::new(5, 50);
+    let address = address(99);
+    log.records.push(ContactRecord {
+        offset: 1,
+        time_ms: 0,
+        address,
+    });
+
+    log.run_ms(90_000);
+
+    assert!(log.joined.len() >= 4);
+}
+
+#[test]
+fn outage_is_met_with_back_off() {
+    let mut log = FakeLog::new(100, 50);
+    log.is_down = true;
+    log.run_ms(600_000);
+    let requests = log.reads + log.appends;
+
+    log.is_down = false;
+    log.run_ms(180_000);
+
+    println!("{requests} requests in the outage");
+    assert!(requests <= 100 * 20, "{requests} requests");
+    assert!(log.joined.len() + log.appends >= 100);
+}
+
+#[test]
+fn only_lasting_keepers_append_and_each_only_now_and_then() {
+    let mut core = ContactCore::new(address(0), 1, 0);
+    let keeper = ContactStanding {
+        is_keeper: true,
+        is_alone: false,
+    };
+    let other = ContactStanding {
+        is_keeper: false,
+        is_alone: false,
+    };
+    let mut appends = 0;
+    let mut run = |core: &mut ContactCore, from_s: u64, to_s: u64| {
+        for second in from_s..to_s {
+            let actions = core.handle(second * 1_000, Input::Tick);
+            if actions
+                .iter()
+                .any(|action| matches!(action, Action::Append(_)))
+            {
+                core.handle(second * 1_000, Input::Appended);
+                appends += 1;
+            }
+        }
+        appends
+    };
+
+    core.handle(0, Input::Standing(keeper));
+    let early = run(&mut core, 0, 20);
+    core.handle(20_000, Input::Standing(other));
+    let never = run(&mut core, 20, 2_000);
+    core.handle(2_000_000, Input::Standing(keeper));
+    let in_two_hours = run(&mut core, 2_000, 9_200);
+
+    assert_eq!((early, never), (0, 0));
+    assert!((10..=20).contains(&in_two_hours), "{in_two_hours}");
+}
+
+#[test]
+fn members_agree_on_the_keepers() {
+    let network = settled(30, 1);
+
+    let keepers = |index: usize| {
+        let view = network.nodes[&address(index)].core.view();
+        (0..30)
+            .filter(|other| standing(view, id(*other)).is_keeper)
+            .collect::<Vec<_>>()
+    };
+
+    assert_eq!(keepers(0).len(), KEEPERS);
+    assert!((1..30).all(|index| keepers(index) == keepers(0)));
+}
