perf: refuse the customers who ask for most first, and admit to shorter waits (ShedLevels::verdict takes an EntryRequest)

Ingresses refused a share of each rank without regard to customers: in a flood by one customer at 10x the others of its rank kept 38 %. Arrivals are now counted by a hash of kind and customer in constant memory, and the largest counts are cut first.

First requests wait a quarter of their time at most, half before. Long service times lower the slots to a half at most, as they may come from lookups; the usual time no longer follows short ones faster than long ones.

--- a/jayrack-traffic/src/admission.rs
+++ b/jayrack-traffic/src/admission.rs
@@ -40,7 +40,7 @@
             slots: 12,
             max_queued: 512,
             adaptive: true,
-            fresh_wait_percent: 50,
+            fresh_wait_percent: 25,
         }
     }
 }
--- a/jayrack-traffic/src/admission/limit.rs
+++ b/jayrack-traffic/src/admission/limit.rs
@@ -1,4 +1,7 @@
 //! How many of the announced slots are used.
+//!
+//! Long service times may come from elsewhere, so that they lower the slots to a half at most; only a
+//! backend server that refuses work is brought down to one.
 use super::service::WHOLE_STRETCH;
 
 /// Units of one slot.
@@ -44,22 +47,23 @@
         if !self.is_adaptive {
             return;
         }
+        let full = u64::from(self.announced) * SLOT;
         if stretch > HIGH_STRETCH {
-            self.reduce(now_ms);
+            self.reduce(now_ms, full / 2);
             return;
         }
-        let full = u64::from(self.announced) * SLOT;
         self.used = (self.used + SLOT * SLOT / self.used.max(SLOT)).min(full);
     }
 
     /// Notes that the backend server refused work.
     pub(super) fn shed(&mut self, now_ms: u64) {
         if self.is_adaptive {
-            self.reduce(now_ms);
+            self.reduce(now_ms, SLOT);
         }
     }
 
-    fn reduce(&mut self, now_ms: u64) {
+    /// Lowers the slots by a step, but not below `least`.
+    fn reduce(&mut self, now_ms: u64, least: u64) {
         let is_recent = self
             .reduced_ms
             .is_some_and(|reduced_ms| now_ms < reduced_ms + REDUCE_INTERVAL_MS);
@@ -67,6 +71,7 @@
             return;
         }
         self.reduced_ms = Some(now_ms);
-        self.used = (self.used * 7 / 8).max(SLOT);
+        let reduced = (self.used * 7 / 8).max(least).max(SLOT);
+        self.used = self.used.min(reduced);
     }
 }
--- a/jayrack-traffic/src/admission/service.rs
+++ b/jayrack-traffic/src/admission/service.rs
@@ -44,12 +44,7 @@
             return WHOLE_STRETCH;
         };
         estimate.mean_us = approach(estimate.mean_us, service_us, 16);
-        let divisor = if service_us < estimate.usual_us {
-            32
-        } else {
-            512
-        };
-        estimate.usual_us = approach(estimate.usual_us, service_us, divisor);
+        estimate.usual_us = approach(estimate.usual_us, service_us, 512);
         estimate.mean_us * WHOLE_STRETCH / estimate.usual_us.max(1)
     }
 }
--- a/jayrack-traffic/src/shed.rs
+++ b/jayrack-traffic/src/shed.rs
@@ -1,7 +1,12 @@
 //! Refusal at the ingress on behalf of a busy owner.
+mod fairness;
+
 use std::collections::BTreeMap;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::admission::LoadLevel;
+use fairness::FairShares;
 
 /// Age after which a reported level no longer counts, in milliseconds.
 const LEVEL_AGE_MS: u64 = 1_000;
@@ -19,16 +24,37 @@
     Refuse,
 }
 
+/// The first request of a customer request, at its ingress.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryRequest<'a> {
+    /// Service that it is for.
+    pub service: &'a str,
+    /// Position of its rank.
+    pub rank: u8,
+    /// Kind of work.
+    pub kind: &'a str,
+    /// Customer on whose behalf it runs.
+    pub customer: &'a str,
+    /// Identifies the customer request.
+    pub customer_request: u64,
+}
+
 #[derive(Debug)]
 struct LevelRecord {
     level: LoadLevel,
     updated_ms: u64,
 }
 
+#[derive(Debug, Default)]
+struct ServiceLevels {
+    servers: BTreeMap<String, LevelRecord>,
+    ranks: BTreeMap<u8, FairShares>,
+}
+
 /// The levels that the owners of each service reported last.
 #[derive(Debug, Default)]
 pub struct ShedLevels {
-    services: BTreeMap<String, BTreeMap<String, LevelRecord>>,
+    services: BTreeMap<String, ServiceLevels>,
 }
 
 impl ShedLevels {
@@ -39,58 +65,79 @@
 
     /// Stores the level that came with an answer of `server`.
     pub fn update(&mut self, service: &str, server: &str, level: LoadLevel, now_ms: u64) {
-        let servers = match self.services.get_mut(service) {
-            Some(servers) => servers,
-            None => self.services.entry(service.to_string()).or_default(),
-        };
-        servers.retain(|_, record| now_ms.saturating_sub(record.updated_ms) <= LEVEL_AGE_MS);
-        let record = LevelRecord {
-            level,
-            updated_ms: now_ms,
-        };
-        servers.insert(server.to_string(), record);
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_string(), ServiceLevels::default());
+        }
+        if let Some(levels) = self.services.get_mut(service) {
+            levels.update(server, level, now_ms);
+        }
     }
 
-    /// Decides on a customer request's first request. Requests of greater depth are always admitted
-    /// by the caller, because their customer request is under way.
+    /// Decides on a customer request's first request. Requests of greater depth are not asked about:
+    /// their customer request is under way.
     ///
-    /// The decision depends on the customer request alone, so all its first requests share it.
-    pub fn verdict(
-        &self,
-        now_ms: u64,
-        service: &str,
-        rank: u8,
-        customer_request: u64,
-    ) -> ShedVerdict {
-        let Some(refused) = self.refused_share(now_ms, service, rank) else {
+    /// Customers who ask for most are refused first. For one customer the decision depends on the
+    /// customer request alone, so that one is refused whole.
+    pub fn verdict(&mut self, now_ms: u64, request: &EntryRequest<'_>) -> ShedVerdict {
+        let Some(levels) = self.services.get_mut(request.service) else {
             return ShedVerdict::Admit;
         };
-        let refused = refused.min(WHOLE_SHARE - TRICKLE_SHARE);
-        if request_share(customer_request) < refused {
+        let refused = levels.refused_share(now_ms, request);
+        let place = xxh3_64(&request.customer_request.to_le_bytes()) % WHOLE_SHARE;
+        if place < refused.min(WHOLE_SHARE - TRICKLE_SHARE) {
             ShedVerdict::Refuse
         } else {
             ShedVerdict::Admit
         }
     }
+}
 
-    /// Mean of the shares that the servers of `service` refuse of `rank`, weighted by slots.
-    fn refused_share(&self, now_ms: u64, service: &str, rank: u8) -> Option<u64> {
-        let servers = self.services.get(service)?;
+impl ServiceLevels {
+    fn update(&mut self, server: &str, level: LoadLevel, now_ms: u64) {
+        let record = LevelRecord {
+            level,
+            updated_ms: now_ms,
+        };
+        if let Some(stored) = self.servers.get_mut(server) {
+            *stored = record;
+            return;
+        }
+        self.servers.retain(|_, record| record.is_fresh(now_ms));
+        self.servers.insert(server.to_string(), record);
+    }
+
+    fn refused_share(&mut self, now_ms: u64, request: &EntryRequest<'_>) -> u64 {
+        let refused = self.mean_share(now_ms, request.rank);
+        if refused == 0 {
+            self.ranks.retain(|_, shares| !shares.is_idle(now_ms));
+            return 0;
+        }
+        let shares = self.ranks.entry(request.rank);
+        let shares = shares.or_insert_with(|| FairShares::new(now_ms));
+        let hash = xxh3_64(request.kind.as_bytes()) ^ xxh3_64(request.customer.as_bytes());
+        shares.refused_share(now_ms, hash, refused)
+    }
+
+    /// Mean of the shares that the servers refuse of `rank`, weighted by slots.
+    fn mean_share(&self, now_ms: u64, rank: u8) -> u64 {
         let mut refused = 0;
         let mut slots = 0;
-        for record in servers.values() {
-            if now_ms.saturating_sub(record.updated_ms) > LEVEL_AGE_MS {
-                continue;
-            }
+        for record in self
+            .servers
+            .values()
+            .filter(|record| record.is_fresh(now_ms))
+        {
             let weight = u64::from(record.level.slots.max(1));
             refused += weight * u64::from(record.level.refused_share(rank));
             slots += weight;
         }
-        (slots > 0).then(|| refused / slots)
+        refused / slots.max(1)
     }
 }
 
-/// Place of a customer request among all, 0 to 65535.
-fn request_share(customer_request: u64) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(&customer_request.to_le_bytes()) % WHOLE_SHARE
+impl LevelRecord {
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.updated_ms) <= LEVEL_AGE_MS
+    }
 }
--- a/jayrack-traffic/tests/admission_flood.rs
+++ b/jayrack-traffic/tests/admission_flood.rs
@@ -108,5 +108,11 @@
     for kind in &outcome.kinds {
         assert!(kind.completed as f64 >= kind.floor, "floor");
     }
+    if flood == Flood::OneCustomer {
+        assert!(
+            urgent.quiet_completed * 100 >= urgent.quiet_offered * 99,
+            "other customers"
+        );
+    }
     assert!(outcome.wasted_us * 50 < outcome.busy_us, "wasted work");
 }
--- a/jayrack-traffic/tests/support/flood.rs
+++ b/jayrack-traffic/tests/support/flood.rs
@@ -9,7 +9,7 @@
     admission::{self, Decision},
     class::request_id,
     pick::{self, FinishReport, PickContext, PickResult},
-    shed::ShedVerdict,
+    shed::{EntryRequest, ShedVerdict},
 };
 use rand_pcg::{
     Pcg64Mcg,
@@ -21,8 +21,8 @@
 const INGRESSES: usize = 3;
 /// Customer requests that enter between these times are counted.
 const WARM_UP_US: u64 = 2_000_000;
-const LAST_US: u64 = 4_500_000;
-const END_US: u64 = 5_500_000;
+const LAST_US: u64 = 6_000_000;
+const END_US: u64 = 7_000_000;
 const TICK_US: u64 = 10_000;
 /// Step through the service times that spreads them evenly.
 const GOLDEN_STEP: u64 = 633;
@@ -131,6 +131,7 @@
     calls: BTreeMap<RequestId, Call>,
     requests: BTreeMap<u64, CustomerRequest>,
     rates: [[f64; 2]; 3],
+    scatters: [u64; 2],
     outcome: FloodOutcome,
 }
 
@@ -232,6 +233,7 @@
             calls: BTreeMap::new(),
             requests: BTreeMap::new(),
             rates,
+            scatters: [0; 2],
             outcome: FloodOutcome::default(),
         }
     }
@@ -308,12 +310,14 @@
             self.outcome.kinds[kind].quiet_offered += u64::from(!flood);
         }
         let service = spec.service.to_string();
-        let verdict = self.levels[ingress].verdict(
-            self.now_us / 1_000,
-            &service,
-            spec.rank,
+        let entry = EntryRequest {
+            service: &service,
+            rank: spec.rank,
+            kind: spec.name,
+            customer: &request.customer,
             customer_request,
-        );
+        };
+        let verdict = self.levels[ingress].verdict(self.now_us / 1_000, &entry);
         if verdict == ShedVerdict::Refuse {
             return;
         }
@@ -352,7 +356,8 @@
         self.sequence += 1;
         let id = request_id(now_ms, u128::from(self.sequence));
         let server = self.names[&name];
-        let scatter = 512 + self.sequence * GOLDEN_STEP % 1_024;
+        let scatter = 512 + self.scatters[depth as usize] % 1_024;
+        self.scatters[depth as usize] += GOLDEN_STEP;
         let call = Call {
             customer_request,
             ingress,
--- a/jayrackd/src/ingress/router.rs
+++ b/jayrackd/src/ingress/router.rs
@@ -8,7 +8,7 @@
     class::request_id,
     pick::{self, FinishReport, PickContext, PickResult},
     retry,
-    shed::ShedVerdict,
+    shed::{EntryRequest, ShedVerdict},
 };
 use rand_pcg::{
     Pcg64Mcg,
@@ -75,11 +75,14 @@
         if head.depth > 0 {
             return Ok(());
         }
-        let rank = u8::try_from(head.rank).unwrap_or(u8::MAX);
-        let core = self.lock();
-        let verdict = core
-            .levels
-            .verdict(now_ms, &head.service, rank, head.customer_request);
+        let entry = EntryRequest {
+            service: &head.service,
+            rank: u8::try_from(head.rank).unwrap_or(u8::MAX),
+            kind: &head.kind,
+            customer: &head.customer,
+            customer_request: head.customer_request,
+        };
+        let verdict = self.lock().levels.verdict(now_ms, &entry);
         match verdict {
             ShedVerdict::Admit => Ok(()),
             ShedVerdict::Refuse => Err(ResultCode::Shed),
