feat: choose servers near first from a bounded subset, and forget answers before outcomes

Each daemon uses at most 8 servers of a service, chosen by rendezvous, three quarters of them in its data centre; others are used when they cost less with their distance.

A ledger over its bytes now forgets the oldest answer and keeps that the request ran. Evicting the record moved the horizon to requests of just now, so that new ones would have been refused.

--- a/jayrack-traffic/src/ledger.rs
+++ b/jayrack-traffic/src/ledger.rs
@@ -6,7 +6,7 @@
 //! A request that arrives for the first time with such an identifier is not run: its sender may have
 //! been paused while a repeat of it was fenced here and run elsewhere. An arrival over a connection
 //! to this daemon cannot have run before the daemon's start, so it is told "not run".
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use jayrack_protocol::{RequestId, ResultCode};
 
@@ -21,7 +21,7 @@
     pub clock_skew_ms: u64,
     /// Greatest number of records; requests that still run are kept beyond it.
     pub max_records: usize,
-    /// Greatest sum of the sizes of stored answers, in bytes.
+    /// Greatest sum of the sizes of stored answers, in bytes; older answers are forgotten first.
     pub max_bytes: u64,
     /// Time that a settled record is kept, in milliseconds.
     pub retention_ms: u64,
@@ -90,6 +90,8 @@
 pub struct OutcomeLedger<A: Clone> {
     options: Options,
     records: BTreeMap<RequestId, OutcomeRecord<A>>,
+    /// Requests with a stored answer, oldest first.
+    answered: VecDeque<RequestId>,
     bytes: u64,
     evicted_unix_ms: Option<u64>,
 }
@@ -100,6 +102,7 @@
         Self {
             options,
             records: BTreeMap::new(),
+            answered: VecDeque::new(),
             bytes: 0,
             evicted_unix_ms: None,
         }
@@ -203,7 +206,10 @@
         record.outcome = outcome;
         record.bytes = bytes;
         record.settled_ms = Some(now_ms);
-        self.bytes += bytes;
+        if bytes > 0 {
+            self.answered.push_back(id);
+            self.bytes += bytes;
+        }
         self.evict(now_ms);
     }
 
@@ -224,20 +230,40 @@
     }
 
     fn evict(&mut self, now_ms: u64) {
+        while self.bytes > self.options.max_bytes {
+            self.evict_answer();
+        }
         while let Some(id) = self.oldest_excess(now_ms) {
             let Some(record) = self.records.remove(&id) else {
                 return;
             };
             self.bytes -= record.bytes;
+            let mut answered = self.answered.iter();
+            if record.bytes > 0
+                && let Some(place) = answered.position(|other| *other == id)
+            {
+                self.answered.remove(place);
+            }
             let horizon_ms = self.evicted_unix_ms.get_or_insert(0);
             *horizon_ms = (*horizon_ms).max(sent_unix_ms(id));
         }
     }
 
+    /// Forgets the oldest answer, but not that its request ran.
+    fn evict_answer(&mut self) {
+        let Some(id) = self.answered.pop_front() else {
+            return;
+        };
+        if let Some(record) = self.records.get_mut(&id) {
+            self.bytes -= record.bytes;
+            record.bytes = 0;
+            record.outcome = Outcome::AnswerEvicted;
+        }
+    }
+
     /// The settled record sent first, if it is over the limits or past its retention.
     fn oldest_excess(&self, now_ms: u64) -> Option<RequestId> {
-        let is_over =
-            self.records.len() > self.options.max_records || self.bytes > self.options.max_bytes;
+        let is_over = self.records.len() > self.options.max_records;
         let mut settled = self
             .records
             .iter()
--- a/jayrack-traffic/src/pick.rs
+++ b/jayrack-traffic/src/pick.rs
@@ -2,15 +2,23 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jayrack_config::table::ServerEntry;
+use jayrack_protocol::{MemberId, id::rendezvous_weight};
 use rand_pcg::{
     Pcg64Mcg,
     rand_core::{Rng, SeedableRng},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::LoadLevel;
 
 /// One whole in the fixed-point averages.
 const SCALE: u64 = 1_024;
+/// Part of the subset that is kept for other data centres, as a divisor.
+const FAR_PART: usize = 4;
+/// Latency assumed of a server that has not answered yet, in microseconds.
+const UNSEEN_LATENCY_US: u64 = 1_000;
+/// Least latency that counts, in microseconds, so that load decides among fast servers.
+const LEAST_LATENCY_US: u64 = 100;
 /// Weight of a new observation in an average, as a shift.
 const AVERAGE_SHIFT: u32 = 3;
 
@@ -37,11 +45,11 @@
     fn default() -> Self {
         Self {
             local: 0,
-            max_servers: 16,
+            max_servers: 8,
             load_age_ms: 1_000,
             backoff_ms: 200,
             max_backoff_ms: 5_000,
-            data_centre_cost_us: 10_000,
+            data_centre_cost_us: 5_000,
             region_cost_us: 100_000,
         }
     }
@@ -95,7 +103,16 @@
     load_ms: u64,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct CostedServer {
+    index: usize,
+    cost: u64,
+}
+
 /// Chooses servers by the better of two random candidates.
+///
+/// Servers of the same data centre come first; those of others are used when they cost less, their
+/// distance included.
 #[derive(Debug)]
 pub struct ServerPicker {
     options: Options,
@@ -120,27 +137,17 @@
         candidates: &[Arc<ServerEntry>],
         context: &PickContext<'_>,
     ) -> Option<usize> {
-        let mut usable: Vec<usize> = Vec::with_capacity(candidates.len());
-        for (index, server) in candidates.iter().enumerate() {
-            if !server.draining && !context.excluded.contains(&server.name) {
-                usable.push(index);
-            }
-        }
-        let healthy: Vec<usize> = usable
-            .iter()
-            .copied()
-            .filter(|index| !self.is_paused(now_ms, &candidates[*index].name))
-            .collect();
-        let pool = if healthy.is_empty() { usable } else { healthy };
-        let first = self.draw(&pool)?;
-        let second = self.draw(&pool)?;
-        let first_cost = self.cost(now_ms, &candidates[first], context);
-        let second_cost = self.cost(now_ms, &candidates[second], context);
-        Some(if second_cost < first_cost {
-            second
-        } else {
-            first
-        })
+        let usable = self.usable(now_ms, candidates, context);
+        let (near, far): (Vec<usize>, Vec<usize>) = usable
+            .into_iter()
+            .partition(|index| candidates[*index].data_centre == context.data_centre);
+        let near = self.better_of_two(now_ms, candidates, &near, context);
+        let far = self.better_of_two(now_ms, candidates, &far, context);
+        let choice = match (near, far) {
+            (Some(near), Some(far)) if far.cost < near.cost => Some(far),
+            (near, far) => near.or(far),
+        };
+        choice.map(|choice| choice.index)
     }
 
     /// Notes that a request was sent to `server`.
@@ -173,6 +180,74 @@
         self.stats.get_mut(server).expect("inserted above")
     }
 
+    /// Servers of this daemon's subset that may take work; paused ones only if there are no others.
+    fn usable(
+        &self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        context: &PickContext<'_>,
+    ) -> Vec<usize> {
+        let is_open = |index: &usize| {
+            let server = &candidates[*index];
+            !server.draining && !context.excluded.contains(&server.name)
+        };
+        let mut usable: Vec<usize> = (0..candidates.len()).filter(is_open).collect();
+        if usable.len() > self.options.max_servers {
+            self.keep_subset(candidates, context, &mut usable);
+        }
+        let is_paused = |index: &usize| self.is_paused(now_ms, &candidates[*index].name);
+        if !usable.iter().all(is_paused) {
+            usable.retain(|index| !is_paused(index));
+        }
+        usable
+    }
+
+    /// Keeps the servers with the highest rendezvous weight, most of them in this data centre.
+    fn keep_subset(
+        &self,
+        candidates: &[Arc<ServerEntry>],
+        context: &PickContext<'_>,
+        usable: &mut Vec<usize>,
+    ) {
+        usable.sort_by_cached_key(|index| {
+            let key = xxh3_64(candidates[*index].name.as_bytes());
+            std::cmp::Reverse(rendezvous_weight(key, MemberId(self.options.local)))
+        });
+        let is_near = |index: &usize| candidates[*index].data_centre == context.data_centre;
+        let near = usable.iter().filter(|index| is_near(index)).count();
+        let max_near = self.options.max_servers - self.options.max_servers / FAR_PART;
+        let mut near_left = near.min(max_near);
+        let mut far_left = self.options.max_servers - near_left;
+        usable.retain(|index| {
+            let left = if is_near(index) {
+                &mut near_left
+            } else {
+                &mut far_left
+            };
+            let is_kept = *left > 0;
+            *left = left.saturating_sub(1);
+            is_kept
+        });
+    }
+
+    fn better_of_two(
+        &mut self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        pool: &[usize],
+        context: &PickContext<'_>,
+    ) -> Option<CostedServer> {
+        let [first, second] = [self.draw(pool)?, self.draw(pool)?].map(|index| CostedServer {
+            index,
+            cost: self.cost(now_ms, &candidates[index], context),
+        });
+        Some(if second.cost < first.cost {
+            second
+        } else {
+            first
+        })
+    }
+
     fn is_paused(&self, now_ms: u64, server: &str) -> bool {
         self.stats
             .get(server)
@@ -184,7 +259,7 @@
             return None;
         }
         let place = self.random.next_u64() % pool.len() as u64;
-        Some(pool[place as usize])
+        pool.get(place as usize).copied()
     }
 
     fn cost(&self, now_ms: u64, server: &ServerEntry, context: &PickContext<'_>) -> u64 {
@@ -198,11 +273,17 @@
         let warm = u64::from(server.warm_percent.clamp(1, 100));
         let slots = u64::from(server.slots.max(1)) * warm;
         let Some(stats) = self.stats.get(&server.name) else {
-            return distance_us + 1_000 * 100 / warm;
+            return distance_us + UNSEEN_LATENCY_US * 100 / slots;
         };
         let queued = stats.queue(now_ms, &self.options) + 1;
-        let load_us = stats.latency_us.max(100) * queued * 100 / slots;
-        distance_us + load_us * (SCALE + stats.refused * 4) / SCALE
+        let latency_us = if stats.latency_us == 0 {
+            UNSEEN_LATENCY_US
+        } else {
+            stats.latency_us
+        };
+        let load_us = latency_us.max(LEAST_LATENCY_US) * queued * 100 / slots;
+        let refused = stats.refused * 4 + stats.shed_share(now_ms, context.rank, &self.options);
+        distance_us + load_us * (SCALE + refused) / SCALE
     }
 }
 
@@ -218,6 +299,16 @@
         }
     }
 
+    /// Share of the rank's requests that the owner asked to be refused, in parts of [`SCALE`].
+    fn shed_share(&self, now_ms: u64, rank: u8, options: &Options) -> u64 {
+        match self.load {
+            Some(load) if now_ms.saturating_sub(self.load_ms) < options.load_age_ms => {
+                (u64::from(load.refused_share(rank)) * SCALE) >> 16
+            }
+            _ => 0,
+        }
+    }
+
     fn observe(&mut self, now_ms: u64, report: &FinishReport, options: &Options) {
         let latency_us = report.latency_us;
         match report.result {
--- /dev/null
+++ b/jayrack-traffic/tests/ledger.rs
@@ -0,0 +1,157 @@
+//! The outcome ledger against a naive one that forgets nothing.
+mod support {
+    pub mod seeded;
+}
+
+use std::collections::BTreeMap;
+
+use jayrack_protocol::ResultCode;
+use jayrack_traffic::{
+    class::request_id,
+    ledger::{Begin, Inquiry, Options, Outcome, OutcomeLedger},
+};
+use proptest::prelude::*;
+use support::seeded::seeded;
+
+/// What really happened to a request, over all restarts.
+#[derive(Debug, Default)]
+struct Truth {
+    has_run: bool,
+    answer: Option<u64>,
+    is_told_not_run: bool,
+    is_queued: bool,
+}
+
+fn ledger(started_unix_ms: u64) -> OutcomeLedger<u64> {
+    OutcomeLedger::new(Options {
+        started_unix_ms,
+        clock_skew_ms: 10,
+        max_records: 8,
+        max_bytes: 300,
+        retention_ms: 500,
+    })
+}
+
+proptest! {
+    #![proptest_config(seeded(300))]
+
+    #[test]
+    fn never_contradicts_what_happened(
+        steps in prop::collection::vec((0u8..8, 0u64..12, 0u64..40), 1..200),
+    ) {
+        let mut now_ms = 1_000;
+        let mut ledger = ledger(now_ms - 10);
+        let mut truths: BTreeMap<u64, Truth> = BTreeMap::new();
+        let mut sent_ms: BTreeMap<u64, u64> = BTreeMap::new();
+
+        for (step, number, gap_ms) in steps {
+            now_ms += gap_ms;
+            let sent = *sent_ms.entry(number).or_insert(now_ms);
+            let id = request_id(sent, u128::from(number));
+            let truth = truths.entry(number).or_default();
+            match step {
+                0 | 1 => {
+                    let is_new = ledger.begin(now_ms, id) == Begin::New;
+                    truth.is_queued |= is_new;
+                }
+                2 if truth.is_queued => {
+                    truth.is_queued = false;
+                    if ledger.dispatched(now_ms, id) {
+                        prop_assert!(!truth.has_run, "runs twice");
+                        prop_assert!(!truth.is_told_not_run, "runs after not run was told");
+                        truth.has_run = true;
+                    }
+                }
+                3 if truth.has_run && truth.answer.is_none() => {
+                    truth.answer = Some(number);
+                    ledger.done(now_ms, id, number, 100);
+                }
+                4 | 5 => match ledger.query(now_ms, id, step == 4) {
+                    Inquiry::Done(answer) => prop_assert_eq!(Some(answer), truth.answer),
+                    Inquiry::NotRun(_) => {
+                        prop_assert!(!truth.has_run, "told not run and ran");
+                        truth.is_told_not_run = true;
+                    }
+                    Inquiry::InProgress | Inquiry::Unknown(_) => {}
+                },
+                6 if gap_ms == 0 => {
+                    ledger = self::ledger(now_ms);
+                    for truth in truths.values_mut() {
+                        truth.is_queued = false;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    #[test]
+    fn memory_stays_bounded(numbers in prop::collection::vec((0u128..200, 0u64..120), 1..300)) {
+        let mut ledger = ledger(0);
+
+        for (place, (number, bytes)) in numbers.into_iter().enumerate() {
+            let now_ms = 100 + place as u64;
+            let id = request_id(now_ms, number);
+            ledger.begin(now_ms, id);
+            ledger.dispatched(now_ms, id);
+            ledger.done(now_ms, id, 0, bytes);
+
+            let (records, stored) = ledger.size();
+            prop_assert!(records <= 8 && stored <= 300, "{} records, {} bytes", records, stored);
+        }
+    }
+}
+
+#[test]
+fn a_fence_refuses_a_late_arrival_and_a_queued_request() {
+    let mut ledger = ledger(0);
+    let (absent, queued) = (request_id(100, 1), request_id(100, 2));
+    ledger.begin(100, queued);
+
+    let fenced = [
+        ledger.query(100, absent, true),
+        ledger.query(100, queued, true),
+    ];
+
+    assert_eq!(
+        fenced,
+        [
+            Inquiry::NotRun(ResultCode::Fenced),
+            Inquiry::NotRun(ResultCode::Fenced)
+        ]
+    );
+    let refusal = Begin::Existing(Outcome::NotRun(ResultCode::Fenced));
+    assert_eq!(ledger.begin(101, absent), refusal);
+    assert!(!ledger.dispatched(101, queued));
+}
+
+#[test]
+fn a_restarted_owner_does_not_know_and_takes_no_older_request() {
+    let older = request_id(100, 1);
+    let mut ledger = ledger(200);
+
+    let inquiry = ledger.query(300, older, true);
+    let arrival = ledger.begin(300, older);
+
+    assert_eq!(inquiry, Inquiry::Unknown(ResultCode::OutcomeUnknown));
+    assert_eq!(
+        arrival,
+        Begin::Existing(Outcome::NotRun(ResultCode::Fenced))
+    );
+}
+
+#[test]
+fn an_answer_over_the_limit_is_forgotten_but_not_that_it_ran() {
+    let mut ledger = ledger(0);
+    let id = request_id(100, 1);
+    ledger.begin(100, id);
+    ledger.dispatched(100, id);
+
+    ledger.done(100, id, 7, 1_000);
+
+    assert_eq!(
+        ledger.query(101, id, true),
+        Inquiry::Unknown(ResultCode::OutcomeUnknown)
+    );
+    assert_eq!(ledger.size(), (1, 0));
+}
