--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -32,6 +32,7 @@
     pub limits: Limits,
     pub timeouts: Timeouts,
     pub seed: u64,
+    pub worker_threads: usize,
 }
 
 impl Default for Setup {
@@ -43,6 +44,7 @@
                 ..Timeouts::default()
             },
             seed: 1,
+            worker_threads: 2,
         }
     }
 }
@@ -55,6 +57,7 @@
             .timeouts(setup.timeouts.clone())
             .clock(DaemonClock::start_at(CLOCK_START_MS))
             .claims_known_since_ms(0)
+            .worker_threads(setup.worker_threads)
             .seed(setup.seed);
         let id = MemberId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         let shared = Arc::new(SharedState::new(id, "wrecsam", "wales"));
