test(testkit): end the demo and the load tool with a short error

The demo in release ended 3 of 8 runs; in the others it waited for "in force on 3 of 3" until its limit. Seen then: all three have version 2, the third member sees 3 alive at version 2, the first knows 2 members (not the second), the second knows 2 (not the first) and lists itself at version 0. So partial views stay partial: no anti-entropy brings the missing member.

--- a/jayrack-testkit/src/bin/jayrack-demo.rs
+++ b/jayrack-testkit/src/bin/jayrack-demo.rs
@@ -2,7 +2,10 @@
 //!
 //! With `--once` it ends all that it started and exits; otherwise it stays up and prints the addresses.
 #![deny(missing_docs, unsafe_code)]
-use std::time::{Duration, Instant};
+use std::{
+    process::ExitCode,
+    time::{Duration, Instant},
+};
 
 use eyre::{Result, ensure, eyre};
 use http_body_util::Full;
@@ -27,7 +30,17 @@
 const PLAN_UNKNOWN: u64 = 207;
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jayrack-demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<()> {
     let mut options = getopts::Options::new();
     options.optflag("", "once", "end everything after the walk");
     let matches = options.parse(std::env::args().skip(1))?;
--- a/jayrack-testkit/src/bin/jayrack-load.rs
+++ b/jayrack-testkit/src/bin/jayrack-load.rs
@@ -1,6 +1,6 @@
 //! Measures of a fleet on loopback; prints one line of JSON per run.
 #![deny(missing_docs, unsafe_code)]
-use std::str::FromStr;
+use std::{process::ExitCode, str::FromStr};
 
 use eyre::{Result, WrapErr, bail};
 use getopts::Matches;
@@ -19,7 +19,17 @@
   latency       time added by two daemons";
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jayrack-load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<()> {
     let usage = usage();
     let matches = usage.parse(std::env::args().skip(1))?;
     if matches.opt_present("help") {
