--- /dev/null
+++ b/jayrack-membership/tests/support/mod.rs
@@ -0,0 +1,33 @@
+//! A fake network and inputs for tests.
+#![allow(dead_code, unused_imports)]
+mod fixture;
+mod network;
+
+pub use fixture::{address, applied, id, record, server};
+pub use network::{Delivery, FakeNetwork, FakeNode, HEADER_BYTES, wire_bytes};
+
+use jayrack_membership::MemberStatus;
+
+/// Daemons that start at once and join through the first three.
+pub fn started(size: usize, seed: u64) -> FakeNetwork {
+    let mut network = FakeNetwork::new(seed);
+    for index in 0..size {
+        network.start(index, &[0, 1, 2]);
+    }
+    network
+}
+
+/// Daemons that know each other and are quiet.
+pub fn settled(size: usize, seed: u64) -> FakeNetwork {
+    let mut network = started(size, seed);
+    let time_ms = network.run_until(120_000, FakeNetwork::is_agreed);
+    assert!(time_ms.is_some(), "daemons do not find each other");
+    network.run_ms(10_000);
+    network
+}
+
+/// What one daemon believes of another.
+pub fn status(network: &FakeNetwork, observer: usize, member: usize) -> Option<MemberStatus> {
+    let view = network.nodes[&address(observer)].core.view();
+    view.get(id(member)).map(|entry| entry.status)
+}
--- a/jayrackd/src/transport/pool.rs
+++ b/jayrackd/src/transport/pool.rs
@@ -7,9 +7,12 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use quinn::{Connection, ConnectionError, RecvStream, SendStream};
+use quinn::{Connection, ConnectionError};
 
-use super::{Error, wire};
+use super::{
+    Error,
+    wire::{self, PeerStream, StreamSender},
+};
 
 /// Name in every daemon's certificate.
 const SERVER_NAME: &str = "jayrack";
@@ -67,15 +70,16 @@
     /// # Errors
     ///
     /// Returns [`Error::Unreachable`] when no connection can be had; nothing was sent then.
-    pub(crate) async fn open(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(SendStream, RecvStream), Error> {
+    pub(crate) async fn open(&self, address: SocketAddr) -> Result<PeerStream, Error> {
         let connection = self.connection(address).await?;
         match connection.open_bi().await {
-            Ok(streams) => Ok(streams),
+            Ok((send, receive)) => Ok(PeerStream {
+                send: StreamSender::new(send),
+                receive,
+                connection,
+            }),
             Err(_) => {
-                self.forget(address, &connection);
+                self.suspect(address, &connection);
                 Err(Error::Unreachable)
             }
         }
@@ -90,7 +94,9 @@
         if let Some(connection) = slot.live() {
             return Ok(connection);
         }
-        self.replace_silent_endpoint(&slot);
+        if slot.is_silent() {
+            self.replace_endpoint();
+        }
         let connection = self.connect(address).await?;
         slot.connection.store(Some(Arc::new(connection.clone())));
         Ok(connection)
@@ -101,31 +107,33 @@
         let connecting = endpoint
             .connect_with(self.inner.config.clone(), address, SERVER_NAME)
             .map_err(|_| Error::Unreachable)?;
-        match tokio::time::timeout(self.inner.connect_timeout, connecting).await {
+        let opening = async {
+            let connection = connecting.await.map_err(|_| Error::Unreachable)?;
+            exchange_hello(&connection).await?;
+            Ok::<_, Error>(connection)
+        };
+        let opened = tokio::time::timeout(self.inner.connect_timeout, opening).await;
+        match opened {
             Ok(Ok(connection)) => Ok(connection),
-            _ => Err(Error::Unreachable),
+            Ok(Err(_)) | Err(_) => Err(Error::Unreachable),
         }
     }
 
-    /// Takes a new local port when the last connection went silent: a device on the path may have
-    /// lost track of the old one.
-    fn replace_silent_endpoint(&self, slot: &PeerSlot) {
-        let Some(last) = slot.connection.load_full() else {
-            return;
-        };
-        if !matches!(last.close_reason(), Some(ConnectionError::TimedOut)) {
-            return;
-        }
+    /// Takes a new local port: a device on the path may have lost track of the old one.
+    fn replace_endpoint(&self) {
         if let Ok(endpoint) = new_endpoint(self.inner.bind_ip) {
             self.inner.endpoint.store(Arc::new(endpoint));
         }
     }
 
-    fn forget(&self, address: SocketAddr, connection: &Connection) {
+    /// Makes the next stream to `address` take a new connection from a new local port, unless the
+    /// pooled connection was replaced in the meantime. Streams of the old one go on.
+    pub(crate) fn suspect(&self, address: SocketAddr, connection: &Connection) {
         let slot = self.slot(address);
         let current = slot.connection.load_full();
         if current.is_some_and(|current| current.stable_id() == connection.stable_id()) {
             slot.connection.store(None);
+            self.replace_endpoint();
         }
     }
 
@@ -138,6 +146,13 @@
         peers.entry(address).or_default().clone()
     }
 
+    /// Number of live connections.
+    pub(crate) fn connections(&self) -> usize {
+        let peers = self.inner.peers.lock();
+        let peers = peers.unwrap_or_else(PoisonError::into_inner);
+        peers.values().filter(|slot| slot.live().is_some()).count()
+    }
+
     /// Closes all connections.
     pub(crate) async fn close(self) {
         let endpoint = self.inner.endpoint.load_full();
@@ -147,6 +162,13 @@
 }
 
 impl PeerSlot {
+    /// Whether the last connection ended in silence.
+    fn is_silent(&self) -> bool {
+        let last = self.connection.load();
+        last.as_ref()
+            .is_some_and(|last| matches!(last.close_reason(), Some(ConnectionError::TimedOut)))
+    }
+
     fn live(&self) -> Option<Connection> {
         let connection = self.connection.load_full()?;
         connection
@@ -156,6 +178,21 @@
     }
 }
 
+/// Waits until the peer has accepted the connection: its refusal of this end's certificate comes
+/// only after this end has completed the handshake, when a request could already be on its way.
+async fn exchange_hello(connection: &Connection) -> Result<(), Error> {
+    let opened = connection.open_bi().await;
+    let (send, mut receive) = opened.map_err(|_| Error::Unreachable)?;
+    let mut send = StreamSender::new(send);
+    send.write_chunk(wire::HELLO.into()).await?;
+    send.finish()?;
+    let answer = receive.read_to_end(wire::HELLO.len()).await;
+    match answer {
+        Ok(answer) if answer == wire::HELLO => Ok(()),
+        _ => Err(Error::Unreachable),
+    }
+}
+
 fn new_endpoint(ip: IpAddr) -> Result<quinn::Endpoint, Error> {
     quinn::Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)
 }
