--- a/jayrack-testkit/src/binaries.rs
+++ b/jayrack-testkit/src/binaries.rs
@@ -10,6 +10,9 @@
 /// The directory of the workspace at build time, given to cargo.
 const WORKSPACE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
 
+/// Environment variable that, when set, makes the kit use the executables as they are.
+pub const PREBUILT_VARIABLE: &str = "JAYRACK_PREBUILT";
+
 /// Executables that the kit starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Program {
@@ -42,7 +45,7 @@
         }
     }
 
-    /// Where the executable is; builds all of them before the first use.
+    /// Where the executable is; builds all of them before the first use unless [`PREBUILT_VARIABLE`] is set.
     pub fn path(self) -> Result<PathBuf> {
         static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
         let directory = directory()?;
@@ -69,6 +72,9 @@
 }
 
 fn build(directory: &Path) -> Result<()> {
+    if std::env::var_os(PREBUILT_VARIABLE).is_some() {
+        return Ok(());
+    }
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command
