--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 
 use jayrack_config::sync::Input;
-use jayrack_membership::MemberView;
+use jayrack_membership::{MemberView, contacts};
 use tokio::sync::{mpsc, watch};
 
 pub use start::{Error, start};
@@ -49,6 +49,8 @@
         /// What the log answered.
         result: log_calls::AppendResult,
     },
+    /// The log answered a call about contacts.
+    Contacts(contacts::Input),
     /// The fleet answered for a report.
     Gathered(report_calls::GatheredReport),
 }
--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -1,10 +1,11 @@
 //! Calls to the platform log, each in a task of its own that reports back to the control loop.
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use jayrack_config::{
     record::StoredRecord,
     sync::{Input, LogAnswer, RecordPush},
 };
+use jayrack_membership::contacts::{self, ContactRecord};
 use jayrack_platform::{
     HttpLog, LogService,
     log::{self, Appended, LogEntry, ReadBatch},
@@ -20,6 +21,12 @@
 /// Stream of configuration snapshots.
 pub const SNAPSHOTS: &str = "snapshots";
 
+/// Stream of gossip addresses that newcomers join through.
+pub const CONTACTS: &str = "contacts";
+
+/// Number of the newest contacts that are read.
+const CONTACTS_READ: u64 = 32;
+
 /// Number of the newest snapshots that are read.
 const SNAPSHOTS_READ: u64 = 3;
 
@@ -90,8 +97,10 @@
     pub fn read_snapshots(&self) {
         let caller = self.clone();
         tokio::spawn(async move {
-            let input = match newest_snapshots(&caller.log).await {
-                Ok(records) => Input::SnapshotsRead { records },
+            let input = match newest(&caller.log, SNAPSHOTS, SNAPSHOTS_READ).await {
+                Ok(batch) => Input::SnapshotsRead {
+                    records: stored(batch.records),
+                },
                 Err(_) => Input::SnapshotsFailed,
             };
             caller.report(ControlEvent::Log(input)).await;
@@ -113,6 +122,33 @@
         });
     }
 
+    /// Reads the newest records of the `contacts` stream.
+    pub fn read_contacts(&self) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let input = match newest(&caller.log, CONTACTS, CONTACTS_READ).await {
+                Ok(batch) => contacts::Input::Read {
+                    contacts: contacts_of(&batch),
+                    log_now_ms: batch.now_ms,
+                },
+                Err(_) => contacts::Input::Failed,
+            };
+            caller.report(ControlEvent::Contacts(input)).await;
+        });
+    }
+
+    /// Appends this daemon's gossip address to the `contacts` stream.
+    pub fn append_contact(&self, address: SocketAddr) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            let input = match caller.log.append(CONTACTS, &address.to_string()).await {
+                Ok(_) => contacts::Input::Appended,
+                Err(_) => contacts::Input::Failed,
+            };
+            caller.report(ControlEvent::Contacts(input)).await;
+        });
+    }
+
     /// Appends the record named to the `intents` stream.
     pub fn append_intent(&self, record: String, text: String) {
         let caller = self.clone();
@@ -154,21 +190,44 @@
     }
 }
 
-/// Finds the end of the stream with one read and reads the newest records with a second.
-async fn newest_snapshots(log: &HttpLog) -> Result<Vec<StoredRecord>, log::Error> {
-    let (first, next) = match log.read(SNAPSHOTS, 1, 1, 0).await {
-        Ok(batch) => (batch.first, batch.next),
-        Err(log::Error::Expired { first, next, .. }) => (first, next),
+/// Finds the end of `stream` with one read and reads its newest `count` records with a second.
+async fn newest(log: &HttpLog, stream: &str, count: u64) -> Result<ReadBatch, log::Error> {
+    let end = match log.read(stream, 1, 1, 0).await {
+        Ok(batch) => batch,
+        Err(log::Error::Expired {
+            first,
+            next,
+            now_ms,
+        }) => ReadBatch {
+            first,
+            next,
+            now_ms,
+            records: Vec::new(),
+        },
         Err(error) => return Err(error),
     };
-    let from = next.saturating_sub(SNAPSHOTS_READ).max(first).max(1);
-    if from >= next {
-        return Ok(Vec::new());
+    let from = end.next.saturating_sub(count).max(end.first).max(1);
+    if from >= end.next {
+        return Ok(ReadBatch {
+            records: Vec::new(),
+            ..end
+        });
     }
-    let batch = log
-        .read(SNAPSHOTS, from, SNAPSHOTS_READ as usize, 0)
-        .await?;
-    Ok(stored(batch.records))
+    log.read(stream, from, count as usize, 0).await
+}
+
+fn contacts_of(batch: &ReadBatch) -> Vec<ContactRecord> {
+    batch
+        .records
+        .iter()
+        .filter_map(|entry| {
+            Some(ContactRecord {
+                offset: entry.offset,
+                time_ms: entry.time_ms,
+                address: entry.data.parse().ok()?,
+            })
+        })
+        .collect()
 }
 
 fn stored(entries: Vec<LogEntry>) -> Vec<StoredRecord> {
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -6,7 +6,10 @@
     sync::{Action, ConfigSync, Input, PeerDigest, RecordPush},
     tracker::AppendTracker,
 };
-use jayrack_membership::MemberView;
+use jayrack_membership::{
+    MemberView,
+    contacts::{self, ContactCore},
+};
 use jayrack_protocol::{MemberId, ResultCode};
 use rand_pcg::{Pcg64, rand_core::SeedableRng};
 use tokio::sync::mpsc;
@@ -74,6 +77,7 @@
     servers: Vec<LocalServer>,
     published: AppliedMark,
     table_is_stale: bool,
+    contacts: ContactCore,
 }
 
 /// What was last told to gossip about the configuration.
@@ -98,6 +102,11 @@
             view: Arc::new(MemberView::default()),
             log_is_up: false,
             rng: Pcg64::seed_from_u64(parts.seed),
+            contacts: ContactCore::new(
+                parts.settings.listen.gossip,
+                parts.seed,
+                parts.clock.now_ms(),
+            ),
             report_cache: None,
             report_waiters: Vec::new(),
             registry: ServerRegistry::new(parts.settings.timeouts.announce_ms),
@@ -114,6 +123,7 @@
         self.registry.expire(now_ms);
         self.publish_servers(edges);
         self.step(edges, Input::Tick);
+        self.contact_step(edges, contacts::Input::Tick);
         self.operations.expire(now_ms, self.parts.sync.state());
         if std::mem::take(&mut self.table_is_stale) {
             publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
@@ -128,6 +138,7 @@
                 self.step(edges, input);
             }
             ControlEvent::Peer(input) => self.step(edges, input),
+            ControlEvent::Contacts(input) => self.contact_step(edges, input),
             ControlEvent::Gathered(gathered) => self.gathered(gathered),
             ControlEvent::Appended { record, result } => self.appended(&record, result),
         }
@@ -175,6 +186,8 @@
         self.budget.resize(self.view.alive().count(), now_ms);
         publish::publish_peers(&self.parts.shared, &self.view);
         self.table_is_stale = true;
+        let standing = contacts::standing(&self.view, self.parts.shared.local);
+        self.contact_step(edges, contacts::Input::Standing(standing));
         self.step(edges, Input::Members(publish::fleet_members(&self.view)));
     }
 
@@ -193,6 +206,25 @@
         self.step(edges, input);
     }
 
+    /// Hands one input to the state machine of contacts and carries out what it wants.
+    fn contact_step(&mut self, edges: &DaemonEdges, input: contacts::Input) {
+        let now_ms = self.now_ms();
+        for action in self.contacts.handle(now_ms, input) {
+            match action {
+                contacts::Action::Read => self.parts.log.read_contacts(),
+                contacts::Action::Seeds(seeds) => edges.gossip.seeds(seeds),
+                contacts::Action::Append(address) => self.append_contact(edges, address),
+            }
+        }
+    }
+
+    fn append_contact(&mut self, edges: &DaemonEdges, address: std::net::SocketAddr) {
+        match self.budget.charge(self.now_ms()) {
+            Ok(()) => self.parts.log.append_contact(address),
+            Err(_) => self.contact_step(edges, contacts::Input::Failed),
+        }
+    }
+
     /// Milliseconds of the daemon's clock.
     pub(super) fn now_ms(&self) -> u64 {
         self.parts.clock.now_ms()
