--- a/jayrackd/src/control/start.rs
+++ b/jayrackd/src/control/start.rs
@@ -146,6 +146,7 @@
         .timeouts(timeouts)
         .worker_threads(settings.traffic_threads)
         .seed(seed)
+        .policy(settings.policy)
         .clock(clock);
     traffic::start(options, shared, sync_calls)
         .await
--- a/jayrackd/src/ingress/router.rs
+++ b/jayrackd/src/ingress/router.rs
@@ -16,13 +16,14 @@
 };
 
 use super::meta::NewIds;
-use crate::{clock, owner::answer, shared::SharedState, traffic::Options};
+use crate::{clock, owner::answer, settings::PolicyMode, shared::SharedState, traffic::Options};
 
 /// Chooses servers and keeps the budgets of the ingress.
 #[derive(Debug)]
 pub(crate) struct IngressRouter {
     core: Mutex<RouterCore>,
     shared: Arc<SharedState>,
+    policy: PolicyMode,
 }
 
 #[derive(Debug)]
@@ -30,6 +31,8 @@
     picker: ServerPicker,
     budget: RetryBudget,
     levels: ShedLevels,
+    /// Counts the choices of the baseline.
+    turn: usize,
     random: Pcg64Mcg,
 }
 
@@ -52,11 +55,13 @@
         Self {
             core: Mutex::new(RouterCore {
                 picker: ServerPicker::new(picker_options, seed),
-                budget: RetryBudget::new(retry::Options::default()),
+                budget: RetryBudget::new(budget_options(options.policy)),
                 levels: ShedLevels::new(),
+                turn: 0,
                 random: Pcg64Mcg::seed_from_u64(seed.wrapping_add(clock::unix_ms())),
             }),
             shared,
+            policy: options.policy,
         }
     }
 
@@ -72,7 +77,7 @@
 
     /// Refuses a customer request's first request when the owners are too busy for its rank.
     pub(super) fn check_level(&self, now_ms: u64, head: &RequestHead) -> Result<(), ResultCode> {
-        if head.depth > 0 {
+        if head.depth > 0 || self.policy == PolicyMode::Fifo {
             return Ok(());
         }
         let entry = EntryRequest {
@@ -97,6 +102,9 @@
         excluded: &[String],
         rank: u32,
     ) -> Option<Arc<ServerEntry>> {
+        if self.policy == PolicyMode::Fifo {
+            return self.next_in_turn(candidates, excluded);
+        }
         let context = PickContext {
             data_centre: &self.shared.data_centre,
             region: &self.shared.region,
@@ -107,6 +115,20 @@
         candidates.get(index).cloned()
     }
 
+    /// The next server in turn, for the baseline.
+    fn next_in_turn(
+        &self,
+        candidates: &[Arc<ServerEntry>],
+        excluded: &[String],
+    ) -> Option<Arc<ServerEntry>> {
+        let is_free = |server: &&Arc<ServerEntry>| !excluded.contains(&server.name);
+        let free: Vec<&Arc<ServerEntry>> = candidates.iter().filter(is_free).collect();
+        let mut core = self.lock();
+        core.turn = core.turn.wrapping_add(1);
+        free.get(core.turn % free.len().max(1))
+            .map(|server| (*server).clone())
+    }
+
     /// Counts a first attempt.
     pub(super) fn record_attempt(&self, now_ms: u64) {
         self.lock().budget.record_attempt(now_ms);
@@ -143,6 +165,17 @@
     }
 }
 
+/// The retry budget of a policy; the baseline retries blindly.
+fn budget_options(policy: PolicyMode) -> retry::Options {
+    match policy {
+        PolicyMode::Rank => retry::Options::default(),
+        PolicyMode::Fifo => retry::Options {
+            minimum: u32::MAX,
+            ..retry::Options::default()
+        },
+    }
+}
+
 /// Identifier of the request in `head`.
 pub(super) fn id_of(head: &RequestHead) -> RequestId {
     RequestId::from_halves(head.request_high, head.request_low)
--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     backend::BackendPool,
+    settings::PolicyMode,
     shared::LocalServer,
     traffic::{Options, TrafficState},
     transport::{
@@ -141,6 +142,9 @@
 }
 
 fn class_of(state: &TrafficState, head: &RequestHead) -> RequestClass {
+    if state.options.policy == PolicyMode::Fifo {
+        return fifo_class(state.clock.now_ms(), head);
+    }
     RequestClass {
         rank: u8::try_from(head.rank).unwrap_or(u8::MAX),
         floor_percent: u8::try_from(head.floor_percent).unwrap_or(0),
@@ -153,6 +157,21 @@
     }
 }
 
+/// The class of all requests in the baseline, so that they are served in the order of arrival.
+fn fifo_class(now_ms: u64, head: &RequestHead) -> RequestClass {
+    const PATIENCE_MS: u64 = 3_600_000;
+    RequestClass {
+        rank: 0,
+        floor_percent: 0,
+        kind: String::new(),
+        customer: String::new(),
+        customer_request: 0,
+        depth: 0,
+        deadline_ms: now_ms + PATIENCE_MS,
+        idempotent: head.idempotent,
+    }
+}
+
 /// The answer to a request that arrived a second time.
 fn known(outcome: Outcome<Arc<StoredAnswer>>) -> OwnerAnswer {
     match outcome {
--- a/jayrackd/src/traffic/options.rs
+++ b/jayrackd/src/traffic/options.rs
@@ -1,7 +1,7 @@
 //! Settings of the traffic threads.
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{clock::DaemonClock, transport::TlsOptions};
+use crate::{clock::DaemonClock, settings::PolicyMode, transport::TlsOptions};
 
 /// Sizes that bound the memory of the traffic threads.
 #[derive(Debug, Clone)]
@@ -115,6 +115,7 @@
     pub(crate) timeouts: Timeouts,
     pub(crate) worker_threads: usize,
     pub(crate) seed: u64,
+    pub(crate) policy: PolicyMode,
     pub(crate) claims: ClaimOptions,
     pub(crate) clock: DaemonClock,
     pub(crate) claims_known_since_ms: Option<u64>,
@@ -131,6 +132,7 @@
             timeouts: Timeouts::default(),
             worker_threads: 2,
             seed: 0,
+            policy: PolicyMode::default(),
             claims: ClaimOptions::default(),
             clock: DaemonClock::start(),
             claims_known_since_ms: None,
@@ -173,6 +175,13 @@
         self
     }
 
+    /// Sets how work is ordered and retried.
+    #[must_use]
+    pub fn policy(mut self, policy: PolicyMode) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Sets the number of worker threads.
     #[must_use]
     pub fn worker_threads(mut self, worker_threads: usize) -> Self {
