--- a/jayrack-burn/src/chart.rs
+++ b/jayrack-burn/src/chart.rs
@@ -9,12 +9,9 @@
 /// Width of the picture, in pixels.
 pub const WIDTH_PX: u32 = 340;
 
-const ROW_PX: u32 = 44;
-const BAR_PX: i32 = 8;
-const MARGIN_PX: i32 = 4;
-
-/// Most objectives drawn; the rest stand in the table below the picture.
-pub const MAX_ROWS: usize = 12;
+const BAR_PX: i32 = 6;
+const GAP_PX: i32 = 2;
+const HEIGHT_PX: u32 = (BAR_PX + GAP_PX) as u32 * WindowLength::ALL.len() as u32;
 
 /// Why a picture could not be drawn.
 #[derive(Debug)]
@@ -28,15 +25,13 @@
 
 impl std::error::Error for Error {}
 
-/// Draws one group of bars per objective, one bar per window; full width is [`FAST_BURN`] or more.
-pub fn draw(rows: &[FleetRow]) -> Result<String, Error> {
-    let rows = &rows[..rows.len().min(MAX_ROWS)];
+/// Draws one bar per window, the shortest first; full width is a burn of [`FAST_BURN`] or more.
+pub fn draw(row: &FleetRow) -> Result<String, Error> {
     let mut svg = String::new();
-    let height_px = ROW_PX * rows.len().max(1) as u32;
     {
-        let area = SVGBackend::with_string(&mut svg, (WIDTH_PX, height_px)).into_drawing_area();
-        for (index, row) in rows.iter().enumerate() {
-            draw_row(&area, index as i32 * ROW_PX as i32, row)?;
+        let area = SVGBackend::with_string(&mut svg, (WIDTH_PX, HEIGHT_PX)).into_drawing_area();
+        for (index, burn) in row.windows.iter().enumerate() {
+            draw_bar(&area, index as i32 * (BAR_PX + GAP_PX), burn.rate)?;
         }
         area.present().map_err(|error| Error(error.to_string()))?;
     }
@@ -45,23 +40,16 @@
 
 type SvgArea<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
 
-fn draw_row(area: &SvgArea<'_>, top: i32, row: &FleetRow) -> Result<(), Error> {
-    for (index, burn) in row.windows.iter().enumerate() {
-        let top = top + MARGIN_PX + index as i32 * (BAR_PX + 2);
-        let share = (burn.rate / FAST_BURN).clamp(0.0, 1.0);
-        let right = (share * f64::from(WIDTH_PX)) as i32;
-        let back = Rectangle::new(
-            [(0, top), (WIDTH_PX as i32, top + BAR_PX)],
-            RGBColor(235, 235, 235).filled(),
-        );
-        let bar = Rectangle::new(
-            [(0, top), (right, top + BAR_PX)],
-            color_of(burn.rate).filled(),
-        );
-        area.draw(&back).map_err(|error| Error(error.to_string()))?;
-        area.draw(&bar).map_err(|error| Error(error.to_string()))?;
-    }
-    debug_assert!(row.windows.len() <= WindowLength::ALL.len());
+fn draw_bar(area: &SvgArea<'_>, top: i32, rate: f64) -> Result<(), Error> {
+    let share = (rate / FAST_BURN).clamp(0.0, 1.0);
+    let right = (share * f64::from(WIDTH_PX)) as i32;
+    let back = Rectangle::new(
+        [(0, top), (WIDTH_PX as i32, top + BAR_PX)],
+        RGBColor(235, 235, 235).filled(),
+    );
+    let bar = Rectangle::new([(0, top), (right, top + BAR_PX)], color_of(rate).filled());
+    area.draw(&back).map_err(|error| Error(error.to_string()))?;
+    area.draw(&bar).map_err(|error| Error(error.to_string()))?;
     Ok(())
 }
 
--- a/jayrack-burn/src/page.rs
+++ b/jayrack-burn/src/page.rs
@@ -12,6 +12,9 @@
 /// Most rows of each list; what is left out is counted.
 pub const MAX_ROWS: usize = 40;
 
+/// Most objectives with a picture; the others stand in the table.
+pub const MAX_PICTURES: usize = 6;
+
 /// Most open plans shown whole.
 pub const MAX_PLANS: usize = 12;
 
@@ -93,23 +96,27 @@
     match burning {
         0 => page.push_str("<h1 class=\"met\">Nothing burns</h1>"),
         count => {
-            let _ = write!(page, "<h1 class=\"burning\">{count} objectives burn</h1>");
-        }
-    }
-    if !content.burn.is_empty() {
-        page.push_str("<p>");
-        for row in content.burn.iter().take(chart::MAX_ROWS) {
-            let class = class_of(row.state);
-            let names = format!("{} / {}", row.service, row.rank);
             let _ = write!(
                 page,
-                "<span class=\"{class}\">{}: {}</span><br>",
-                escape(&names),
-                row.state.name()
+                "<h1 class=\"burning\">Burning: {}</h1>",
+                counted(count, "objective")
             );
         }
+    }
+    for row in content.burn.iter().take(MAX_PICTURES) {
+        let class = class_of(row.state);
+        let names = format!("{} / {}", row.service, row.rank);
+        let _ = write!(
+            page,
+            "<p class=\"{class}\">{}: {}<br>",
+            escape(&names),
+            row.state.name()
+        );
+        page.push_str(&chart::draw(row).unwrap_or_default());
         page.push_str("</p>");
-        page.push_str(&chart::draw(&content.burn).unwrap_or_default());
+    }
+    if !content.burn.is_empty() {
+        page.push_str("<small>Bars: 5 minutes, 1 hour, 6 hours, 3 days; a full bar is a burn of 14.4.</small>");
     }
     if !content.missing.is_empty() {
         let _ = write!(
@@ -143,7 +150,11 @@
 }
 
 fn push_plans(page: &mut String, content: &PageContent) {
-    let _ = write!(page, "<h2>{} open plans</h2>", content.plans.len());
+    let _ = write!(
+        page,
+        "<h2>{}</h2>",
+        counted(content.plans.len(), "open plan")
+    );
     for plan in content.plans.iter().take(MAX_PLANS) {
         push_plan(page, plan, content.may_change);
     }
@@ -227,6 +238,14 @@
     }
 }
 
+/// The number with its noun, in the plural where it is needed.
+fn counted(count: usize, noun: &str) -> String {
+    match count {
+        1 => format!("1 {noun}"),
+        count => format!("{count} {noun}s"),
+    }
+}
+
 /// Replaces the characters that have a meaning in HTML.
 fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
