--- a/jayrack-protocol/src/code.rs
+++ b/jayrack-protocol/src/code.rs
@@ -5,7 +5,7 @@
 macro_rules! result_codes {
     ($($number:literal $name:ident $meaning:literal,)*) => {
         /// A numbered outcome; each keeps its number in all later releases.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub enum ResultCode {
             $(#[doc = $meaning] $name,)*
         }
@@ -68,6 +68,7 @@
     304 RecordInvalid "A log record does not validate and was applied nowhere.",
     305 DigestDiverged "Two daemons have different state digests for the same version.",
     306 SnapshotInvalid "A snapshot cannot be read.",
+    307 LogMalformed "The platform log refused a request or gave an answer that cannot be read.",
     400 NotReady "The daemon has not caught up with the configuration yet.",
     401 DatagramRejected "A datagram was not authentic or not well formed.",
     402 AnnouncementInvalid "A backend server's announcement does not validate.",
@@ -86,9 +87,11 @@
     512 KeyInProgress "A request with this Idempotency-Key is still running; this repeat was not run.",
     513 Cancelled "The caller went away before the request ran; not run.",
     514 HeadTimeout "The request's head did not arrive in time; not run.",
+    515 BodyTimeout "The request's body did not arrive in time; not run.",
     600 OutcomeUnknown "It cannot be known whether the request ran.",
     601 ServerFailed "The backend server took the request and failed.",
     602 DeadlineExceeded "The deadline passed while the request ran.",
+    603 AnswerLost "The request ran, but its answer is too large to be sent a second time.",
 }
 
 impl ResultCode {
--- /dev/null
+++ b/jayrack-traffic/src/pick.rs
@@ -0,0 +1,343 @@
+//! The choice of a backend server.
+use std::{collections::BTreeMap, sync::Arc};
+
+use jayrack_config::table::ServerEntry;
+use jayrack_protocol::{MemberId, id::rendezvous_weight};
+use rand_pcg::{
+    Pcg64Mcg,
+    rand_core::{Rng, SeedableRng},
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::admission::LoadLevel;
+
+/// One whole in the fixed-point averages.
+const SCALE: u64 = 1_024;
+/// Part of the subset that is kept for other data centres, as a divisor.
+const FAR_PART: usize = 4;
+/// Latency assumed of a server that has not answered yet, in microseconds.
+const UNSEEN_LATENCY_US: u64 = 1_000;
+/// Least latency that counts, in microseconds, so that load decides among fast servers.
+const LEAST_LATENCY_US: u64 = 100;
+/// Weight of a new observation in an average, as a shift.
+const AVERAGE_SHIFT: u32 = 3;
+
+/// Settings of a [`ServerPicker`].
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Identifies this daemon, so that daemons prefer different servers.
+    pub local: u64,
+    /// Greatest number of servers of one service that are used at a time.
+    pub max_servers: usize,
+    /// Age at which reported load no longer counts, in milliseconds.
+    pub load_age_ms: u64,
+    /// First pause after a failure, in milliseconds; it doubles with each further one.
+    pub backoff_ms: u64,
+    /// Longest pause after failures, in milliseconds.
+    pub max_backoff_ms: u64,
+    /// Cost added to servers of another data centre, in microseconds.
+    pub data_centre_cost_us: u64,
+    /// Cost added to servers of another region, in microseconds.
+    pub region_cost_us: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            local: 0,
+            max_servers: 8,
+            load_age_ms: 1_000,
+            backoff_ms: 200,
+            max_backoff_ms: 5_000,
+            data_centre_cost_us: 5_000,
+            region_cost_us: 100_000,
+        }
+    }
+}
+
+/// Where a request starts and which servers it must not use again.
+#[derive(Debug, Clone)]
+pub struct PickContext<'a> {
+    /// Data centre of this daemon.
+    pub data_centre: &'a str,
+    /// Region of this daemon.
+    pub region: &'a str,
+    /// Names of the servers tried before.
+    pub excluded: &'a [String],
+    /// Position of the request's rank.
+    pub rank: u8,
+}
+
+/// How a request at a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PickResult {
+    /// The backend server answered.
+    Ok,
+    /// The owner refused it in favour of other work or because it drains.
+    Refused,
+    /// The backend server failed.
+    Failed,
+    /// The owner was silent or its connection broke.
+    Lost,
+}
+
+/// What was seen of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FinishReport {
+    /// Time from sending to the end, in microseconds.
+    pub latency_us: u64,
+    /// How it ended.
+    pub result: PickResult,
+    /// Load that came with the answer.
+    pub load: Option<LoadLevel>,
+}
+
+#[derive(Debug, Default)]
+struct ServerStats {
+    in_flight: u32,
+    latency_us: u64,
+    refused: u64,
+    failures: u32,
+    resume_ms: u64,
+    load: Option<LoadLevel>,
+    load_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct CostedServer {
+    index: usize,
+    cost: u64,
+}
+
+/// Chooses servers by the better of two random candidates.
+///
+/// Servers of the same data centre come first; those of others are used when they cost less, their
+/// distance included.
+#[derive(Debug)]
+pub struct ServerPicker {
+    options: Options,
+    random: Pcg64Mcg,
+    stats: BTreeMap<String, ServerStats>,
+}
+
+impl ServerPicker {
+    /// Creates a picker without observations; `seed` determines all its choices.
+    pub fn new(options: Options, seed: u64) -> Self {
+        Self {
+            options,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            stats: BTreeMap::new(),
+        }
+    }
+
+    /// Chooses one of `candidates`, or none if all drain or are excluded.
+    pub fn pick(
+        &mut self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        context: &PickContext<'_>,
+    ) -> Option<usize> {
+        let usable = self.usable(now_ms, candidates, context);
+        let (near, far): (Vec<usize>, Vec<usize>) = usable
+            .into_iter()
+            .partition(|index| candidates[*index].data_centre == context.data_centre);
+        let near = self.better_of_two(now_ms, candidates, &near, context);
+        let far = self.better_of_two(now_ms, candidates, &far, context);
+        let choice = match (near, far) {
+            (Some(near), Some(far)) if far.cost < near.cost => Some(far),
+            (near, far) => near.or(far),
+        };
+        choice.map(|choice| choice.index)
+    }
+
+    /// Notes that a request was sent to `server`.
+    pub fn started(&mut self, _now_ms: u64, server: &str) {
+        self.stats_mut(server).in_flight += 1;
+    }
+
+    /// Notes how a request that was started ended.
+    pub fn finished(&mut self, now_ms: u64, server: &str, report: &FinishReport) {
+        let options = self.options.clone();
+        let stats = self.stats_mut(server);
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        stats.observe(now_ms, report, &options);
+        if report.load.is_some() {
+            stats.load = report.load;
+            stats.load_ms = now_ms;
+        }
+    }
+
+    /// Forgets the servers that are not among `names`.
+    pub fn retain(&mut self, names: &std::collections::BTreeSet<&str>) {
+        self.stats.retain(|name, _| names.contains(name.as_str()));
+    }
+
+    fn stats_mut(&mut self, server: &str) -> &mut ServerStats {
+        if !self.stats.contains_key(server) {
+            self.stats
+                .insert(server.to_string(), ServerStats::default());
+        }
+        self.stats.get_mut(server).expect("inserted above")
+    }
+
+    /// Servers of this daemon's subset that may take work; paused ones only if there are no others.
+    fn usable(
+        &self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        context: &PickContext<'_>,
+    ) -> Vec<usize> {
+        let is_open = |index: &usize| {
+            let server = &candidates[*index];
+            !server.draining && !context.excluded.contains(&server.name)
+        };
+        let mut usable: Vec<usize> = (0..candidates.len()).filter(is_open).collect();
+        if usable.len() > self.options.max_servers {
+            self.keep_subset(candidates, context, &mut usable);
+        }
+        let is_paused = |index: &usize| self.is_paused(now_ms, &candidates[*index].name);
+        if !usable.iter().all(is_paused) {
+            usable.retain(|index| !is_paused(index));
+        }
+        usable
+    }
+
+    /// Keeps the servers with the highest rendezvous weight, most of them in this data centre.
+    fn keep_subset(
+        &self,
+        candidates: &[Arc<ServerEntry>],
+        context: &PickContext<'_>,
+        usable: &mut Vec<usize>,
+    ) {
+        usable.sort_by_cached_key(|index| {
+            let key = xxh3_64(candidates[*index].name.as_bytes());
+            std::cmp::Reverse(rendezvous_weight(key, MemberId(self.options.local)))
+        });
+        let is_near = |index: &usize| candidates[*index].data_centre == context.data_centre;
+        let near = usable.iter().filter(|index| is_near(index)).count();
+        let max_near = self.options.max_servers - self.options.max_servers / FAR_PART;
+        let mut near_left = near.min(max_near);
+        let mut far_left = self.options.max_servers - near_left;
+        usable.retain(|index| {
+            let left = if is_near(index) {
+                &mut near_left
+            } else {
+                &mut far_left
+            };
+            let is_kept = *left > 0;
+            *left = left.saturating_sub(1);
+            is_kept
+        });
+    }
+
+    fn better_of_two(
+        &mut self,
+        now_ms: u64,
+        candidates: &[Arc<ServerEntry>],
+        pool: &[usize],
+        context: &PickContext<'_>,
+    ) -> Option<CostedServer> {
+        let [first, second] = [self.draw(pool)?, self.draw(pool)?].map(|index| CostedServer {
+            index,
+            cost: self.cost(now_ms, &candidates[index], context),
+        });
+        Some(if second.cost < first.cost {
+            second
+        } else {
+            first
+        })
+    }
+
+    fn is_paused(&self, now_ms: u64, server: &str) -> bool {
+        self.stats
+            .get(server)
+            .is_some_and(|stats| now_ms < stats.resume_ms)
+    }
+
+    fn draw(&mut self, pool: &[usize]) -> Option<usize> {
+        if pool.is_empty() {
+            return None;
+        }
+        let place = self.random.next_u64() % pool.len() as u64;
+        pool.get(place as usize).copied()
+    }
+
+    fn cost(&self, now_ms: u64, server: &ServerEntry, context: &PickContext<'_>) -> u64 {
+        let distance_us = if server.data_centre == context.data_centre {
+            0
+        } else if server.region == context.region {
+            self.options.data_centre_cost_us
+        } else {
+            self.options.region_cost_us
+        };
+        let warm = u64::from(server.warm_percent.clamp(1, 100));
+        let slots = u64::from(server.slots.max(1)) * warm;
+        let Some(stats) = self.stats.get(&server.name) else {
+            return distance_us + UNSEEN_LATENCY_US * 100 / slots;
+        };
+        let queued = stats.queue(now_ms, &self.options) + 1;
+        let latency_us = if stats.latency_us == 0 {
+            UNSEEN_LATENCY_US
+        } else {
+            stats.latency_us
+        };
+        let load_us = latency_us.max(LEAST_LATENCY_US) * queued * 100 / slots;
+        let refused = stats.refused * 4 + stats.shed_share(now_ms, context.rank, &self.options);
+        distance_us + load_us * (SCALE + refused) / SCALE
+    }
+}
+
+impl ServerStats {
+    /// Requests believed to be at the server.
+    fn queue(&self, now_ms: u64, options: &Options) -> u64 {
+        let own = u64::from(self.in_flight);
+        match self.load {
+            Some(load) if now_ms.saturating_sub(self.load_ms) < options.load_age_ms => {
+                own.max(u64::from(load.running + load.queued))
+            }
+            _ => own,
+        }
+    }
+
+    /// Share of the rank's requests that the owner asked to be refused, in parts of [`SCALE`].
+    fn shed_share(&self, now_ms: u64, rank: u8, options: &Options) -> u64 {
+        match self.load {
+            Some(load) if now_ms.saturating_sub(self.load_ms) < options.load_age_ms => {
+                (u64::from(load.refused_share(rank)) * SCALE) >> 16
+            }
+            _ => 0,
+        }
+    }
+
+    fn observe(&mut self, now_ms: u64, report: &FinishReport, options: &Options) {
+        let latency_us = report.latency_us;
+        match report.result {
+            PickResult::Ok | PickResult::Failed => {
+                self.latency_us = average(self.latency_us, latency_us)
+            }
+            PickResult::Refused | PickResult::Lost => {}
+        }
+        match report.result {
+            PickResult::Ok => {
+                self.failures = 0;
+                self.refused = average(self.refused, 0);
+            }
+            PickResult::Refused => {
+                self.failures = 0;
+                self.refused = average(self.refused, SCALE);
+            }
+            PickResult::Failed | PickResult::Lost => {
+                let pause_ms = options.backoff_ms << self.failures.min(16);
+                self.failures += 1;
+                self.resume_ms = now_ms + pause_ms.min(options.max_backoff_ms);
+            }
+        }
+    }
+}
+
+fn average(old: u64, new: u64) -> u64 {
+    if old == 0 {
+        return new;
+    }
+    old - (old >> AVERAGE_SHIFT) + (new >> AVERAGE_SHIFT)
+}
