fix(membership): late changes do not bring a leaving daemon back

A change of servers or readiness after the departure was announced stored the daemon as alive again and spread its record. A test of the departure followed by such changes failed before.

--- a/jayrack-membership/src/core/applied.rs
+++ b/jayrack-membership/src/core/applied.rs
@@ -8,7 +8,7 @@
 };
 use xxhash_rust::xxh3::Xxh3;
 
-use super::MembershipCore;
+use super::{Action, MembershipCore};
 use crate::{
     digest::{BUCKETS, bucket_of, bucket_range},
     updates::UpdateKey,
@@ -22,6 +22,7 @@
 /// Bytes of a report besides its rows.
 pub(super) const REPORT_BYTES: usize = 24;
 
+const APPLIED_INTERVAL_MS: u64 = 1_000;
 /// Transmissions of a row that only repeats what others should know.
 const REPEATS: u32 = 2;
 
@@ -32,6 +33,18 @@
 }
 
 impl MembershipCore {
+    pub(super) fn tick_applied(&mut self, now_ms: u64) {
+        if now_ms < self.schedule.next_applied_ms {
+            return;
+        }
+        self.schedule.next_applied_ms = now_ms + APPLIED_INTERVAL_MS;
+        self.question_applied();
+        self.spread_applied(now_ms);
+        if std::mem::take(&mut self.is_applied_changed) {
+            self.actions.push(Action::Changed);
+        }
+    }
+
     /// Raises the version known in force at a member, in the view and in the memory of its address.
     pub(super) fn raise_applied(&mut self, now_ms: u64, id: MemberId, version: u64) {
         let Some(entry) = self.view.members.get_mut(&id) else {
--- a/jayrack-membership/src/core/merge.rs
+++ b/jayrack-membership/src/core/merge.rs
@@ -88,7 +88,7 @@
     }
 
     fn merge_own_record(&mut self, now_ms: u64, record: &MemberRecord) {
-        if record.age() > self.local.age() {
+        if record.age() > self.local.age() && !self.is_departing() {
             self.raise_incarnation(now_ms, record.incarnation);
         }
     }
--- a/jayrack-membership/src/core/probe.rs
+++ b/jayrack-membership/src/core/probe.rs
@@ -1,68 +1,38 @@
 //! Failure detection.
-use std::net::SocketAddr;
-
 use jayrack_protocol::{
     MemberId,
-    gossip::{Ack, Nack, Ping, PingRequest, datagram::Body},
+    gossip::{Ping, PingRequest, datagram::Body},
 };
 use rand_pcg::rand_core::Rng;
 
-use super::{MembershipCore, TICK_INTERVAL_MS};
+use super::{MembershipCore, health::SelfDoubt, relay::RelayedProbe};
 use crate::view::MemberStatus;
 
-/// Highest value of the local health factor.
-const MAX_HEALTH_FACTOR: u64 = 8;
 /// One probe in this many goes to another data centre.
 const FAR_PROBE_EVERY: u32 = 5;
-/// Time between two ticks that counts as a pause of this daemon, in milliseconds.
-const PAUSE_MS: u64 = 1_000;
-/// Time between two ticks that is not made up for, in milliseconds.
-const GAP_TOLERANCE_MS: u64 = 150;
-/// Probes that must be answered after a pause before this daemon rules on others again.
-const ANSWERS_TO_TRUST: u32 = 2;
-/// Unanswered probes after which a paused daemon rules on others again all the same.
-const FAILURES_TO_TRUST: u32 = 30;
-/// Probes on behalf of others that are kept at once.
-const MAX_RELAYS: usize = 64;
 
 /// A probe that this daemon waits for.
 #[derive(Debug)]
-struct Outstanding {
-    target: MemberId,
-    nonce: u32,
-    ack_deadline_ms: u64,
-    end_deadline_ms: u64,
-    has_asked_helpers: bool,
-    nacks_expected: usize,
-}
-
-/// A probe made for another member.
-#[derive(Debug)]
-struct Relay {
-    nonce: u32,
-    requester: SocketAddr,
-    requester_nonce: u32,
-    deadline_ms: u64,
+pub(super) struct Outstanding {
+    pub(super) target: MemberId,
+    pub(super) nonce: u32,
+    pub(super) ack_deadline_ms: u64,
+    pub(super) end_deadline_ms: u64,
+    pub(super) has_asked_helpers: bool,
+    pub(super) nacks_expected: usize,
 }
 
 /// State of failure detection.
 #[derive(Debug)]
 pub(super) struct ProbeState {
-    near: Vec<MemberId>,
-    far: Vec<MemberId>,
-    count: u32,
-    next_probe_ms: u64,
-    outstanding: Option<Outstanding>,
-    relays: Vec<Relay>,
-    health_factor: u64,
-    doubt: Option<SelfDoubt>,
-}
-
-/// What is missing until a daemon that was paused rules on others again.
-#[derive(Debug)]
-struct SelfDoubt {
-    answers_left: u32,
-    failures_left: u32,
+    pub(super) near: Vec<MemberId>,
+    pub(super) far: Vec<MemberId>,
+    pub(super) count: u32,
+    pub(super) next_probe_ms: u64,
+    pub(super) outstanding: Option<Outstanding>,
+    pub(super) relays: Vec<RelayedProbe>,
+    pub(super) health_factor: u64,
+    pub(super) doubt: Option<SelfDoubt>,
 }
 
 impl ProbeState {
@@ -79,38 +49,6 @@
         }
     }
 
-    fn is_trusted(&self) -> bool {
-        self.doubt.is_none()
-    }
-
-    fn count_answer(&mut self) {
-        if let Some(doubt) = &mut self.doubt {
-            doubt.answers_left = doubt.answers_left.saturating_sub(1);
-        }
-        self.end_doubt();
-    }
-
-    fn count_failure(&mut self) {
-        if let Some(doubt) = &mut self.doubt {
-            doubt.failures_left = doubt.failures_left.saturating_sub(1);
-        }
-        self.end_doubt();
-    }
-
-    fn end_doubt(&mut self) {
-        let is_over = |doubt: &mut SelfDoubt| doubt.answers_left == 0 || doubt.failures_left == 0;
-        self.doubt.take_if(is_over);
-    }
-
-    /// Counts evidence that this daemon itself is slow or cut off.
-    pub(super) fn doubt_self(&mut self) {
-        self.health_factor = (self.health_factor + 1).min(MAX_HEALTH_FACTOR);
-    }
-
-    fn trust_self(&mut self) {
-        self.health_factor = self.health_factor.saturating_sub(1);
-    }
-
     pub(super) fn note_nack(&mut self, nonce: u32) {
         if let Some(probe) = &mut self.outstanding
             && probe.nonce == nonce
@@ -158,38 +96,6 @@
         self.probe.count_failure();
     }
 
-    /// Makes up for time in which this daemon did not run.
-    pub(super) fn note_gap(&mut self, now_ms: u64, gap_ms: u64) {
-        let lost_ms = gap_ms.saturating_sub(TICK_INTERVAL_MS + GAP_TOLERANCE_MS);
-        if lost_ms == 0 {
-            return;
-        }
-        self.probe.doubt_self();
-        for suspicion in self.suspicions.values_mut() {
-            suspicion.extend(lost_ms);
-        }
-        if let Some(probe) = &mut self.probe.outstanding {
-            probe.ack_deadline_ms += lost_ms;
-            probe.end_deadline_ms += lost_ms;
-        }
-        if gap_ms >= PAUSE_MS {
-            self.wake(now_ms);
-        }
-    }
-
-    fn wake(&mut self, now_ms: u64) {
-        self.probe.outstanding = None;
-        self.probe.relays.clear();
-        self.probe.next_probe_ms = now_ms;
-        self.probe.doubt = Some(SelfDoubt {
-            answers_left: ANSWERS_TO_TRUST,
-            failures_left: FAILURES_TO_TRUST,
-        });
-        if !self.is_departing() {
-            self.raise_incarnation(now_ms, 0);
-        }
-    }
-
     fn start_probe(&mut self, now_ms: u64) {
         let factor = self.probe.health_factor + 1;
         let interval_ms = self.probe_interval_ms();
@@ -279,45 +185,9 @@
         }
     }
 
-    pub(super) fn relay_probe(&mut self, now_ms: u64, from: SocketAddr, request: &PingRequest) {
-        let Some(entry) = self.view.get(MemberId(request.target)) else {
-            return;
-        };
-        let to = entry.record.gossip_address;
-        if self.probe.relays.len() >= MAX_RELAYS {
-            return;
-        }
-        let nonce = self.rng.next_u32();
-        self.probe.relays.push(Relay {
-            nonce,
-            requester: from,
-            requester_nonce: request.nonce,
-            deadline_ms: now_ms + self.options.ack_timeout_ms,
-        });
-        self.send(now_ms, to, Some(Body::Ping(Ping { nonce })));
-    }
-
-    fn answer_relays(&mut self, now_ms: u64) {
-        let relays = std::mem::take(&mut self.probe.relays);
-        let (due, kept) = relays.into_iter().partition(|r| now_ms >= r.deadline_ms);
-        self.probe.relays = kept;
-        let due: Vec<Relay> = due;
-        for relay in due {
-            let nack = Nack {
-                nonce: relay.requester_nonce,
-            };
-            self.send(now_ms, relay.requester, Some(Body::Nack(nack)));
-        }
-    }
-
     pub(super) fn receive_ack(&mut self, now_ms: u64, nonce: u32) {
-        let relays = &mut self.probe.relays;
-        if let Some(index) = relays.iter().position(|relay| relay.nonce == nonce) {
-            let relay = relays.swap_remove(index);
-            let ack = Ack {
-                nonce: relay.requester_nonce,
-            };
-            return self.send(now_ms, relay.requester, Some(Body::Ack(ack)));
+        if self.finish_relay(now_ms, nonce) {
+            return;
         }
         let is_awaited = |probe: &mut Outstanding| probe.nonce == nonce;
         if self.probe.outstanding.take_if(is_awaited).is_some() {
--- /dev/null
+++ b/jayrack-membership/src/core/relay.rs
@@ -0,0 +1,69 @@
+//! Probes on behalf of other members.
+use std::net::SocketAddr;
+
+use jayrack_protocol::{
+    MemberId,
+    gossip::{Ack, Nack, Ping, PingRequest, datagram::Body},
+};
+use rand_pcg::rand_core::Rng;
+
+use super::MembershipCore;
+
+/// Probes on behalf of others that are kept at once.
+const MAX_RELAYS: usize = 64;
+
+/// A probe made for another member.
+#[derive(Debug)]
+pub(super) struct RelayedProbe {
+    nonce: u32,
+    requester: SocketAddr,
+    requester_nonce: u32,
+    deadline_ms: u64,
+}
+
+impl MembershipCore {
+    pub(super) fn relay_probe(&mut self, now_ms: u64, from: SocketAddr, request: &PingRequest) {
+        let Some(entry) = self.view.get(MemberId(request.target)) else {
+            return;
+        };
+        let to = entry.record.gossip_address;
+        if self.probe.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let nonce = self.rng.next_u32();
+        self.probe.relays.push(RelayedProbe {
+            nonce,
+            requester: from,
+            requester_nonce: request.nonce,
+            deadline_ms: now_ms + self.options.ack_timeout_ms,
+        });
+        self.send(now_ms, to, Some(Body::Ping(Ping { nonce })));
+    }
+
+    pub(super) fn answer_relays(&mut self, now_ms: u64) {
+        let relays = std::mem::take(&mut self.probe.relays);
+        let (due, kept) = relays.into_iter().partition(|r| now_ms >= r.deadline_ms);
+        self.probe.relays = kept;
+        let due: Vec<RelayedProbe> = due;
+        for relay in due {
+            let nack = Nack {
+                nonce: relay.requester_nonce,
+            };
+            self.send(now_ms, relay.requester, Some(Body::Nack(nack)));
+        }
+    }
+
+    /// Tells the requester of a relayed probe that its target answered; false when `nonce` is of none.
+    pub(super) fn finish_relay(&mut self, now_ms: u64, nonce: u32) -> bool {
+        let relays = &mut self.probe.relays;
+        let Some(index) = relays.iter().position(|relay| relay.nonce == nonce) else {
+            return false;
+        };
+        let relay = relays.swap_remove(index);
+        let ack = Ack {
+            nonce: relay.requester_nonce,
+        };
+        self.send(now_ms, relay.requester, Some(Body::Ack(ack)));
+        true
+    }
+}
--- a/jayrack-membership/tests/detection.rs
+++ b/jayrack-membership/tests/detection.rs
@@ -3,7 +3,7 @@
 
 use jayrack_membership::{Input, MemberStatus};
 use rstest::rstest;
-use support::{FakeNetwork, address, id, settled, status};
+use support::{FakeNetwork, address, id, server, settled, status};
 
 /// Time within which all daemons must know of a crash.
 const DETECTION_LIMIT_MS: u64 = 30_000;
@@ -149,3 +149,21 @@
     assert!(is_lower);
     assert!(network.run_until(60_000, FakeNetwork::is_agreed).is_some());
 }
+
+#[test]
+fn daemon_that_leaves_is_not_brought_back_by_late_changes() {
+    let mut network = settled(10, 12);
+    network.input(4, Input::Leave);
+    network.run_ms(200);
+
+    network.input(4, Input::Servers(vec![server("bookings-4", true)]));
+    network.input(4, Input::Ready(true));
+    network.run_ms(2_000);
+
+    assert_eq!(status(&network, 4, 4), Some(MemberStatus::Left));
+    assert!(
+        network
+            .run_until(10_000, |n| believe(n, 4, MemberStatus::Left))
+            .is_some()
+    );
+}
