--- a/jayrack-membership/src/core/merge.rs
+++ b/jayrack-membership/src/core/merge.rs
@@ -88,7 +88,7 @@
     }
 
     fn merge_own_record(&mut self, now_ms: u64, record: &MemberRecord) {
-        if record.age() > self.local.age() {
+        if record.age() > self.local.age() && !self.is_departing() {
             self.raise_incarnation(now_ms, record.incarnation);
         }
     }
@@ -100,6 +100,7 @@
             status: MemberStatus::Alive,
             since_ms: now_ms,
             applied_version: 0,
+            floor_version: self.floors.get(id).applied_version,
         };
         match self.view.get(id) {
             Some(previous) if previous.record.incarnation == entry.record.incarnation => {
@@ -113,6 +114,7 @@
                 }
                 self.suspicions.remove(&id);
                 self.updates.remove(UpdateKey::Status(id));
+                self.note_learned(now_ms);
             }
             None => {
                 self.note_learned(now_ms);
@@ -218,7 +220,7 @@
     fn suspicion_bounds(&self) -> SuspicionBounds {
         let running = self.view.members.len().max(1) as f64;
         let scale = running.log10().max(1.0) * SUSPICION_MIN_PROBES;
-        let min_ms = (scale * self.options.probe_interval_ms as f64) as u64;
+        let min_ms = (scale * self.probe_interval_ms() as f64) as u64;
         SuspicionBounds {
             min_ms,
             max_ms: min_ms * SUSPICION_MAX_FACTOR,
