--- a/jayrack-traffic/src/request.rs
+++ b/jayrack-traffic/src/request.rs
@@ -138,6 +138,7 @@
     tried: usize,
     refusal: ResultCode,
     may_have_run: bool,
+    is_known_running: bool,
     is_cancelled: bool,
 }
 
@@ -150,6 +151,7 @@
             tried: 0,
             refusal: ResultCode::OwnerUnreachable,
             may_have_run: false,
+            is_known_running: false,
             is_cancelled: false,
         }
     }
@@ -273,7 +275,10 @@
             Inquiry::Done(answer) => self.respond(Response::Fetched(answer)),
             Inquiry::NotRun(code) => self.refused(now_ms, code),
             Inquiry::Unknown(code) => self.uncertain(now_ms, code),
-            Inquiry::InProgress => self.pause(now_ms, server),
+            Inquiry::InProgress => {
+                self.is_known_running = true;
+                self.pause(now_ms, server)
+            }
         }
     }
 
@@ -312,8 +317,12 @@
         now_ms >= self.options.deadline_ms + self.options.grace_ms
     }
 
+    /// What is known when the time for queries is over.
     fn overdue_code(&self) -> ResultCode {
-        ResultCode::OutcomeUnknown
+        match self.is_known_running && !self.may_have_run {
+            true => ResultCode::DeadlineExceeded,
+            false => ResultCode::OutcomeUnknown,
+        }
     }
 
     fn last_ms(&self, now_ms: u64) -> u64 {
--- a/jayrack-traffic/src/shed.rs
+++ b/jayrack-traffic/src/shed.rs
@@ -114,7 +114,7 @@
             return 0;
         }
         let shares = self.ranks.entry(request.rank);
-        let shares = shares.or_insert_with(|| FairShares::new(now_ms));
+        let shares = shares.or_insert_with(|| FairShares::new(now_ms, refused));
         let hash = xxh3_64(request.kind.as_bytes()) ^ xxh3_64(request.customer.as_bytes());
         shares.refused_share(now_ms, hash, refused)
     }
--- a/jayrack-traffic/src/shed/fairness.rs
+++ b/jayrack-traffic/src/shed/fairness.rs
@@ -19,11 +19,12 @@
 }
 
 impl FairShares {
-    pub(super) fn new(now_ms: u64) -> Self {
+    /// Starts with the same share for all customers.
+    pub(super) fn new(now_ms: u64, refused: u64) -> Self {
         Self {
             window_start_ms: now_ms,
             arrived: vec![0; BUCKETS],
-            refused: vec![0; BUCKETS],
+            refused: vec![refused.min(WHOLE_SHARE - 1) as u16; BUCKETS],
         }
     }
 
--- /dev/null
+++ b/jayrack-traffic/tests/request.rs
@@ -0,0 +1,139 @@
+//! Where a request is sent, and what its caller is told.
+use jayrack_protocol::ResultCode;
+use jayrack_traffic::{
+    RequestFlow,
+    ledger::Inquiry,
+    request::{Action, Input, Options, Response},
+};
+use rstest::rstest;
+
+const DEADLINE_MS: u64 = 5_000;
+const END_MS: u64 = 5_500;
+
+fn flow(idempotent: bool) -> RequestFlow {
+    RequestFlow::new(Options {
+        idempotent,
+        deadline_ms: DEADLINE_MS,
+        grace_ms: END_MS - DEADLINE_MS,
+        ..Options::default()
+    })
+}
+
+fn sent(idempotent: bool) -> RequestFlow {
+    let mut flow = flow(idempotent);
+    let actions = flow.handle::<u8>(0, Input::Start);
+    assert_eq!(actions[0], Action::Send { server: 0 });
+    flow
+}
+
+fn query(server: usize) -> Action<u8> {
+    Action::Query {
+        server,
+        fence: true,
+    }
+}
+
+fn reply(inquiry: Inquiry<u8>) -> Input<u8> {
+    Input::QueryReply { server: 0, inquiry }
+}
+
+fn refused(code: ResultCode) -> Action<u8> {
+    Action::Respond(Response::Refused(code))
+}
+
+#[rstest]
+#[case::shed(Input::Answer { server: 0, code: ResultCode::Shed }, Action::Send { server: 1 })]
+#[case::not_sent(Input::NotSent { server: 0 }, Action::Send { server: 1 })]
+#[case::lost(Input::Lost { server: 0 }, query(0))]
+#[case::unknown(
+    Input::Answer { server: 0, code: ResultCode::OutcomeUnknown },
+    refused(ResultCode::OutcomeUnknown)
+)]
+#[case::failed(Input::Answer { server: 0, code: ResultCode::ServerFailed }, refused(ResultCode::ServerFailed))]
+#[case::too_late(
+    Input::Answer { server: 0, code: ResultCode::DeadlinePassed },
+    refused(ResultCode::DeadlinePassed)
+)]
+#[case::answered(
+    Input::Answer { server: 0, code: ResultCode::Ok },
+    Action::Respond(Response::Forwarded { server: 0 })
+)]
+fn non_idempotent_work_goes_on_only_when_it_did_not_run(
+    #[case] input: Input<u8>,
+    #[case] expected: Action<u8>,
+) {
+    let mut flow = sent(false);
+
+    let actions = flow.handle(1, input);
+
+    assert_eq!(actions[0], expected);
+}
+
+#[rstest]
+#[case::done(Inquiry::Done(7), Action::Respond(Response::Fetched(7)))]
+#[case::fenced(Inquiry::NotRun(ResultCode::Fenced), Action::Send { server: 1 })]
+#[case::unknown(
+    Inquiry::Unknown(ResultCode::OutcomeUnknown),
+    refused(ResultCode::OutcomeUnknown)
+)]
+#[case::running(Inquiry::InProgress, Action::Wait { until_ms: 51 })]
+fn a_lost_answer_is_asked_for(#[case] inquiry: Inquiry<u8>, #[case] expected: Action<u8>) {
+    let mut flow = sent(false);
+    flow.handle::<u8>(1, Input::Lost { server: 0 });
+
+    let actions = flow.handle(1, reply(inquiry));
+
+    assert_eq!(actions[0], expected);
+}
+
+#[test]
+fn idempotent_work_goes_on_at_once_but_is_then_never_called_not_run() {
+    let mut flow = sent(true);
+
+    let again = flow.handle::<u8>(1, Input::Lost { server: 0 });
+    let end = flow.handle::<u8>(2, Input::NoServer(ResultCode::RetryBudgetSpent));
+
+    assert_eq!(again[0], Action::Send { server: 1 });
+    assert_eq!(end, [refused(ResultCode::OutcomeUnknown)]);
+}
+
+#[rstest]
+#[case::running(Some(Inquiry::InProgress), ResultCode::DeadlineExceeded)]
+#[case::silent(None, ResultCode::OutcomeUnknown)]
+#[case::queued(Some(Inquiry::NotRun(ResultCode::Fenced)), ResultCode::Fenced)]
+fn at_the_deadline_the_truth_is_asked_for(
+    #[case] inquiry: Option<Inquiry<u8>>,
+    #[case] expected: ResultCode,
+) {
+    let mut flow = sent(false);
+    let asked = flow.handle::<u8>(DEADLINE_MS, Input::Timeout);
+
+    let mut actions = match inquiry {
+        Some(inquiry) => flow.handle(DEADLINE_MS, reply(inquiry)),
+        None => flow.handle(END_MS, Input::Timeout),
+    };
+    if !flow.is_ended() {
+        actions = flow.handle(END_MS, Input::Timeout);
+    }
+
+    assert_eq!(asked[0], query(0));
+    assert_eq!(actions, [refused(expected)]);
+    assert!(flow.is_ended());
+}
+
+#[test]
+fn attempts_are_bounded() {
+    let mut flow = sent(false);
+    let shed = |server| Input::<u8>::Answer {
+        server,
+        code: ResultCode::Shed,
+    };
+
+    let second = flow.handle(1, shed(0));
+    let third = flow.handle(2, shed(1));
+    let last = flow.handle(3, shed(2));
+
+    assert_eq!(second[0], Action::Send { server: 1 });
+    assert_eq!(third[0], Action::Send { server: 2 });
+    assert_eq!(last, [refused(ResultCode::Shed)]);
+}
--- /dev/null
+++ b/jayrack-traffic/tests/signals.rs
@@ -0,0 +1,231 @@
+//! Early refusal at ingresses, homes of keys and silence on connections.
+mod support {
+    pub mod seeded;
+}
+
+use std::collections::BTreeSet;
+
+use jayrack_protocol::{MemberId, RequestId};
+use jayrack_traffic::{
+    ConnectionHealth, LoadLevel, ShedLevels,
+    claim::{self, ClaimOutcome, ClaimRegistry, ClaimReply, ClaimRequest, PeerSummary},
+    health::{self, Verdict},
+    shed::{EntryRequest, ShedVerdict},
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use support::seeded::seeded;
+
+const WINDOW_MS: u64 = 10_000;
+
+fn entry<'a>(rank: u8, customer: &'a str, customer_request: u64) -> EntryRequest<'a> {
+    EntryRequest {
+        service: "bookings",
+        rank,
+        kind: "confirm",
+        customer,
+        customer_request,
+    }
+}
+
+/// Levels that refuse `share` of rank 1 and keep 10 % of the ranks above it.
+fn levels(share: u16) -> ShedLevels {
+    let level = LoadLevel {
+        slots: 12,
+        shed_rank: 1,
+        shed_share: share,
+        kept_share: u16::MAX / 10,
+        ..LoadLevel::default()
+    };
+    let mut levels = ShedLevels::new();
+    levels.update("bookings", "b-1", level, 0);
+    levels
+}
+
+/// Percentage admitted of 10,000 requests of each customer within one second.
+fn admitted(levels: &mut ShedLevels, rank: u8, customers: &[(&str, u64)]) -> Vec<u64> {
+    let mut counts = vec![0; customers.len()];
+    for round in 0..10_000u64 {
+        for (place, (customer, every)) in customers.iter().enumerate() {
+            let request = entry(rank, customer, round * 100 + place as u64);
+            if round % every == 0 && levels.verdict(round / 10, &request) == ShedVerdict::Admit {
+                counts[place] += 1;
+            }
+        }
+    }
+    let shares = counts.iter().zip(customers);
+    shares
+        .map(|(count, (_, every))| count * every / 100)
+        .collect()
+}
+
+#[rstest]
+#[case::more_urgent(0, 100..=100)]
+#[case::shed_rank(1, 48..=52)]
+#[case::less_urgent(2, 9..=12)]
+fn ranks_are_refused_by_their_level(
+    #[case] rank: u8,
+    #[case] expected: std::ops::RangeInclusive<u64>,
+) {
+    let mut levels = levels(u16::MAX / 2);
+
+    let shares = admitted(&mut levels, rank, &[("a", 1)]);
+
+    assert!(expected.contains(&shares[0]), "{shares:?}");
+}
+
+#[test]
+fn the_customer_who_asks_for_most_is_refused_first() {
+    let mut levels = levels(u16::MAX / 2);
+
+    let shares = admitted(&mut levels, 1, &[("flood", 1), ("quiet", 50)]);
+
+    assert!(shares[0] < 52, "{shares:?}");
+    assert!(shares[1] >= 85, "{shares:?}");
+}
+
+#[test]
+fn a_level_counts_for_a_limited_time() {
+    let mut levels = levels(u16::MAX);
+
+    let verdicts: BTreeSet<_> = (0..1_000)
+        .map(|request| levels.verdict(1_500, &entry(1, "a", request)) == ShedVerdict::Admit)
+        .collect();
+
+    assert_eq!(verdicts, BTreeSet::from([true]));
+}
+
+fn claim_of(request: u128) -> ClaimRequest {
+    ClaimRequest {
+        key_hash: 1,
+        request_digest: 1,
+        request: RequestId(request),
+        ingress: MemberId(1),
+        owner: MemberId(2),
+        replaces: None,
+    }
+}
+
+fn registry() -> ClaimRegistry {
+    let options = claim::Options {
+        retention_ms: WINDOW_MS,
+        max_claims: 2,
+    };
+    ClaimRegistry::new(0, options)
+}
+
+#[test]
+fn a_young_home_does_not_vouch() {
+    let mut registry = registry();
+
+    let young = registry.claim(WINDOW_MS - 1, &claim_of(1));
+    let grown = registry.claim(WINDOW_MS, &claim_of(1));
+
+    assert_eq!(young, ClaimReply::CannotVouch);
+    assert_eq!(grown, ClaimReply::Granted);
+}
+
+#[test]
+fn a_key_is_free_again_when_its_holder_did_not_run() {
+    let mut registry = registry();
+    registry.claim(WINDOW_MS, &claim_of(1));
+
+    let held = registry.claim(WINDOW_MS, &claim_of(2));
+    registry.resolve(WINDOW_MS, 1, RequestId(1), ClaimOutcome::NotRun);
+    let granted = registry.claim(WINDOW_MS, &claim_of(2));
+
+    assert!(matches!(held, ClaimReply::Held { .. }));
+    assert_eq!(granted, ClaimReply::Granted);
+}
+
+#[test]
+fn a_full_home_refuses_and_forgets_only_past_the_retention() {
+    let mut registry = registry();
+    let claims: Vec<ClaimRequest> = (0..3u128)
+        .map(|key_hash| ClaimRequest {
+            key_hash,
+            ..claim_of(key_hash)
+        })
+        .collect();
+    registry.claim(WINDOW_MS, &claims[0]);
+    registry.claim(WINDOW_MS, &claims[1]);
+
+    let full = registry.claim(2 * WINDOW_MS, &claims[2]);
+    let later = registry.claim(3 * WINDOW_MS, &claims[2]);
+
+    assert_eq!(full, ClaimReply::Full);
+    assert_eq!(later, ClaimReply::Granted);
+    assert_eq!(registry.len(), 1);
+}
+
+/// When each of some daemons started and died.
+fn lives() -> impl Strategy<Value = Vec<(u64, Option<u64>)>> {
+    let life = (0u64..40_000, prop::option::of(0u64..40_000));
+    prop::collection::vec(life, 1..9)
+}
+
+fn view(lives: &[(u64, Option<u64>)], now_ms: u64) -> Vec<PeerSummary> {
+    let started = lives
+        .iter()
+        .enumerate()
+        .filter(|(_, (start_ms, _))| *start_ms <= now_ms);
+    started
+        .map(|(place, (start_ms, life_ms))| {
+            let dead_since_ms = life_ms
+                .map(|life_ms| start_ms + life_ms)
+                .filter(|end_ms| *end_ms <= now_ms);
+            PeerSummary {
+                id: MemberId(place as u64),
+                alive: dead_since_ms.is_none(),
+                alive_since_ms: *start_ms,
+                dead_since_ms,
+            }
+        })
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(seeded(500))]
+
+    /// Whatever joins and dies: those that can vouch for a key later include one that recorded the
+    /// earlier claim, if a majority of each set answered.
+    #[test]
+    fn later_majorities_meet_earlier_ones(lives in lives(), key in any::<u128>(), at in 0u64..60_000, gap in 0u64..WINDOW_MS) {
+        let earlier = claim::homes(key, &view(&lives, at), at, WINDOW_MS);
+        let later_ms = at + gap;
+        let later = claim::homes(key, &view(&lives, later_ms), later_ms, WINDOW_MS);
+
+        let can_vouch = |id: &&MemberId| {
+            let (start_ms, _) = lives[id.0 as usize];
+            later.asked.contains(id) && start_ms + WINDOW_MS <= later_ms
+        };
+        let vouchers: Vec<_> = later.vouching.iter().filter(can_vouch).collect();
+        if vouchers.len() > later.vouching.len() / 2 {
+            let strangers = vouchers.iter().filter(|id| !earlier.recording.contains(id)).count();
+            let majority = later.vouching.len() / 2 + 1;
+            let recorded = earlier.recording.len() / 2 + 1;
+            let common = (majority - strangers.min(majority)) + recorded;
+            prop_assert!(common > earlier.recording.len(), "{:?} then {:?}", earlier, later);
+        }
+    }
+}
+
+#[test]
+fn a_silent_connection_is_found_dead_and_needs_proof_before() {
+    let options = health::Options::default();
+    let (keep_alive_ms, dead_ms) = (options.keep_alive_ms, options.dead_after_ms);
+    let mut health = ConnectionHealth::new(0, options.clone());
+
+    let quiet = health.verdict(keep_alive_ms - 1);
+    let due = health.verdict(keep_alive_ms);
+    health.sent(keep_alive_ms);
+    let waiting = health.verdict(keep_alive_ms + dead_ms - 1);
+    let dead = health.verdict(keep_alive_ms + dead_ms);
+
+    assert_eq!([quiet, due], [Verdict::Healthy, Verdict::KeepAliveDue]);
+    assert_eq!([waiting, dead], [Verdict::Healthy, Verdict::Dead]);
+    assert!(!health.needs_proof(options.proof_age_ms));
+    assert!(health.needs_proof(options.proof_age_ms + 1));
+    health.heard(keep_alive_ms + dead_ms);
+    assert_eq!(health.verdict(keep_alive_ms + dead_ms), Verdict::Healthy);
+}
