--- a/jayrack-membership/src/core/outgoing.rs
+++ b/jayrack-membership/src/core/outgoing.rs
@@ -31,6 +31,7 @@
     /// Sends `body` with as many pending updates as fit.
     pub(super) fn send(&mut self, now_ms: u64, to: SocketAddr, body: Option<Body>) {
         let mut datagram = self.header(to, body);
+        self.add_leads(now_ms, to, &mut datagram);
         self.add_updates(now_ms, &mut datagram);
         self.emit(to, datagram);
     }
@@ -157,19 +158,34 @@
 
     /// Sends pending updates to a random running member.
     pub(super) fn send_updates(&mut self, now_ms: u64) {
-        let Some(id) = self.random_running() else {
-            return;
-        };
-        let to = self.view.members[&id].record.gossip_address;
-        self.send(now_ms, to, None);
+        if let Some(to) = self.random_address() {
+            self.send(now_ms, to, None);
+        }
     }
 
-    fn random_running(&mut self) -> Option<MemberId> {
-        let local = self.local.id;
-        let ids: Vec<MemberId> = self.view.alive().map(|entry| entry.record.id).collect();
-        let others: Vec<MemberId> = ids.into_iter().filter(|id| *id != local).collect();
-        let index = self.random_index(others.len())?;
-        Some(others[index])
+    /// A random member that is believed to run or that another member named.
+    pub(super) fn random_address(&mut self) -> Option<SocketAddr> {
+        let running = self.running_others().len();
+        let index = self.random_index(running + self.leads.len())?;
+        match index.checked_sub(running) {
+            Some(lead) => Some(self.leads[lead]),
+            None => Some(self.address_of(self.running.ids[index])),
+        }
+    }
+
+    pub(super) fn address_of(&self, id: MemberId) -> SocketAddr {
+        self.view.members[&id].record.gossip_address
+    }
+
+    /// The other members that are believed to run.
+    pub(super) fn running_others(&mut self) -> &[MemberId] {
+        if !self.running.is_current {
+            let local = self.local.id;
+            let ids = self.view.alive().map(|entry| entry.record.id);
+            self.running.ids = ids.filter(|id| *id != local).collect();
+            self.running.is_current = true;
+        }
+        &self.running.ids
     }
 
     pub(super) fn random_index(&mut self, length: usize) -> Option<usize> {
--- a/jayrackd/src/control/admin_calls.rs
+++ b/jayrackd/src/control/admin_calls.rs
@@ -10,20 +10,21 @@
 use tokio::sync::oneshot;
 
 use super::{
+    DaemonEdges,
     log_calls::AppendResult,
     operations::{OperationKind, PendingOperation},
     publish,
+    report::{ReportForm, ReportWaiter},
     state::ControlState,
     views::{self, LocalFacts},
 };
-use crate::{
-    admin::{AdminCall, AdminCommand, ApiAnswer, OperatorIdentity, PlanRequest},
-    gossip::GossipHandle,
-};
+use crate::admin::{AdminCall, AdminCommand, ApiAnswer, OperatorIdentity, PlanRequest};
 
 /// Most records read at once to reach an operator's own record.
 const CATCH_UP_RECORDS: usize = 256;
 
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// A record that is ready to be appended for an operator.
 struct PreparedRecord {
     kind: OperationKind,
@@ -35,10 +36,11 @@
 
 impl ControlState {
     /// Carries out one administration request.
-    pub fn admin(&mut self, _gossip: &GossipHandle, call: AdminCall) {
+    pub fn admin(&mut self, edges: &DaemonEdges, call: AdminCall) {
         let reader = OperatorIdentity {
             team: String::new(),
             role: Role::Viewer,
+            token: String::new(),
         };
         let identity = call.operator.unwrap_or(reader);
         let operator = Operator {
@@ -49,8 +51,20 @@
             AdminCommand::Propose(request) => self.prepare_proposal(&operator, request),
             AdminCommand::Confirm(plan) => self.prepare_confirm(&operator, plan),
             AdminCommand::Drop(plan) => self.prepare_drop(&operator, plan),
+            AdminCommand::Report | AdminCommand::ReportPage => {
+                let form = match call.command {
+                    AdminCommand::ReportPage => ReportForm::Page,
+                    _ => ReportForm::Json,
+                };
+                self.report(ReportWaiter {
+                    form,
+                    identity,
+                    reply: call.reply,
+                });
+                return;
+            }
             command => {
-                let _ = call.reply.send(self.read(command));
+                let _ = call.reply.send(self.read(edges, command));
                 return;
             }
         };
@@ -195,7 +209,7 @@
         }
     }
 
-    fn read(&self, command: AdminCommand) -> ApiAnswer {
+    fn read(&self, edges: &DaemonEdges, command: AdminCommand) -> ApiAnswer {
         match command {
             AdminCommand::ShowPlan(plan) => self.show(&plan),
             AdminCommand::ListPlans => {
@@ -207,8 +221,14 @@
                 ApiAnswer::success(200, body)
             }
             AdminCommand::Members => ApiAnswer::success(200, views::members(&self.view)),
+            AdminCommand::LocalReport => self.local_report(),
             AdminCommand::Health => ApiAnswer::success(200, json!({})),
             AdminCommand::Readiness => self.readiness(),
+            AdminCommand::Metrics => ApiAnswer::Text {
+                status: 200,
+                media_type: METRICS_TYPE,
+                text: self.parts.metrics.render(&self.sample(edges)),
+            },
             _ => ApiAnswer::refusal(ResultCode::PathUnknown),
         }
     }
--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -32,6 +32,7 @@
     pub limits: Limits,
     pub timeouts: Timeouts,
     pub seed: u64,
+    pub worker_threads: usize,
 }
 
 impl Default for Setup {
@@ -43,6 +44,7 @@
                 ..Timeouts::default()
             },
             seed: 1,
+            worker_threads: 2,
         }
     }
 }
@@ -55,6 +57,7 @@
             .timeouts(setup.timeouts.clone())
             .clock(DaemonClock::start_at(CLOCK_START_MS))
             .claims_known_since_ms(0)
+            .worker_threads(setup.worker_threads)
             .seed(setup.seed);
         let id = MemberId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         let shared = Arc::new(SharedState::new(id, "wrecsam", "wales"));
@@ -209,3 +212,46 @@
         backend,
     }
 }
+
+/// Two ingresses and two owners with one backend server each.
+pub struct Quartet {
+    pub ingresses: Vec<Daemon>,
+    pub owners: Vec<Daemon>,
+    pub backends: Vec<Backend>,
+}
+
+impl Quartet {
+    /// Executions of the requests marked `mark`, at all backend servers.
+    pub fn started(&self, mark: &str) -> usize {
+        let seen = self.backends.iter().map(|backend| backend.seen(mark));
+        seen.map(|seen| seen.started).sum()
+    }
+
+    pub fn daemons(&self) -> Vec<&Daemon> {
+        self.ingresses.iter().chain(&self.owners).collect()
+    }
+}
+
+/// Starts a [`Quartet`] that is ready to serve.
+pub async fn start_quartet(setup: &Setup) -> Quartet {
+    let authority = Authority::new();
+    let mut daemons = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        daemons.push(Daemon::start(name, authority.tls_options(&[]), setup).await);
+    }
+    let owners = daemons.split_off(2);
+    let backends = vec![Backend::start().await, Backend::start().await];
+    let mut entries = Vec::new();
+    for (index, owner) in owners.iter().enumerate() {
+        let name = format!("s{index}");
+        announce(owner, &name, &backends[index]);
+        entries.push(server_entry(&name, owner, owner.handle.forward_address()));
+    }
+    let quartet = Quartet {
+        ingresses: daemons,
+        owners,
+        backends,
+    };
+    publish(&quartet.daemons(), &entries);
+    quartet
+}
