--- a/jayrack-traffic/tests/request_model.rs
+++ b/jayrack-traffic/tests/request_model.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::world::{Budget, Defect, Exploration, Scenario, Told, explore};
 
-const MAX_STATES: usize = 60_000;
+const MAX_STATES: usize = 120_000;
 const NO_FAULTS: Budget = Budget {
     duplicates: 0,
     crashes: 0,
