--- a/jayrack-traffic/src/pick.rs
+++ b/jayrack-traffic/src/pick.rs
@@ -237,7 +237,7 @@
         pool: &[usize],
         context: &PickContext<'_>,
     ) -> Option<CostedServer> {
-        let [first, second] = [self.draw(pool)?, self.draw(pool)?].map(|index| CostedServer {
+        let [first, second] = self.draw_two(pool)?.map(|index| CostedServer {
             index,
             cost: self.cost(now_ms, &candidates[index], context),
         });
@@ -254,12 +254,16 @@
             .is_some_and(|stats| now_ms < stats.resume_ms)
     }
 
-    fn draw(&mut self, pool: &[usize]) -> Option<usize> {
-        if pool.is_empty() {
-            return None;
-        }
-        let place = self.random.next_u64() % pool.len() as u64;
-        pool.get(place as usize).copied()
+    /// Two different places of `pool`, or the only one twice.
+    fn draw_two(&mut self, pool: &[usize]) -> Option<[usize; 2]> {
+        let count = pool.len() as u64;
+        let first = self.random.next_u64().checked_rem(count)?;
+        let step = match count {
+            1 => 0,
+            _ => 1 + self.random.next_u64() % (count - 1),
+        };
+        let second = (first + step) % count;
+        Some([pool[first as usize], pool[second as usize]])
     }
 
     fn cost(&self, now_ms: u64, server: &ServerEntry, context: &PickContext<'_>) -> u64 {
