--- a/jayrack-traffic/src/admission/queue.rs
+++ b/jayrack-traffic/src/admission/queue.rs
@@ -8,7 +8,7 @@
 /// Greatest credit that a rank collects towards its floor, in microseconds of slot time.
 const MAX_CREDIT_US: i64 = 1_000_000;
 /// Customers of one kind that are remembered while they have no waiting request.
-const MAX_CUSTOMERS: usize = 4_096;
+const MAX_CUSTOMERS: usize = 256;
 
 /// One request that waits.
 #[derive(Debug, Clone)]
