test: flood customer requests of several lookups

No work is wasted with eight lookups one after another, nor when lookups are the bottleneck, at 2x and 5x of the least and the most urgent kind.

--- a/jayrack-traffic/tests/admission_flood.rs
+++ b/jayrack-traffic/tests/admission_flood.rs
@@ -15,6 +15,7 @@
         service: 1,
         work_us: 30_000,
         lookup: Some((0, 5_000)),
+        lookups: 1,
         deadline_ms: 1_000,
         demand_percent: 50,
     };
@@ -57,6 +58,14 @@
     }
 }
 
+/// Confirmations and drawings look up eight times.
+fn many_lookups() -> Deployment {
+    let mut deployment = turnio();
+    deployment.kinds[0].lookups = 8;
+    deployment.kinds[1].lookups = 8;
+    deployment
+}
+
 /// Calendar, order desk and archive.
 fn tugrug() -> Deployment {
     let [confirm, drawing, browse] = turnio().kinds;
@@ -152,9 +161,19 @@
 }
 
 #[rstest]
-fn work_is_not_wasted_when_lookups_are_the_bottleneck(#[values(2, 5)] factor: u64) {
-    let outcome = run_flood(narrow_lookup(), Policy::Ranked, Flood::MostUrgent, factor);
+fn work_is_not_wasted_on_lookups(
+    #[values("narrow lookup", "many lookups")] name: &str,
+    #[values(Flood::LeastUrgent, Flood::MostUrgent)] flood: Flood,
+    #[values(2, 5)] factor: u64,
+) {
+    let deployment = if name == "narrow lookup" {
+        narrow_lookup()
+    } else {
+        many_lookups()
+    };
 
-    print("narrow lookup", Flood::MostUrgent, factor, &outcome);
+    let outcome = run_flood(deployment, Policy::Ranked, flood, factor);
+
+    print(name, flood, factor, &outcome);
     assert!(outcome.wasted_us * 50 < outcome.busy_us, "wasted work");
 }
--- a/jayrack-traffic/tests/support/flood.rs
+++ b/jayrack-traffic/tests/support/flood.rs
@@ -37,6 +37,8 @@
     pub work_us: u64,
     /// Service and work of a lookup made before the answer.
     pub lookup: Option<(usize, u64)>,
+    /// Number of such lookups, one after another.
+    pub lookups: u32,
     pub deadline_ms: u64,
     /// Share of its service's capacity that is asked for without a flood, in percent.
     pub demand_percent: u64,
@@ -124,6 +126,7 @@
     root: RequestId,
     deadline_ms: u64,
     used_us: u64,
+    lookups_left: u32,
     has_failed: bool,
 }
 
@@ -169,8 +172,9 @@
         let mut work = [0.0; 3];
         work[kind.service] += kind.work_us as f64;
         if let Some((service, work_us)) = kind.lookup {
-            work[kind.service] += (work_us + 4_000) as f64;
-            work[service] += work_us as f64;
+            let lookups = f64::from(kind.lookups);
+            work[kind.service] += lookups * (work_us + 4_000) as f64;
+            work[service] += lookups * work_us as f64;
         }
         work
     }
@@ -324,6 +328,7 @@
             root: RequestId(0),
             deadline_ms: self.now_us / 1_000 + spec.deadline_ms,
             used_us: 0,
+            lookups_left: spec.lookups,
             has_failed: false,
         };
         if request.is_counted {
@@ -435,18 +440,28 @@
         let call = self.calls.get_mut(&id).expect("a call");
         call.started_us = self.now_us;
         let (customer_request, depth, work_us) = (call.customer_request, call.depth, call.work_us);
-        let kind = self.deployment.kinds[self.requests[&customer_request].kind];
-        match kind.lookup {
-            Some((service, lookup_us)) if depth == 0 => {
-                let leg = Leg {
-                    service,
-                    work_us: lookup_us,
-                    depth: 1,
-                };
-                self.send(customer_request, INGRESSES + server, leg);
-            }
-            _ => self.at(work_us, Event::Finish { server, id }),
+        if depth > 0 || !self.look_up(customer_request, server) {
+            self.at(work_us, Event::Finish { server, id });
+        }
+    }
+
+    /// Sends the next lookup of a call at `server`, if there is one.
+    fn look_up(&mut self, customer_request: u64, server: usize) -> bool {
+        let request = self.requests.get_mut(&customer_request).expect("a request");
+        let Some((service, work_us)) = self.deployment.kinds[request.kind].lookup else {
+            return false;
+        };
+        if request.lookups_left == 0 {
+            return false;
         }
+        request.lookups_left -= 1;
+        let leg = Leg {
+            service,
+            work_us,
+            depth: 1,
+        };
+        self.send(customer_request, INGRESSES + server, leg);
+        true
     }
 
     /// A dispatched call ended at its server.
@@ -523,7 +538,9 @@
         if has_failed {
             return self.finished(server, root, false);
         }
-        self.at(work_us + 2_000, Event::Finish { server, id: root });
+        if !self.look_up(lookup.customer_request, server) {
+            self.at(work_us + 2_000, Event::Finish { server, id: root });
+        }
     }
 
     fn settle(&mut self, request: &CustomerRequest, is_ok: bool) {
