--- a/jayrack-traffic/tests/support/flood.rs
+++ b/jayrack-traffic/tests/support/flood.rs
@@ -21,8 +21,8 @@
 const INGRESSES: usize = 3;
 /// Customer requests that enter between these times are counted.
 const WARM_UP_US: u64 = 2_000_000;
-const LAST_US: u64 = 6_000_000;
-const END_US: u64 = 7_000_000;
+const LAST_US: u64 = 10_000_000;
+const END_US: u64 = 11_000_000;
 const TICK_US: u64 = 10_000;
 /// Step through the service times that spreads them evenly.
 const GOLDEN_STEP: u64 = 633;
@@ -37,6 +37,8 @@
     pub work_us: u64,
     /// Service and work of a lookup made before the answer.
     pub lookup: Option<(usize, u64)>,
+    /// Number of such lookups, one after another.
+    pub lookups: u32,
     pub deadline_ms: u64,
     /// Share of its service's capacity that is asked for without a flood, in percent.
     pub demand_percent: u64,
@@ -57,11 +59,21 @@
     OneCustomer,
 }
 
+/// How owners treat the work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    Ranked,
+    /// First come, first served, without early refusal.
+    Fifo,
+}
+
 /// What became of one kind.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct KindOutcome {
     pub offered: u64,
+    /// Of those offered; of all that ended in the time counted if more was offered than the ideal.
     pub completed: u64,
+    ended: u64,
     /// Completed by the ideal: capacity to the most urgent first, floors kept.
     pub ideal: f64,
     /// Completed if the kind had only its floor.
@@ -114,11 +126,13 @@
     root: RequestId,
     deadline_ms: u64,
     used_us: u64,
+    lookups_left: u32,
     has_failed: bool,
 }
 
 struct Simulation {
     deployment: Deployment,
+    policy: Policy,
     now_us: u64,
     sequence: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -136,8 +150,14 @@
 }
 
 /// Runs `deployment` with `factor` times the capacity asked for by the kind that floods.
-pub fn run_flood(deployment: Deployment, flood: Flood, factor: u64) -> FloodOutcome {
+pub fn run_flood(
+    deployment: Deployment,
+    policy: Policy,
+    flood: Flood,
+    factor: u64,
+) -> FloodOutcome {
     let mut simulation = Simulation::new(deployment, flood, factor);
+    simulation.policy = policy;
     simulation.run();
     simulation.finish()
 }
@@ -152,8 +172,9 @@
         let mut work = [0.0; 3];
         work[kind.service] += kind.work_us as f64;
         if let Some((service, work_us)) = kind.lookup {
-            work[kind.service] += (work_us + 4_000) as f64;
-            work[service] += work_us as f64;
+            let lookups = f64::from(kind.lookups);
+            work[kind.service] += lookups * (work_us + 4_000) as f64;
+            work[service] += lookups * work_us as f64;
         }
         work
     }
@@ -221,6 +242,7 @@
         }
         Self {
             deployment,
+            policy: Policy::Ranked,
             now_us: 0,
             sequence: 0,
             events: BinaryHeap::new(),
@@ -261,6 +283,9 @@
         let (ideal, floors) = self.deployment.ideal(&rates);
         let seconds = (LAST_US - WARM_UP_US) as f64 / 1e6;
         for (at, kind) in self.outcome.kinds.iter_mut().enumerate() {
+            if rates[at] > ideal[at] {
+                kind.completed = kind.ended;
+            }
             kind.ideal = (ideal[at] * seconds).min(kind.offered as f64);
             kind.floor = (floors[at] * seconds).min(kind.offered as f64);
         }
@@ -303,6 +328,7 @@
             root: RequestId(0),
             deadline_ms: self.now_us / 1_000 + spec.deadline_ms,
             used_us: 0,
+            lookups_left: spec.lookups,
             has_failed: false,
         };
         if request.is_counted {
@@ -318,7 +344,7 @@
             customer_request,
         };
         let verdict = self.levels[ingress].verdict(self.now_us / 1_000, &entry);
-        if verdict == ShedVerdict::Refuse {
+        if verdict == ShedVerdict::Refuse && self.policy == Policy::Ranked {
             return;
         }
         self.requests.insert(customer_request, request);
@@ -376,6 +402,19 @@
         let call = &self.calls[&id];
         let request = &self.requests[&call.customer_request];
         let kind = &self.deployment.kinds[request.kind];
+        let fifo = RequestClass {
+            rank: 0,
+            floor_percent: 0,
+            kind: String::new(),
+            customer: String::new(),
+            customer_request: 0,
+            depth: 0,
+            deadline_ms: request.deadline_ms,
+            idempotent: true,
+        };
+        if self.policy == Policy::Fifo {
+            return fifo;
+        }
         RequestClass {
             rank: kind.rank,
             floor_percent: kind.floor_percent,
@@ -401,20 +440,30 @@
         let call = self.calls.get_mut(&id).expect("a call");
         call.started_us = self.now_us;
         let (customer_request, depth, work_us) = (call.customer_request, call.depth, call.work_us);
-        let kind = self.deployment.kinds[self.requests[&customer_request].kind];
-        match kind.lookup {
-            Some((service, lookup_us)) if depth == 0 => {
-                let leg = Leg {
-                    service,
-                    work_us: lookup_us,
-                    depth: 1,
-                };
-                self.send(customer_request, INGRESSES + server, leg);
-            }
-            _ => self.at(work_us, Event::Finish { server, id }),
+        if depth > 0 || !self.look_up(customer_request, server) {
+            self.at(work_us, Event::Finish { server, id });
         }
     }
 
+    /// Sends the next lookup of a call at `server`, if there is one.
+    fn look_up(&mut self, customer_request: u64, server: usize) -> bool {
+        let request = self.requests.get_mut(&customer_request).expect("a request");
+        let Some((service, work_us)) = self.deployment.kinds[request.kind].lookup else {
+            return false;
+        };
+        if request.lookups_left == 0 {
+            return false;
+        }
+        request.lookups_left -= 1;
+        let leg = Leg {
+            service,
+            work_us,
+            depth: 1,
+        };
+        self.send(customer_request, INGRESSES + server, leg);
+        true
+    }
+
     /// A dispatched call ended at its server.
     fn finished(&mut self, server: usize, id: RequestId, is_ok: bool) {
         let Some(call) = self.calls.get(&id) else {
@@ -489,11 +538,16 @@
         if has_failed {
             return self.finished(server, root, false);
         }
-        self.at(work_us + 2_000, Event::Finish { server, id: root });
+        if !self.look_up(lookup.customer_request, server) {
+            self.at(work_us + 2_000, Event::Finish { server, id: root });
+        }
     }
 
     fn settle(&mut self, request: &CustomerRequest, is_ok: bool) {
         let in_time = self.now_us / 1_000 <= request.deadline_ms;
+        if is_ok && in_time && (WARM_UP_US..LAST_US).contains(&self.now_us) {
+            self.outcome.kinds[request.kind].ended += 1;
+        }
         if request.is_counted {
             self.outcome.busy_us += request.used_us;
             if !(is_ok && in_time) {
