--- a/jayrackd/src/ingress.rs
+++ b/jayrackd/src/ingress.rs
@@ -1,5 +1,5 @@
 //! Requests of callers: taken by HTTP/1.1, forwarded to an owner, answered with the result code.
-use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -24,6 +24,9 @@
 use guard::GuardedStream;
 pub(crate) use router::IngressRouter;
 
+/// Pause between two looks for servers that left the table.
+const FORGET_PAUSE: Duration = Duration::from_secs(10);
+
 /// Refuses a connection over the limit.
 const OVER_LIMIT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nx-jayrack-code: 502\r\n\
     x-jayrack-outcome: not-run\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -49,6 +52,14 @@
     }
 }
 
+/// Forgets what was observed of servers that left the table; for as long as the process runs.
+pub(crate) async fn watch(state: Arc<TrafficState>) {
+    loop {
+        tokio::time::sleep(FORGET_PAUSE).await;
+        state.router.forget_absent(&state.shared.table.load());
+    }
+}
+
 async fn serve_connection(stream: TcpStream, state: Arc<TrafficState>) {
     let _connection = state.connections.enter();
     if stream.set_nodelay(true).is_err() {
--- a/jayrackd/src/ingress/router.rs
+++ b/jayrackd/src/ingress/router.rs
@@ -1,7 +1,10 @@
 //! The driver of the choice of servers, the retry budget and early refusal.
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
-use jayrack_config::table::ServerEntry;
+use jayrack_config::table::{RouteTable, ServerEntry};
 use jayrack_protocol::{RequestId, ResultCode, forward::RequestHead};
 use jayrack_traffic::{
     RetryBudget, ServerPicker, ShedLevels,
@@ -135,6 +138,14 @@
         }
     }
 
+    /// Forgets what was observed of servers that are not in `table`.
+    pub(super) fn forget_absent(&self, table: &RouteTable) {
+        let services = table.services.values();
+        let servers = services.flat_map(|service| &service.servers);
+        let names: BTreeSet<&str> = servers.map(|server| server.name.as_str()).collect();
+        self.lock().picker.retain(&names);
+    }
+
     fn lock(&self) -> MutexGuard<'_, RouterCore> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -24,13 +24,15 @@
 mod cancel;
 mod gate;
 pub(crate) mod headers;
+mod permit;
 mod run;
 
 pub(crate) use answer::OwnerAnswer;
 use answer::StoredAnswer;
 use cancel::Cancellation;
+use gate::Entry;
 pub(crate) use gate::OwnerGate;
-use gate::{Entry, Permit, Ticket};
+use permit::{Permit, Ticket};
 use run::RunContext;
 
 /// Longest encoded head of a forwarded request or answer, in bytes.
@@ -174,8 +176,7 @@
     let body = RelayBody::quic(receive, length);
     let cancelled = cancel::cancellation(send);
     let answer = serve(state, head, body, cancelled).await;
-    send.write_message(&answer.head).await?;
-    transport::body::write_body(answer.body, send).await
+    transport::body::write_answer(&answer.head, answer.body, send).await
 }
 
 /// Serves a stream that asks for an outcome.
@@ -187,7 +188,6 @@
     let query: OutcomeQuery = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
     let id = RequestId::from_halves(query.request_high, query.request_low);
     let (reply, body) = answer::to_reply(state.owner.gate.query(id, query.fence));
-    send.write_message(&reply).await?;
     let body = RelayBody::whole(body.unwrap_or_else(Bytes::new));
-    transport::body::write_body(body, send).await
+    transport::body::write_answer(&reply, body, send).await
 }
--- a/jayrackd/src/owner/gate.rs
+++ b/jayrackd/src/owner/gate.rs
@@ -2,7 +2,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use jayrack_protocol::{RequestId, ResultCode};
@@ -13,7 +13,10 @@
 };
 use tokio::sync::{Notify, oneshot};
 
-use super::answer::StoredAnswer;
+use super::{
+    answer::StoredAnswer,
+    permit::{Ending, Ticket},
+};
 use crate::{
     clock::{self, DaemonClock},
     shared::{LocalServer, SharedState},
@@ -50,8 +53,9 @@
     verdict: oneshot::Sender<Verdict>,
 }
 
+/// What becomes of a request that waits.
 #[derive(Debug, Clone, Copy)]
-enum Verdict {
+pub(super) enum Verdict {
     Run,
     Refuse(ResultCode),
 }
@@ -65,21 +69,6 @@
     Known(Outcome<Arc<StoredAnswer>>),
 }
 
-/// How a permitted request ended.
-#[derive(Debug, Clone)]
-pub(crate) enum Ending {
-    /// The backend server answered.
-    Done(StoredAnswer),
-    /// The backend server answered that it has too much work.
-    Shed(StoredAnswer),
-    /// The backend server took the request and failed.
-    Failed,
-    /// It cannot be known whether the backend server ran it.
-    Unknown,
-    /// The backend server certainly did not get it.
-    NotRun(ResultCode),
-}
-
 impl OwnerGate {
     pub(crate) fn new(options: &Options) -> Self {
         let ledger = OutcomeLedger::new(ledger::Options {
@@ -122,12 +111,7 @@
         if core.waiting.contains_key(&id) {
             self.inner.has_waiting.notify_one();
         }
-        Entry::Waits(Ticket {
-            gate: self.clone(),
-            id,
-            server: server.name.clone(),
-            receiver: Some(receiver),
-        })
+        Entry::Waits(Ticket::new(self.clone(), id, &server.name, receiver))
     }
 
     /// Tells the outcome of a request; with `fence`, one that waits never runs.
@@ -185,6 +169,21 @@
         }
     }
 
+    /// Takes a waiting request out of the queue with `code`.
+    pub(super) fn withdraw(&self, id: RequestId, code: ResultCode) {
+        let now_ms = self.inner.clock.now_ms();
+        self.lock().withdraw(now_ms, id, code);
+    }
+
+    /// Notes how a permitted request ended, and gives its slot back.
+    pub(super) fn finish(&self, server: &str, id: RequestId, service_us: u64, ending: Ending) {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        let result = core.settle(now_ms, id, ending);
+        let decisions = core.end(now_ms, server, id, (service_us, result));
+        core.apply(now_ms, server, decisions);
+    }
+
     fn lock(&self) -> MutexGuard<'_, GateCore> {
         self.inner
             .core
@@ -242,7 +241,7 @@
             return Vec::new();
         }
         self.ledger.not_run(now_ms, id, ResultCode::Cancelled);
-        self.end(now_ms, server, id, admission::Result::Cancelled)
+        self.end(now_ms, server, id, (0, admission::Result::Cancelled))
     }
 
     fn refuse(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
@@ -269,11 +268,13 @@
         now_ms: u64,
         server: &str,
         id: RequestId,
-        result: admission::Result,
+        end: (u64, admission::Result),
     ) -> Vec<Decision> {
-        self.queues
-            .get_mut(server)
-            .map_or_else(Vec::new, |queue| queue.finished(now_ms, id, 0, result))
+        let (service_us, result) = end;
+        let queue = self.queues.get_mut(server);
+        queue.map_or_else(Vec::new, |queue| {
+            queue.finished(now_ms, id, service_us, result)
+        })
     }
 
     fn settle(&mut self, now_ms: u64, id: RequestId, ending: Ending) -> admission::Result {
@@ -311,102 +312,3 @@
         self.ledger.done(now_ms, id, Arc::new(answer), bytes);
     }
 }
-
-/// A request that waits for its turn; dropping it withdraws the request.
-#[derive(Debug)]
-pub(crate) struct Ticket {
-    gate: OwnerGate,
-    id: RequestId,
-    server: String,
-    receiver: Option<oneshot::Receiver<Verdict>>,
-}
-
-impl Ticket {
-    /// Waits for the decision.
-    ///
-    /// # Errors
-    ///
-    /// Returns the code that the request is refused with; it was not run.
-    pub(crate) async fn verdict(&mut self) -> Result<Permit, ResultCode> {
-        let receiver = self.receiver.as_mut().ok_or(ResultCode::Cancelled)?;
-        let verdict = receiver.await;
-        self.receiver = None;
-        match verdict {
-            Ok(Verdict::Run) => Ok(Permit::new(self)),
-            Ok(Verdict::Refuse(code)) => Err(code),
-            Err(_) => Err(ResultCode::Cancelled),
-        }
-    }
-
-    /// Takes the request out of the queue; it did not run and never will.
-    pub(crate) fn withdraw(mut self, code: ResultCode) {
-        self.leave(code);
-    }
-
-    fn leave(&mut self, code: ResultCode) {
-        let Some(mut receiver) = self.receiver.take() else {
-            return;
-        };
-        if let Ok(Verdict::Run) = receiver.try_recv() {
-            let permit = Permit::new(self);
-            permit.settle(Ending::NotRun(code));
-            return;
-        }
-        let now_ms = self.gate.inner.clock.now_ms();
-        self.gate.lock().withdraw(now_ms, self.id, code);
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.leave(ResultCode::Cancelled);
-    }
-}
-
-/// A slot of a backend server; dropping it without [`Permit::settle`] leaves the outcome unknown.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    gate: OwnerGate,
-    id: RequestId,
-    server: String,
-    started: Instant,
-    ending: Ending,
-}
-
-impl Permit {
-    fn new(ticket: &Ticket) -> Self {
-        Self {
-            gate: ticket.gate.clone(),
-            id: ticket.id,
-            server: ticket.server.clone(),
-            started: Instant::now(),
-            ending: Ending::Unknown,
-        }
-    }
-
-    /// Gives the slot back and notes the outcome.
-    pub(crate) fn settle(mut self, ending: Ending) {
-        self.ending = ending;
-    }
-
-    /// Notes the outcome; the slot is given back when the permit is dropped.
-    pub(crate) fn settle_on_drop(mut self, ending: Ending) -> Self {
-        self.ending = ending;
-        self
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let now_ms = self.gate.inner.clock.now_ms();
-        let service_us = self.started.elapsed().as_micros() as u64;
-        let ending = std::mem::replace(&mut self.ending, Ending::Unknown);
-        let mut core = self.gate.lock();
-        let result = core.settle(now_ms, self.id, ending);
-        let decisions = match core.queues.get_mut(&self.server) {
-            Some(queue) => queue.finished(now_ms, self.id, service_us, result),
-            None => Vec::new(),
-        };
-        core.apply(now_ms, &self.server, decisions);
-    }
-}
--- /dev/null
+++ b/jayrackd/src/owner/permit.rs
@@ -0,0 +1,130 @@
+//! A request's stay at the owner: a ticket while it waits, a permit while it runs.
+use std::time::Instant;
+
+use jayrack_protocol::{RequestId, ResultCode};
+use tokio::sync::oneshot;
+
+use super::{
+    answer::StoredAnswer,
+    gate::{OwnerGate, Verdict},
+};
+
+/// How a permitted request ended.
+#[derive(Debug, Clone)]
+pub(crate) enum Ending {
+    /// The backend server answered.
+    Done(StoredAnswer),
+    /// The backend server answered that it has too much work.
+    Shed(StoredAnswer),
+    /// The backend server took the request and failed.
+    Failed,
+    /// It cannot be known whether the backend server ran it.
+    Unknown,
+    /// The backend server certainly did not get it.
+    NotRun(ResultCode),
+}
+
+/// A request that waits for its turn; dropping it withdraws the request.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    gate: OwnerGate,
+    id: RequestId,
+    server: String,
+    receiver: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Ticket {
+    pub(super) fn new(
+        gate: OwnerGate,
+        id: RequestId,
+        server: &str,
+        receiver: oneshot::Receiver<Verdict>,
+    ) -> Self {
+        Self {
+            gate,
+            id,
+            server: server.to_string(),
+            receiver: Some(receiver),
+        }
+    }
+
+    /// Waits for the decision.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code that the request is refused with; it was not run.
+    pub(crate) async fn verdict(&mut self) -> Result<Permit, ResultCode> {
+        let receiver = self.receiver.as_mut().ok_or(ResultCode::Cancelled)?;
+        let verdict = receiver.await;
+        self.receiver = None;
+        match verdict {
+            Ok(Verdict::Run) => Ok(Permit::new(self)),
+            Ok(Verdict::Refuse(code)) => Err(code),
+            Err(_) => Err(ResultCode::Cancelled),
+        }
+    }
+
+    /// Takes the request out of the queue; it did not run and never will.
+    pub(crate) fn withdraw(mut self, code: ResultCode) {
+        self.leave(code);
+    }
+
+    fn leave(&mut self, code: ResultCode) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        if let Ok(Verdict::Run) = receiver.try_recv() {
+            let permit = Permit::new(self);
+            permit.settle(Ending::NotRun(code));
+            return;
+        }
+        self.gate.withdraw(self.id, code);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.leave(ResultCode::Cancelled);
+    }
+}
+
+/// A slot of a backend server; dropping it without [`Permit::settle`] leaves the outcome unknown.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    gate: OwnerGate,
+    id: RequestId,
+    server: String,
+    started: Instant,
+    ending: Ending,
+}
+
+impl Permit {
+    fn new(ticket: &Ticket) -> Self {
+        Self {
+            gate: ticket.gate.clone(),
+            id: ticket.id,
+            server: ticket.server.clone(),
+            started: Instant::now(),
+            ending: Ending::Unknown,
+        }
+    }
+
+    /// Gives the slot back and notes the outcome.
+    pub(crate) fn settle(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+
+    /// Notes the outcome; the slot is given back when the permit is dropped.
+    pub(crate) fn settle_on_drop(mut self, ending: Ending) -> Self {
+        self.ending = ending;
+        self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let service_us = self.started.elapsed().as_micros() as u64;
+        let ending = std::mem::replace(&mut self.ending, Ending::Unknown);
+        self.gate.finish(&self.server, self.id, service_us, ending);
+    }
+}
--- a/jayrackd/src/owner/run.rs
+++ b/jayrackd/src/owner/run.rs
@@ -6,8 +6,8 @@
 
 use super::{
     answer::{OwnerAnswer, StoredAnswer},
-    gate::{Ending, Permit},
     headers,
+    permit::{Ending, Permit},
 };
 use crate::{
     backend::{self, BackendPool},
--- a/jayrackd/src/transport/body.rs
+++ b/jayrackd/src/transport/body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use jayrack_protocol::frame;
 use quinn::RecvStream;
 
 use super::{Error, wire::StreamSender};
@@ -208,6 +209,28 @@
     }
 }
 
+/// Writes the first message of an answer and its body to `send` and finishes the stream.
+///
+/// A body that is there as a whole leaves together with the message, in one packet if it fits.
+pub(crate) async fn write_answer(
+    message: &impl prost::Message,
+    mut body: RelayBody,
+    send: &mut StreamSender,
+) -> Result<(), Error> {
+    let start = frame::encode(message).freeze();
+    match &mut body.source {
+        Source::Whole(bytes) => {
+            let mut chunks = [start, bytes.take().unwrap_or_default()];
+            send.write_chunks(&mut chunks).await?;
+            send.finish()
+        }
+        _ => {
+            send.write_chunk(start).await?;
+            write_body(body, send).await
+        }
+    }
+}
+
 /// Writes `body` to `send` and finishes the stream.
 pub(crate) async fn write_body(mut body: RelayBody, send: &mut StreamSender) -> Result<(), Error> {
     while let Some(frame) = body.frame().await {
--- a/jayrackd/src/transport/pool.rs
+++ b/jayrackd/src/transport/pool.rs
@@ -2,7 +2,10 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -17,6 +20,9 @@
 /// Name in every daemon's certificate.
 const SERVER_NAME: &str = "jayrack";
 
+/// Pause between two looks for idle connections.
+const IDLE_CHECK: Duration = Duration::from_secs(15);
+
 /// Connections to peers; clones share them.
 #[derive(Debug, Clone)]
 pub struct PeerPool {
@@ -37,6 +43,8 @@
 #[derive(Debug, Default)]
 struct PeerSlot {
     connection: ArcSwapOption<Connection>,
+    /// Set by each use and cleared by each look for idle connections.
+    is_used: AtomicBool,
     opening: tokio::sync::Mutex<()>,
 }
 
@@ -87,6 +95,7 @@
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, Error> {
         let slot = self.slot(address);
+        slot.is_used.store(true, Ordering::Relaxed);
         if let Some(connection) = slot.live() {
             return Ok(connection);
         }
@@ -153,6 +162,19 @@
         peers.values().filter(|slot| slot.live().is_some()).count()
     }
 
+    /// Closes connections that were not used between two looks, so that keep-alive packets go to the
+    /// peers in use only; for as long as the process runs.
+    pub(crate) async fn watch(self) {
+        loop {
+            tokio::time::sleep(IDLE_CHECK).await;
+            let peers = self.inner.peers.lock();
+            let mut peers = peers.unwrap_or_else(PoisonError::into_inner);
+            peers.retain(|_, slot| {
+                slot.is_used.swap(false, Ordering::Relaxed) || Arc::strong_count(slot) > 1
+            });
+        }
+    }
+
     /// Closes all connections.
     pub(crate) async fn close(self) {
         let endpoint = self.inner.endpoint.load_full();
