--- a/jayrack-testkit/src/backend_standin/server.rs
+++ b/jayrack-testkit/src/backend_standin/server.rs
@@ -36,6 +36,8 @@
     pub service: String,
     /// Address to listen on; port 0 chooses a free one.
     pub listen: SocketAddr,
+    /// Address to announce instead of its own, such as that of a link in front of it.
+    pub advertise: Option<SocketAddr>,
     /// The daemon's address for announcements; none are sent without it.
     pub announce: Option<SocketAddr>,
     /// The daemon's address for callers; nested calls fail without it.
@@ -156,7 +158,7 @@
         work.behaviour.announcing.then(|| Announcement {
             name: self.options.name.clone(),
             service: self.options.service.clone(),
-            address: self.address,
+            address: self.options.advertise.unwrap_or(self.address),
             slots: self.options.slots,
             connections: self.options.connections,
             draining: work.behaviour.draining,
--- a/jayrack-testkit/src/bin/jayrack-backend-standin.rs
+++ b/jayrack-testkit/src/bin/jayrack-backend-standin.rs
@@ -55,6 +55,7 @@
         name: matches.opt_str("name").unwrap_or_default(),
         service: matches.opt_str("service").unwrap_or_default(),
         listen: optional(matches, "listen")?.unwrap_or(standin_process::ANY_PORT),
+        advertise: None,
         announce: optional(matches, "announce")?,
         callers: optional(matches, "callers")?,
         slots: optional(matches, "slots")?.unwrap_or(DEFAULT_SLOTS),
--- a/jayrack-testkit/src/fleet/run.rs
+++ b/jayrack-testkit/src/fleet/run.rs
@@ -56,6 +56,7 @@
             daemon.start()?;
         }
         self.until_all_ready().await?;
+        self.until_members_known(self.daemons.len() as u64).await?;
         for server in &mut self.servers {
             server.start()?;
         }
@@ -80,6 +81,24 @@
         Ok(())
     }
 
+    /// Waits until every daemon that runs knows exactly `count` running members.
+    pub async fn until_members_known(&self, count: u64) -> Result<()> {
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            if daemon.process_id().is_none() {
+                continue;
+            }
+            let operator = daemon.operator();
+            let what = format!("{} to know {count} members", daemon.name);
+            observe::until(STATE_LIMIT, &what, async || {
+                let status = operator.status().await.ok()?;
+                (status.of == count).then_some(())
+            })
+            .await
+            .wrap_err_with(|| self.trace(index))?;
+        }
+        Ok(())
+    }
+
     /// Waits until one daemon is ready.
     pub async fn until_ready(&mut self, index: usize) -> Result<()> {
         let daemon = &mut self.daemons[index];
--- a/jayrack-testkit/src/load/control_cost.rs
+++ b/jayrack-testkit/src/load/control_cost.rs
@@ -133,6 +133,7 @@
             name: format!("{}-server", daemon.name),
             service: "bookings".to_string(),
             listen: ANY_PORT,
+            advertise: None,
             announce: Some(daemon.addresses.announce),
             callers: None,
             slots: SERVER_SLOTS,
--- a/jayrack-testkit/tests/backend_standin.rs
+++ b/jayrack-testkit/tests/backend_standin.rs
@@ -16,6 +16,7 @@
         name: "wrecsam-1".to_string(),
         service: "bookings".to_string(),
         listen: ANY_PORT,
+        advertise: None,
         announce: None,
         callers: None,
         slots,
