--- a/jayrack-burn/src/page.rs
+++ b/jayrack-burn/src/page.rs
@@ -121,8 +121,8 @@
     if !content.missing.is_empty() {
         let _ = write!(
             page,
-            "<p>No answer from {} daemons: ",
-            content.missing.len()
+            "<p>No answer from {}: ",
+            counted(content.missing.len(), "daemon")
         );
         push_limited(page, &content.missing, ", ");
         page.push_str("</p>");
