test(jayrackd): wait for the death of the ingress before the server answers

Seen once under load: the first caller still got its answer. Cause: dropping the runtime ends its tasks only at their next yield, and the server was released before. Ruled out: a second run (the server counted one). The test now waits until the first caller's connection is gone, so that its assertion does not depend on the scheduler; what it asserts is unchanged.

--- a/jayrackd/tests/keys.rs
+++ b/jayrackd/tests/keys.rs
@@ -104,6 +104,7 @@
 
         mark_dead(&quartet, 0);
         drop(quartet.ingresses.remove(0));
+        let first = first.await.unwrap();
         let request = keyed("m1").header(HOLD_HEADER, "1");
         let calling = caller::call(quartet.ingresses[0].callers(), request, "slot 7");
         let second = tokio::spawn(calling);
@@ -112,7 +113,7 @@
         }
         let second = second.await.unwrap();
 
-        assert_eq!(first.await.unwrap(), None);
+        assert_eq!(first, None);
         assert_eq!((second.code, &second.body[..]), (0, &b"slot 7"[..]));
         assert_eq!(quartet.started("m1"), 1);
     });
