test(jayrackd): cut uploads, cut answers and cancellation without the deadline's help

The cancellation test first passed without its mechanism, as the deadline ended the request too; it now asks for ten minutes.

--- a/jayrackd/tests/faults.rs
+++ b/jayrackd/tests/faults.rs
@@ -10,6 +10,7 @@
     relay::Relay,
     wait_until,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// A [`Pair`] whose ingress reaches the owner through a relay only.
 async fn start_relayed_pair(setup: &Setup) -> (Pair, Relay) {
@@ -148,6 +149,7 @@
         let pair = start_pair(&Setup::default()).await;
         let request = caller::post("/confirm")
             .header(MARK_HEADER, "m1")
+            .header("x-jayrack-deadline-ms", "600000")
             .header(HOLD_HEADER, "1");
 
         let calling = tokio::spawn(caller::call(pair.ingress.callers(), request, ""));
@@ -219,6 +221,48 @@
     });
 }
 
+#[test]
+fn upload_cut_by_its_caller_is_not_taken_for_whole() {
+    block_on(async {
+        let pair = start_pair(&Setup::default()).await;
+        let mut stream = tokio::net::TcpStream::connect(pair.ingress.callers())
+            .await
+            .unwrap();
+        let request = "POST /confirm HTTP/1.1\r\nhost: t\r\nx-mark: m1\r\n\
+            transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+
+        stream.write_all(request.as_bytes()).await.unwrap();
+        wait_until("dispatch", || pair.backend.seen("m1").started == 1).await;
+        drop(stream);
+        wait_until("cut", || pair.backend.seen("m1").dropped == 1).await;
+
+        assert_eq!(pair.backend.seen("m1").completed, 0);
+    });
+}
+
+#[test]
+fn large_answer_that_is_cut_does_not_look_whole() {
+    block_on(async {
+        let (pair, relay) = start_relayed_pair(&Setup::default()).await;
+        let request = "GET /browse HTTP/1.1\r\nhost: t\r\nx-mark: m1\r\n\
+            x-answer-bytes: 20000000\r\nconnection: close\r\n\r\n";
+        let mut stream = tokio::net::TcpStream::connect(pair.ingress.callers())
+            .await
+            .unwrap();
+
+        // Next to nothing is read before the cut, so the larger part is still on its way then.
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 12];
+        stream.read_exact(&mut answer).await.unwrap();
+        relay.silence_flows();
+        let _ = stream.read_to_end(&mut answer).await;
+
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.contains("content-length: 20000000\r\n"));
+        assert!(answer.len() < 20_000_000, "{} bytes arrived", answer.len());
+    });
+}
+
 #[test]
 fn memory_stays_bounded_behind_a_caller_that_does_not_read() {
     block_on(async {
@@ -229,9 +273,7 @@
             .await
             .unwrap();
 
-        tokio::io::AsyncWriteExt::write_all(&mut stream, request.as_bytes())
-            .await
-            .unwrap();
+        stream.write_all(request.as_bytes()).await.unwrap();
         wait_until("answer", || pair.backend.seen("m1").completed == 1).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
 
