test(config): model of acceptance and distribution by breadth-first search

Four real state machines, two operators, a log that loses answers, delays, repeats and expires, and a network that loses, repeats and reorders.

--- a/jayrack-config/tests/support/mod.rs
+++ b/jayrack-config/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod naive;
 pub mod steps;
+pub mod world;
 
 use jayrack_config::{
     fold::{ConfigState, Outcome},
--- /dev/null
+++ b/jayrack-config/tests/support/world.rs
@@ -0,0 +1,723 @@
+//! The world of the configuration model: real state machines, a log and a network that fail.
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
+
+use jayrack_config::{
+    fold::{ConfigState, Outcome, Verdict},
+    plan,
+    record::StoredRecord,
+    sync::{
+        Action, ConfigSync, FleetMember, Input, LogAnswer, Options, PeerDigest, PullAnswer,
+        RecordPush,
+    },
+    tracker::{AppendState, AppendTracker},
+};
+use jayrack_protocol::{MemberId, ResultCode};
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::{LogFixture, START_MS, operator, put, rank};
+
+/// Time that passes in one step of the clock, in milliseconds; long enough for all time-outs.
+const CLOCK_STEP_MS: u64 = 4_000;
+
+pub const NODES: usize = 4;
+
+/// Which plan each operator works on, and through which daemon.
+const PLANS: [&str; 2] = ["left", "right"];
+
+/// A fault put into the model on purpose; the real state machines have none of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// Records are folded in the order of their arrival.
+    ArrivalOrder,
+    /// A lower state of a peer replaces the own one.
+    AcceptsLower,
+    /// A restarted daemon serves with what the first peer tells it.
+    OneWitness,
+    /// A restarted daemon serves at once.
+    ServesUnready,
+    /// A lost answer of the log is told as a failure.
+    LostIsFailed,
+    /// A drop is told as done before it is folded.
+    DropUnfolded,
+}
+
+/// How often each failure may happen in one history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Faults {
+    pub crashes: u8,
+    pub log_failures: u8,
+    pub expiries: u8,
+    pub losses: u8,
+    pub duplicates: u8,
+    pub clock_steps: u8,
+    pub digests: u8,
+    /// Whether readers may crash too.
+    pub readers_crash: bool,
+    /// Number of operators at work.
+    pub operators: usize,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Push {
+        to: usize,
+        push: RecordPush,
+    },
+    PullAnswer {
+        to: usize,
+        from: usize,
+        answer: Arc<PullAnswer>,
+    },
+}
+
+impl Message {
+    fn describe(&self) -> String {
+        match self {
+            Message::Push { to, push } => {
+                let offsets: Vec<u64> = push.records.iter().map(|record| record.offset).collect();
+                format!("records {offsets:?} to daemon {to}")
+            }
+            Message::PullAnswer { to, from, answer } => {
+                format!(
+                    "the answer of daemon {from} to daemon {to}, version {}",
+                    answer.version
+                )
+            }
+        }
+    }
+}
+
+/// What a daemon waits for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Waiting {
+    /// Offset from which the log is being read, and whether the log may hold the read.
+    log: Option<(u64, bool)>,
+    snapshots: bool,
+    pull: Option<(usize, u64)>,
+}
+
+#[derive(Debug, Clone)]
+struct Node {
+    sync: ConfigSync,
+    tracker: AppendTracker,
+    waiting: Waiting,
+    /// Version that other members told, by their number.
+    heard: BTreeMap<usize, u64>,
+}
+
+/// One state of the model.
+#[derive(Debug, Clone)]
+pub struct World {
+    now_ms: u64,
+    nodes: Vec<Arc<Node>>,
+    prints: Vec<u128>,
+    records: Arc<Vec<StoredRecord>>,
+    reference: Arc<ConfigState>,
+    log_first: u64,
+    snapshots: Vec<StoredRecord>,
+    /// Appends whose answer was lost and that may be stored at any time.
+    in_flight: BTreeSet<String>,
+    network: Vec<Message>,
+    /// Steps taken by each operator.
+    operators: [u8; 2],
+    faults: Faults,
+    defect: Option<Defect>,
+    served: [u64; NODES],
+    is_restarted: bool,
+    /// Outcomes told to operators, by plan.
+    told: BTreeMap<String, &'static str>,
+    /// Fingerprint of all that matters for the steps to come.
+    print: u128,
+    pub depth: usize,
+    pub label: String,
+    pub violation: Option<String>,
+}
+
+fn node_member(index: usize) -> FleetMember {
+    FleetMember {
+        id: MemberId(index as u64 + 1),
+        data_centre: ["wrecsam", "abertawe"][index % 2].to_string(),
+    }
+}
+
+fn verdict_name(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Confirmed { version } => format!("confirmed {version}"),
+        Verdict::Conflict(_) => "conflict".to_string(),
+        other => format!("{other:?}"),
+    }
+}
+
+impl World {
+    /// Four ready daemons, two of them readers, that have folded two overlapping open plans.
+    pub fn new(faults: Faults, defect: Option<Defect>) -> Self {
+        let mut log = LogFixture::with_route();
+        log.propose("left", &operator("shop"), put(vec![rank("urgent", 0, 20)]));
+        log.propose("right", &operator("shop"), put(vec![rank("urgent", 0, 30)]));
+        let mut world = Self {
+            now_ms: START_MS,
+            nodes: Vec::new(),
+            prints: vec![0; NODES],
+            reference: Arc::new(log.state.clone()),
+            records: Arc::new(log.records.clone()),
+            log_first: 1,
+            snapshots: Vec::new(),
+            in_flight: BTreeSet::new(),
+            network: Vec::new(),
+            operators: [0; 2],
+            faults,
+            defect,
+            served: [2; NODES],
+            is_restarted: false,
+            told: BTreeMap::new(),
+            print: 0,
+            depth: 0,
+            label: "start".to_string(),
+            violation: None,
+        };
+        for index in 0..NODES {
+            world.nodes.push(Arc::new(world.started(index)));
+        }
+        for index in 0..NODES {
+            world.handle(index, Input::Members((0..NODES).map(node_member).collect()));
+            world.handle(index, Input::Tick);
+            world.nodes_mut(index).waiting.snapshots = false;
+            world.handle(
+                index,
+                Input::SnapshotsRead {
+                    records: Vec::new(),
+                },
+            );
+            world.answer_log(index);
+            assert!(world.nodes[index].sync.is_ready());
+        }
+        world.depth = 0;
+        world
+    }
+
+    fn started(&self, index: usize) -> Node {
+        let options = Options::builder()
+            .readers_per_data_centre(1)
+            .start_spread_ms(0)
+            .pull_timeout_ms(CLOCK_STEP_MS)
+            .build();
+        Node {
+            sync: ConfigSync::new(options, node_member(index), self.now_ms),
+            tracker: AppendTracker::new(),
+            waiting: Waiting::default(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    fn nodes_mut(&mut self, index: usize) -> &mut Node {
+        Arc::make_mut(&mut self.nodes[index])
+    }
+
+    fn is_reader(&self, index: usize) -> bool {
+        self.nodes[index].sync.fleet().is_reader()
+    }
+
+    /// All states that one step leads to.
+    pub fn successors(&self) -> Vec<World> {
+        let mut next = Vec::new();
+        self.operator_steps(&mut next);
+        self.log_steps(&mut next);
+        self.network_steps(&mut next);
+        self.process_steps(&mut next);
+        next
+    }
+
+    fn step(&self, next: &mut Vec<World>, label: String, change: impl FnOnce(&mut World)) {
+        let mut world = self.clone();
+        world.depth += 1;
+        world.label = label;
+        change(&mut world);
+        world.check();
+        world.print = world.fingerprint();
+        next.push(world);
+    }
+
+    /// Each operator confirms a plan through daemon 2 or 3 and may then drop it, without an answer of the log.
+    fn operator_steps(&self, next: &mut Vec<World>) {
+        for (index, plan_id) in PLANS.iter().enumerate().take(self.faults.operators) {
+            let node = index + 2;
+            if !self.nodes[node].sync.is_ready() {
+                continue;
+            }
+            let state = self.nodes[node].sync.state();
+            let shop = operator("shop");
+            let record_id = format!("{plan_id}-{}", self.operators[index]);
+            let (name, text) = match self.operators[index] {
+                0 => ("confirms", plan::confirm(state, &shop, plan_id, &record_id)),
+                1 if index == 0 => ("drops", plan::drop_plan(state, &shop, plan_id, &record_id)),
+                _ => continue,
+            };
+            let Ok(text) = text else { continue };
+            self.step(
+                next,
+                format!("operator {name} {plan_id} at daemon {node}"),
+                |world| {
+                    world.operators[index] += 1;
+                    world.in_flight.insert(text);
+                    let now_ms = world.now_ms;
+                    let tracker = &mut world.nodes_mut(node).tracker;
+                    tracker.start(&record_id, plan_id, now_ms);
+                    if world.defect == Some(Defect::LostIsFailed) {
+                        world.nodes_mut(node).tracker.refused(&record_id);
+                    }
+                    if world.defect == Some(Defect::DropUnfolded) && name == "drops" {
+                        world.told.insert(plan_id.to_string(), "Dropped");
+                    }
+                },
+            );
+        }
+    }
+
+    fn log_steps(&self, next: &mut Vec<World>) {
+        for text in &self.in_flight {
+            self.step(next, format!("log stores {text}"), |world| {
+                world.in_flight.remove(text);
+                world.store(text.clone());
+            });
+            if self.faults.duplicates > 0 {
+                self.step(
+                    next,
+                    format!("log stores {text}, which is sent again"),
+                    |world| {
+                        world.faults.duplicates -= 1;
+                        world.store(text.clone());
+                    },
+                );
+            }
+        }
+        let end = self.records.len() as u64 + 1;
+        if self.faults.expiries > 0 && self.log_first < end {
+            self.step(next, "log expires all records".to_string(), |world| {
+                world.faults.expiries -= 1;
+                world.log_first = end;
+            });
+        }
+        for index in 0..NODES {
+            self.log_answers(index, next);
+        }
+    }
+
+    fn log_answers(&self, index: usize, next: &mut Vec<World>) {
+        let waiting = &self.nodes[index].waiting;
+        let end = self.records.len() as u64 + 1;
+        if let Some((from, is_held)) = waiting.log {
+            if from < end || !is_held {
+                self.step(next, format!("log answers daemon {index}"), |world| {
+                    world.answer_log(index)
+                });
+            }
+            if self.faults.log_failures > 0 {
+                self.step(next, format!("log fails daemon {index}"), |world| {
+                    world.faults.log_failures -= 1;
+                    world.nodes_mut(index).waiting.log = None;
+                    world.handle(index, Input::LogFailed);
+                });
+            }
+        }
+        if waiting.snapshots {
+            self.step(
+                next,
+                format!("log answers daemon {index} with snapshots"),
+                |world| {
+                    world.nodes_mut(index).waiting.snapshots = false;
+                    let records = world.snapshots.clone();
+                    world.handle(index, Input::SnapshotsRead { records });
+                },
+            );
+            if self.faults.log_failures > 0 {
+                self.step(
+                    next,
+                    format!("log fails daemon {index} with snapshots"),
+                    |world| {
+                        world.faults.log_failures -= 1;
+                        world.nodes_mut(index).waiting.snapshots = false;
+                        world.handle(index, Input::SnapshotsFailed);
+                    },
+                );
+            }
+        }
+    }
+
+    fn network_steps(&self, next: &mut Vec<World>) {
+        for (place, message) in self.network.iter().enumerate() {
+            self.step(
+                next,
+                format!("network delivers {}", message.describe()),
+                |world| {
+                    let message = world.network.remove(place);
+                    world.deliver(message);
+                },
+            );
+            if self.faults.losses > 0 {
+                self.step(
+                    next,
+                    format!("network loses {}", message.describe()),
+                    |world| {
+                        world.faults.losses -= 1;
+                        world.network.remove(place);
+                    },
+                );
+            }
+            if self.faults.duplicates > 0 {
+                self.step(
+                    next,
+                    format!("network delivers and keeps {}", message.describe()),
+                    |world| {
+                        world.faults.duplicates -= 1;
+                        let message = world.network[place].clone();
+                        world.deliver(message);
+                    },
+                );
+            }
+        }
+        for index in 0..NODES {
+            if let Some((peer, from)) = self.nodes[index].waiting.pull {
+                self.step(
+                    next,
+                    format!("daemon {peer} answers the pull of daemon {index}"),
+                    |world| {
+                        world.nodes_mut(index).waiting.pull = None;
+                        world.serve_pull(peer, index, from);
+                    },
+                );
+            }
+        }
+    }
+
+    fn process_steps(&self, next: &mut Vec<World>) {
+        if self.faults.clock_steps > 0 {
+            self.step(next, "time passes".to_string(), |world| {
+                world.faults.clock_steps -= 1;
+                world.now_ms += CLOCK_STEP_MS;
+                for index in 0..NODES {
+                    world.handle(index, Input::Tick);
+                }
+            });
+        }
+        for index in 0..NODES {
+            if self.faults.crashes > 0 && (self.faults.readers_crash || !self.is_reader(index)) {
+                self.step(
+                    next,
+                    format!("daemon {index} restarts with an empty memory"),
+                    |world| {
+                        world.faults.crashes -= 1;
+                        world.restart(index);
+                    },
+                );
+            }
+            for peer in (0..NODES).filter(|peer| *peer != index && self.faults.digests > 0) {
+                let (version, digest) = self.nodes[peer].sync.announced();
+                let heard = self.nodes[index]
+                    .heard
+                    .get(&peer)
+                    .copied()
+                    .unwrap_or_default();
+                let is_news = version > heard.max(2) || self.defect == Some(Defect::AcceptsLower);
+                if digest != 0 && is_news {
+                    self.step(
+                        next,
+                        format!("daemon {index} hears the digest of daemon {peer}"),
+                        |world| {
+                            world.faults.digests -= 1;
+                            world.hear(index, peer, version, digest);
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.is_restarted = true;
+        self.nodes[index] = Arc::new(self.started(index));
+        self.handle(index, Input::Members((0..NODES).map(node_member).collect()));
+        self.handle(index, Input::Tick);
+    }
+
+    fn hear(&mut self, index: usize, peer: usize, version: u64, digest: u64) {
+        self.nodes_mut(index).heard.insert(peer, version);
+        if self.defect == Some(Defect::AcceptsLower) {
+            self.served(index, version);
+        }
+        let next_offset = Some(self.nodes[peer].sync.state().next_offset());
+        self.handle(
+            index,
+            Input::PeerDigest(PeerDigest {
+                peer: node_member(peer).id,
+                version,
+                digest,
+                next_offset,
+                log_now_ms: None,
+            }),
+        );
+    }
+
+    fn store(&mut self, data: String) {
+        let stored = StoredRecord {
+            offset: self.records.len() as u64 + 1,
+            time_ms: self.now_ms + 1_000,
+            data,
+        };
+        Arc::make_mut(&mut self.reference)
+            .apply(&stored)
+            .expect("record is understood");
+        Arc::make_mut(&mut self.records).push(stored);
+    }
+
+    fn answer_log(&mut self, index: usize) {
+        let Some((from, _)) = self.nodes_mut(index).waiting.log.take() else {
+            return;
+        };
+        let next = self.records.len() as u64 + 1;
+        let now_ms = self.now_ms + 1_000;
+        if from < self.log_first {
+            let first = self.log_first;
+            self.handle(
+                index,
+                Input::LogExpired {
+                    first,
+                    next,
+                    now_ms,
+                },
+            );
+            return;
+        }
+        let records = self.records.iter().filter(|record| record.offset >= from);
+        let answer = LogAnswer {
+            first: self.log_first,
+            next,
+            now_ms,
+            records: records.cloned().collect(),
+        };
+        self.handle(index, Input::LogRead(answer));
+    }
+
+    fn serve_pull(&mut self, peer: usize, to: usize, from: u64) {
+        let floor = self.nodes[peer].heard.get(&to).copied().unwrap_or_default();
+        let answer = self.nodes_mut(peer).sync.answer_pull(from, 100, floor);
+        self.send(Message::PullAnswer {
+            to,
+            from: peer,
+            answer: Arc::new(answer),
+        });
+    }
+
+    fn send(&mut self, message: Message) {
+        self.network.push(message);
+        self.network
+            .sort_by_cached_key(|message| format!("{message:?}"));
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Push { to, mut push } => {
+                if self.defect == Some(Defect::ArrivalOrder) {
+                    let first = self.nodes[to].sync.state().next_offset();
+                    for (offset, record) in (first..).zip(&mut push.records) {
+                        record.offset = offset;
+                    }
+                }
+                self.handle(to, Input::Pushed(push));
+            }
+            Message::PullAnswer { to, from, answer } => {
+                let peer = node_member(from).id;
+                let is_state = answer.digest != 0;
+                let answer = answer.as_ref().clone();
+                self.handle(to, Input::Pulled { peer, answer });
+                if self.defect == Some(Defect::OneWitness) && is_state {
+                    self.served(to, self.nodes[to].sync.state().version());
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, index: usize, input: Input) {
+        let now_ms = self.now_ms;
+        let actions = self.nodes_mut(index).sync.handle(now_ms, input);
+        for action in actions {
+            self.act(index, action);
+        }
+        let node = &self.nodes[index];
+        let is_unready_served = self.defect == Some(Defect::ServesUnready) && self.depth > 0;
+        let is_serving = node.sync.is_ready() || is_unready_served;
+        if is_serving && !self.nodes[index].sync.fleet().is_empty() {
+            self.served(index, node.sync.state().version());
+        }
+        self.prints[index] = xxh3_128(format!("{:?}", self.nodes[index]).as_bytes());
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::ReadLog { from, wait_ms, .. } => {
+                self.nodes_mut(index).waiting.log = Some((from, wait_ms > 0));
+            }
+            Action::ReadSnapshots => self.nodes_mut(index).waiting.snapshots = true,
+            Action::AppendSnapshot { text } => {
+                let stored = StoredRecord {
+                    offset: self.snapshots.len() as u64 + 1,
+                    time_ms: self.now_ms + 1_000,
+                    data: text,
+                };
+                self.snapshots.push(stored);
+            }
+            Action::Push {
+                peers,
+                records,
+                hops,
+            } => {
+                for peer in peers {
+                    let push = RecordPush {
+                        peer: Some(node_member(index).id),
+                        records: records.clone(),
+                        hops,
+                    };
+                    let to = peer.0 as usize - 1;
+                    self.send(Message::Push { to, push });
+                }
+            }
+            Action::Pull { peer, from, .. } => {
+                self.nodes_mut(index).waiting.pull = Some((peer.0 as usize - 1, from));
+            }
+            Action::Folded {
+                offset,
+                record_id,
+                outcome,
+                ..
+            } => {
+                self.nodes_mut(index)
+                    .tracker
+                    .folded(&record_id, offset, &outcome);
+            }
+            Action::Report {
+                code: ResultCode::DigestDiverged,
+                detail,
+            } => {
+                self.violation = Some(detail);
+            }
+            Action::Installed { .. } | Action::Ready | Action::Report { .. } => {}
+        }
+    }
+
+    /// Notes the version that the daemon at an address serves, which must never fall.
+    fn served(&mut self, index: usize, version: u64) {
+        if version < self.served[index] {
+            self.violation = Some(format!(
+                "daemon {index} served version {} and now serves {version}",
+                self.served[index]
+            ));
+        }
+        self.served[index] = version;
+    }
+
+    fn check(&mut self) {
+        for index in 0..NODES {
+            let node = self.nodes[index].clone();
+            let state = node.sync.state();
+            for plan_id in PLANS {
+                let verdict = state
+                    .find_closed(plan_id)
+                    .map(|closed| verdict_name(&closed.verdict));
+                let expected = self
+                    .reference
+                    .find_closed(plan_id)
+                    .map(|closed| verdict_name(&closed.verdict));
+                if verdict.is_some() && verdict != expected {
+                    self.violation = Some(format!(
+                        "daemon {index}: {plan_id} is {verdict:?} and not {expected:?}"
+                    ));
+                }
+            }
+            self.check_told(&node);
+        }
+    }
+
+    fn check_told(&mut self, node: &Node) {
+        for plan_id in PLANS {
+            let Some(closed) = self.reference.find_closed(plan_id) else {
+                continue;
+            };
+            let is_confirmed = matches!(closed.verdict, Verdict::Confirmed { .. });
+            if is_confirmed && self.told.get(plan_id) == Some(&"Dropped") {
+                self.violation = Some(format!("{plan_id} was told to be dropped and is in force"));
+            }
+            let confirm = node.tracker.state(&format!("{plan_id}-0"));
+            let is_false = match confirm {
+                Some(AppendState::Refused) => is_confirmed,
+                Some(AppendState::Folded {
+                    outcome: Outcome::Accepted { version },
+                    ..
+                }) => closed.verdict != Verdict::Confirmed { version: *version },
+                Some(AppendState::Folded {
+                    outcome: Outcome::Dropped,
+                    ..
+                }) => is_confirmed,
+                _ => false,
+            };
+            if is_false {
+                self.violation = Some(format!(
+                    "{plan_id}: told {confirm:?} and is {:?}",
+                    closed.verdict
+                ));
+            }
+        }
+    }
+
+    /// Whether all daemons have folded the whole log and nothing is under way.
+    pub fn is_settled(&self) -> bool {
+        let next = self.reference.next_offset();
+        self.in_flight.is_empty()
+            && self
+                .nodes
+                .iter()
+                .all(|node| node.sync.state().next_offset() == next)
+    }
+
+    /// Whether some daemon restarted and all are ready again.
+    pub fn is_recovered(&self) -> bool {
+        self.is_restarted && self.nodes.iter().all(|node| node.sync.is_ready())
+    }
+
+    /// Identifies the state, whatever history led to it.
+    fn fingerprint(&self) -> u128 {
+        let parts = (
+            (
+                &self.prints,
+                self.records.len(),
+                self.reference.digest(),
+                self.log_first,
+            ),
+            (
+                self.snapshots.len(),
+                &self.in_flight,
+                &self.told,
+                self.now_ms,
+            ),
+            (&self.network, self.operators, self.faults, self.served),
+            (&self.violation, self.is_restarted),
+        );
+        xxh3_128(format!("{parts:?}").as_bytes())
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &Self) -> bool {
+        self.print == other.print
+    }
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.print.hash(state);
+    }
+}
