--- a/jayrack-config/tests/sync.rs
+++ b/jayrack-config/tests/sync.rs
@@ -342,6 +342,7 @@
         assert!(reads(&actions) <= 8);
     }
 
+    println!("silent readers: {total} reads in 30 s by 191 members");
     assert!((15..=60).contains(&total), "{total} reads in 30 s");
 }
 
@@ -524,6 +525,10 @@
         .iter()
         .filter(|machine| machine.sync.state().version() == 4)
         .count();
+    println!(
+        "push: {reached} of {count} members, {} messages",
+        sent.values().sum::<usize>()
+    );
     assert!(sent.values().all(|pushes| *pushes <= 3), "{sent:?}");
     assert!(reached * 10 >= count * 8, "{reached} of {count}");
 }
