--- a/jayrack-membership/src/core/mod.rs
+++ b/jayrack-membership/src/core/mod.rs
@@ -1,97 +1,56 @@
 //! The state machine that decides what to send and whom to believe.
 //!
 //! * `options`: settings.
+//! * `messages`: inputs and actions.
+//! * `local`: what this daemon publishes about itself.
+//! * `forget`: bounds of what is kept of members that are gone.
 //! * `receive`: what a datagram changes.
 //! * `merge`: what records and beliefs of others change.
 //! * `probe`: failure detection.
+//! * `relay`: probes on behalf of others.
+//! * `health`: how far this daemon trusts its own probes.
 //! * `outgoing`: composition of datagrams.
+//! * `sync`: anti-entropy.
+//! * `retry`: tries of addresses at which no running member is known.
+//! * `leads`: addresses told to a daemon that is new.
+//! * `applied`: aggregation of the versions in force.
+mod applied;
+mod forget;
+mod health;
+mod leads;
+mod local;
 mod merge;
+mod messages;
 mod options;
 mod outgoing;
 mod probe;
 mod receive;
+mod relay;
+mod retry;
+mod sync;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
-use jayrack_protocol::{MemberId, gossip::Datagram};
+use jayrack_protocol::MemberId;
 use rand_pcg::Pcg32;
 
+pub use messages::{Action, AppliedState, Input};
 pub use options::Options;
 
 use crate::{
+    budget::TokenBudget,
+    digest::ViewDigest,
     floors::FloorTable,
-    record::{MemberRecord, ServerRecord},
+    record::MemberRecord,
     replay::ReplayWindow,
     suspicion::Suspicion,
-    updates::{UpdateKey, UpdateQueue},
-    view::{MemberEntry, MemberStatus, MemberView},
+    updates::UpdateQueue,
+    view::{MemberEntry, MemberView},
 };
 
-/// Something that happened to the daemon.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Input {
-    /// An authenticated datagram arrived.
-    Datagram {
-        /// Address that it came from.
-        from: SocketAddr,
-        /// Its contents.
-        datagram: Box<Datagram>,
-    },
-    /// Time passed; expected every [`TICK_INTERVAL_MS`].
-    Tick,
-    /// The backend servers beside the daemon changed.
-    Servers(Vec<ServerRecord>),
-    /// A configuration version came into force at the daemon.
-    Applied(AppliedState),
-    /// The daemon caught up with the configuration, or fell behind.
-    Ready(bool),
-    /// Addresses to join through.
-    Seeds(Vec<SocketAddr>),
-    /// The daemon stops.
-    Leave,
-}
-
-/// Something that the driver has to do.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Send a datagram.
-    Send {
-        /// Address of the receiver.
-        to: SocketAddr,
-        /// Contents, to be sealed.
-        datagram: Box<Datagram>,
-    },
-    /// The membership view changed.
-    Changed,
-    /// A peer reported the state of its configuration.
-    PeerState {
-        /// The peer.
-        peer: MemberId,
-        /// Its state.
-        state: AppliedState,
-    },
-    /// A peer remembers this version from an earlier daemon at this address.
-    Floor {
-        /// The version.
-        version: u64,
-    },
-    /// No other member is known and no seed answers.
-    NeedContacts,
-    /// The fleet was told that the daemon leaves.
-    HasLeft,
-}
-
-/// State of a daemon's configuration.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AppliedState {
-    /// Highest version in force.
-    pub version: u64,
-    /// Digest of the state at that version.
-    pub digest: u64,
-    /// Offset of the first record that the daemon lacks.
-    pub next_offset: u64,
-}
-
 /// Time between two [`Input::Tick`], in milliseconds.
 pub const TICK_INTERVAL_MS: u64 = 100;
 
@@ -102,12 +61,22 @@
     local: MemberRecord,
     applied: AppliedState,
     view: MemberView,
+    digest: ViewDigest,
+    running: RunningList,
     peers: BTreeMap<MemberId, PeerTrack>,
     suspicions: BTreeMap<MemberId, Suspicion>,
     updates: UpdateQueue,
+    update_budget: TokenBudget,
     floors: FloorTable,
+    highest_applied: u64,
+    is_applied_changed: bool,
+    learned: usize,
+    sync_budget: TokenBudget,
+    rechecks: BTreeSet<MemberId>,
+    disputes: Vec<MemberId>,
     probe: probe::ProbeState,
     seeds: Vec<SocketAddr>,
+    leads: Vec<SocketAddr>,
     rng: Pcg32,
     sequence: u32,
     schedule: Schedule,
@@ -122,12 +91,24 @@
     heard_ms: Option<u64>,
 }
 
+/// The other members that are believed to run, collected anew after one came or went.
+#[derive(Debug, Default)]
+struct RunningList {
+    ids: Vec<MemberId>,
+    is_current: bool,
+}
+
 /// When periodic work is due, in milliseconds of the monotonic clock.
 #[derive(Debug)]
 struct Schedule {
     last_tick_ms: u64,
     next_gossip_ms: u64,
     next_retry_ms: u64,
+    last_sync_ms: u64,
+    next_sync_ms: u64,
+    sync_interval_ms: u64,
+    next_recheck_ms: u64,
+    next_applied_ms: u64,
     next_forget_ms: u64,
     retries: u32,
 }
@@ -140,9 +121,11 @@
     Done,
 }
 
-const LEAVE_ROUNDS: u32 = 5;
-const FORGET_INTERVAL_MS: u64 = 10_000;
-const CONTACTS_AFTER_RETRIES: u32 = 2;
+/// Bytes of updates sent per second, with probes or for their own sake.
+const UPDATE_BYTES_PER_S: u64 = 1_400;
+const UPDATE_BURST_BYTES: u64 = 8_000;
+const SYNC_REPLIES_PER_S: u64 = 4;
+const SYNC_REPLY_BURST: u64 = 16;
 
 impl MembershipCore {
     /// Creates the state of a daemon that knows only itself.
@@ -154,7 +137,12 @@
             last_tick_ms: now_ms,
             next_gossip_ms: now_ms,
             next_retry_ms: now_ms,
-            next_forget_ms: now_ms + FORGET_INTERVAL_MS,
+            last_sync_ms: now_ms,
+            next_sync_ms: now_ms,
+            sync_interval_ms: sync::CATCH_UP_INTERVAL_MS,
+            next_recheck_ms: now_ms,
+            next_applied_ms: now_ms,
+            next_forget_ms: now_ms + forget::FORGET_INTERVAL_MS,
             retries: 0,
         };
         let mut core = Self {
@@ -164,11 +152,21 @@
             local,
             applied: AppliedState::default(),
             view: MemberView::default(),
+            digest: ViewDigest::default(),
+            running: RunningList::default(),
             peers: BTreeMap::new(),
             suspicions: BTreeMap::new(),
             updates: UpdateQueue::default(),
+            update_budget: TokenBudget::new(now_ms, UPDATE_BYTES_PER_S, UPDATE_BURST_BYTES),
             floors: FloorTable::default(),
+            highest_applied: 0,
+            is_applied_changed: false,
+            learned: 0,
+            sync_budget: TokenBudget::new(now_ms, SYNC_REPLIES_PER_S, SYNC_REPLY_BURST),
+            rechecks: BTreeSet::new(),
+            disputes: Vec::new(),
             seeds: Vec::new(),
+            leads: Vec::new(),
             sequence: 0,
             schedule,
             departure: Departure::Staying,
@@ -215,121 +213,25 @@
         self.tick_probe(now_ms);
         self.expire_suspicions(now_ms);
         self.tick_gossip(now_ms);
+        self.tick_sync(now_ms);
         self.tick_retry(now_ms);
+        self.tick_recheck(now_ms);
+        self.tick_applied(now_ms);
         self.tick_forget(now_ms);
     }
 
-    fn set_servers(&mut self, now_ms: u64, mut servers: Vec<ServerRecord>) {
-        servers.sort();
-        if servers != self.local.servers {
-            self.local.servers = servers;
-            self.publish_local(now_ms);
-        }
-    }
-
-    fn set_ready(&mut self, now_ms: u64, ready: bool) {
-        if ready != self.local.ready {
-            self.local.ready = ready;
-            self.publish_local(now_ms);
+    /// Stores the entry of a member and keeps the digests in step.
+    fn put(&mut self, entry: MemberEntry) {
+        let id = entry.record.id;
+        let is_running = entry.status.is_running();
+        self.digest.toggle(&entry);
+        let previous = self.view.members.insert(id, entry);
+        if let Some(previous) = &previous {
+            self.digest.toggle(previous);
         }
-    }
-
-    fn set_applied(&mut self, now_ms: u64, state: AppliedState) {
-        self.applied = state;
-        self.raise_applied(now_ms, self.local.id, state.version);
-    }
-
-    fn set_seeds(&mut self, now_ms: u64, seeds: Vec<SocketAddr>) {
-        let own = self.local.gossip_address;
-        self.seeds = seeds.into_iter().filter(|seed| *seed != own).collect();
-        self.schedule.next_retry_ms = now_ms;
-        self.schedule.retries = 0;
-    }
-
-    fn leave(&mut self) {
-        if self.departure == Departure::Staying {
-            self.departure = Departure::Announcing {
-                rounds_left: LEAVE_ROUNDS,
-            };
+        if previous.is_some_and(|previous| previous.status.is_running()) != is_running {
+            self.running.is_current = false;
         }
-    }
-
-    fn announce_departure(&mut self, now_ms: u64) -> bool {
-        let Departure::Announcing { rounds_left } = self.departure else {
-            return false;
-        };
-        if rounds_left == LEAVE_ROUNDS {
-            self.set_status(now_ms, self.local.id, MemberStatus::Left);
-        }
-        self.updates.push(UpdateKey::Status(self.local.id));
-        self.send_updates(now_ms);
-        self.departure = match rounds_left {
-            0 => Departure::Done,
-            _ => Departure::Announcing {
-                rounds_left: rounds_left - 1,
-            },
-        };
-        if self.departure == Departure::Done {
-            self.actions.push(Action::HasLeft);
-        }
-        true
-    }
-
-    fn tick_forget(&mut self, now_ms: u64) {
-        if now_ms < self.schedule.next_forget_ms {
-            return;
-        }
-        self.schedule.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
-        let is_due = |entry: &MemberEntry| {
-            let limit_ms = match entry.status {
-                MemberStatus::Dead => self.options.forget_dead_ms,
-                MemberStatus::Left => self.options.forget_left_ms,
-                MemberStatus::Alive | MemberStatus::Suspect => return false,
-            };
-            now_ms.saturating_sub(entry.since_ms) >= limit_ms
-        };
-        let entries = self.view.members.values();
-        let due: Vec<MemberId> = entries
-            .filter(|entry| is_due(entry))
-            .map(|entry| entry.record.id)
-            .collect();
-        for id in due {
-            self.forget(id);
-        }
-    }
-
-    fn forget(&mut self, id: MemberId) {
-        self.view.members.remove(&id);
-        self.peers.remove(&id);
-        self.updates.remove(UpdateKey::Record(id));
-        self.updates.remove(UpdateKey::Status(id));
-        self.note_change();
-    }
-
-    fn publish_local(&mut self, now_ms: u64) {
-        self.local.revision += 1;
-        self.store_local(now_ms);
-    }
-
-    fn raise_incarnation(&mut self, now_ms: u64, above: u64) {
-        self.local.incarnation = self.local.incarnation.max(above) + 1;
-        self.local.revision = 0;
-        self.store_local(now_ms);
-    }
-
-    fn store_local(&mut self, now_ms: u64) {
-        let since_ms = match self.view.get(self.local.id) {
-            Some(entry) => entry.since_ms,
-            None => now_ms,
-        };
-        let entry = MemberEntry {
-            record: Arc::new(self.local.clone()),
-            status: MemberStatus::Alive,
-            since_ms,
-            applied_version: self.applied.version,
-        };
-        self.view.members.insert(self.local.id, entry);
-        self.updates.push(UpdateKey::Record(self.local.id));
         self.note_change();
     }
 
--- a/jayrack-testkit/src/fleet/run.rs
+++ b/jayrack-testkit/src/fleet/run.rs
@@ -56,6 +56,7 @@
             daemon.start()?;
         }
         self.until_all_ready().await?;
+        self.until_members_known(self.daemons.len() as u64).await?;
         for server in &mut self.servers {
             server.start()?;
         }
@@ -80,6 +81,24 @@
         Ok(())
     }
 
+    /// Waits until every daemon that runs knows exactly `count` running members.
+    pub async fn until_members_known(&self, count: u64) -> Result<()> {
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            if daemon.process_id().is_none() {
+                continue;
+            }
+            let operator = daemon.operator();
+            let what = format!("{} to know {count} members", daemon.name);
+            observe::until(STATE_LIMIT, &what, async || {
+                let status = operator.status().await.ok()?;
+                (status.of == count).then_some(())
+            })
+            .await
+            .wrap_err_with(|| self.trace(index))?;
+        }
+        Ok(())
+    }
+
     /// Waits until one daemon is ready.
     pub async fn until_ready(&mut self, index: usize) -> Result<()> {
         let daemon = &mut self.daemons[index];
@@ -125,6 +144,22 @@
         Ok(confirmed.plan.version)
     }
 
+    /// Waits until every running daemon knows the plan.
+    pub async fn until_plan_known(&self, plan: &str) -> Result<()> {
+        for daemon in &self.daemons {
+            if daemon.process_id().is_some() {
+                let operator = daemon.operator();
+                let what = format!("the plan to be known at {}", daemon.name);
+                observe::until(STATE_LIMIT, &what, async || {
+                    let answer = operator.show(plan).await.ok()?;
+                    (answer.code == 0).then_some(())
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until every running daemon has `version` or a higher one in force.
     pub async fn until_in_force(&self, version: u64) -> Result<()> {
         for index in 0..self.daemons.len() {
--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -7,6 +7,9 @@
 pub mod operations;
 pub mod peer_calls;
 pub mod publish;
+mod report;
+mod report_calls;
+mod sample;
 mod start;
 mod state;
 pub mod views;
@@ -14,7 +17,7 @@
 use std::sync::Arc;
 
 use jayrack_config::sync::Input;
-use jayrack_membership::MemberView;
+use jayrack_membership::{MemberView, contacts};
 use tokio::sync::{mpsc, watch};
 
 pub use start::{Error, start};
@@ -46,6 +49,10 @@
         /// What the log answered.
         result: log_calls::AppendResult,
     },
+    /// The log answered a call about contacts.
+    Contacts(contacts::Input),
+    /// The fleet answered for a report.
+    Gathered(report_calls::GatheredReport),
 }
 
 /// Queues that the loop takes its events from.
@@ -63,9 +70,15 @@
 pub struct ControlLoop {
     state: ControlState,
     queues: EventQueues,
+    edges: DaemonEdges,
+    shared: Arc<SharedState>,
+}
+
+/// The parts of the daemon that the control state acts through.
+#[derive(Debug)]
+struct DaemonEdges {
     gossip: GossipHandle,
     traffic: TrafficHandle,
-    shared: Arc<SharedState>,
 }
 
 impl ControlLoop {
@@ -77,30 +90,30 @@
         loop {
             tokio::select! {
                 () = &mut stop => break,
-                _ = ticks.tick() => self.state.tick(&self.gossip),
-                Some(event) = self.queues.events.recv() => self.state.event(&self.gossip, event),
-                Some(call) = self.queues.admin.recv() => self.state.admin(&self.gossip, call),
-                Some(call) = self.queues.announcements.recv() => self.state.announcement(&self.gossip, call),
-                Some(call) = self.queues.sync.recv() => self.state.sync_call(&self.gossip, call),
+                _ = ticks.tick() => self.state.tick(&self.edges),
+                Some(event) = self.queues.events.recv() => self.state.event(&self.edges, event),
+                Some(call) = self.queues.admin.recv() => self.state.admin(&self.edges, call),
+                Some(call) = self.queues.announcements.recv() => self.state.announcement(&self.edges, call),
+                Some(call) = self.queues.sync.recv() => self.state.sync_call(&self.edges, call),
                 Ok(()) = self.queues.view.changed() => {
                     let view = self.queues.view.borrow_and_update().clone();
-                    self.state.view_changed(&self.gossip, view);
+                    self.state.view_changed(&self.edges, view);
                 }
-                Some(event) = self.gossip.events.recv() => self.gossip_event(event),
+                Some(event) = self.edges.gossip.events.recv() => self.gossip_event(event),
             }
         }
         self.close().await;
     }
 
     fn gossip_event(&mut self, event: GossipEvent) {
-        self.state.gossip_event(&self.gossip, event);
+        self.state.gossip_event(&self.edges, event);
     }
 
     async fn close(self) {
         log::info!("stopping");
         self.shared.set_leaving();
-        self.gossip.close().await;
-        self.traffic.close().await;
+        self.edges.gossip.close().await;
+        self.edges.traffic.close().await;
         log::info!("stopped");
     }
 }
--- /dev/null
+++ b/jayrackd/src/owner/gate.rs
@@ -0,0 +1,314 @@
+//! The driver of admission and ledger: takes requests in, lets them wait, gives out permits.
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use jayrack_protocol::{RequestId, ResultCode};
+use jayrack_traffic::{
+    AdmissionQueue, LoadLevel, OutcomeLedger, RequestClass,
+    admission::{self, Decision},
+    ledger::{self, Begin, Inquiry, Outcome},
+};
+use tokio::sync::{Notify, oneshot};
+
+use super::{
+    answer::StoredAnswer,
+    permit::{Ending, Ticket},
+};
+use crate::{
+    clock::{self, DaemonClock},
+    shared::{LocalServer, SharedState},
+    traffic::Options,
+};
+
+/// Pause between two looks at waiting requests.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Decides about requests for the local backend servers; clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerGate {
+    inner: Arc<GateInner>,
+}
+
+#[derive(Debug)]
+struct GateInner {
+    core: Mutex<GateCore>,
+    clock: DaemonClock,
+    max_queued: usize,
+    has_waiting: Notify,
+}
+
+#[derive(Debug)]
+struct GateCore {
+    ledger: OutcomeLedger<Arc<StoredAnswer>>,
+    queues: BTreeMap<String, AdmissionQueue>,
+    waiting: BTreeMap<RequestId, WaitingRequest>,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    server: String,
+    verdict: oneshot::Sender<Verdict>,
+}
+
+/// What becomes of a request that waits.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Verdict {
+    Run,
+    Refuse(ResultCode),
+}
+
+/// What becomes of a request that arrived.
+#[derive(Debug)]
+pub(crate) enum Entry {
+    /// It waits for its turn.
+    Waits(Ticket),
+    /// It must not run; this is known about it.
+    Known(Outcome<Arc<StoredAnswer>>),
+}
+
+impl OwnerGate {
+    pub(crate) fn new(options: &Options) -> Self {
+        let ledger = OutcomeLedger::new(ledger::Options {
+            started_unix_ms: clock::unix_ms(),
+            clock_skew_ms: options.timeouts.clock_skew.as_millis() as u64,
+            max_bytes: options.limits.ledger_bytes as u64,
+            max_records: options.limits.ledger_records,
+            ..ledger::Options::default()
+        });
+        Self {
+            inner: Arc::new(GateInner {
+                core: Mutex::new(GateCore {
+                    ledger,
+                    queues: BTreeMap::new(),
+                    waiting: BTreeMap::new(),
+                }),
+                clock: options.clock,
+                max_queued: options.limits.queue,
+                has_waiting: Notify::new(),
+            }),
+        }
+    }
+
+    /// Takes a request for `server` in.
+    pub(crate) fn enter(&self, id: RequestId, server: &LocalServer, class: RequestClass) -> Entry {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        if let Begin::Existing(outcome) = core.ledger.begin(now_ms, id) {
+            return Entry::Known(outcome);
+        }
+        let (verdict, receiver) = oneshot::channel();
+        let waiting = WaitingRequest {
+            server: server.name.clone(),
+            verdict,
+        };
+        core.waiting.insert(id, waiting);
+        let queue = core.queue(server, self.inner.max_queued);
+        let decisions = queue.offer(now_ms, id, class);
+        core.apply(now_ms, &server.name, decisions);
+        if core.waiting.contains_key(&id) {
+            self.inner.has_waiting.notify_one();
+        }
+        Entry::Waits(Ticket::new(self.clone(), id, &server.name, receiver))
+    }
+
+    /// Tells the outcome of a request; with `fence`, one that waits never runs.
+    pub(crate) fn query(&self, id: RequestId, fence: bool) -> Inquiry<Arc<StoredAnswer>> {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        let inquiry = core.ledger.query(now_ms, id, fence);
+        if let Inquiry::NotRun(code) = inquiry {
+            core.withdraw(now_ms, id, code);
+        }
+        inquiry
+    }
+
+    /// The load of `server`.
+    pub(crate) fn load(&self, server: &str) -> Option<LoadLevel> {
+        let core = self.lock();
+        core.queues.get(server).map(AdmissionQueue::load)
+    }
+
+    /// Requests that run and that wait, all local servers together.
+    pub(crate) fn load_totals(&self) -> LoadTotals {
+        let core = self.lock();
+        let loads = core.queues.values().map(AdmissionQueue::load);
+        loads.fold(LoadTotals::default(), |totals, load| LoadTotals {
+            running: totals.running + load.running,
+            queued: totals.queued + load.queued,
+        })
+    }
+
+    /// Refuses what waited too long, or for a server that drains; for as long as the process runs.
+    pub(crate) async fn watch(self, shared: Arc<SharedState>) {
+        loop {
+            if self.lock().waiting.is_empty() {
+                self.inner.has_waiting.notified().await;
+            }
+            tokio::time::sleep(TICK).await;
+            self.tick(&shared);
+        }
+    }
+
+    fn tick(&self, shared: &SharedState) {
+        let now_ms = self.inner.clock.now_ms();
+        let servers = shared.servers.load();
+        let mut core = self.lock();
+        let names: Vec<String> = core.queues.keys().cloned().collect();
+        for name in names {
+            let server = servers.iter().find(|server| server.name == name);
+            let is_draining = server.is_none_or(|server| server.draining) || shared.is_leaving();
+            let Some(queue) = core.queues.get_mut(&name) else {
+                continue;
+            };
+            queue.set_draining(is_draining);
+            let decisions = queue.tick(now_ms);
+            core.apply(now_ms, &name, decisions);
+        }
+    }
+
+    /// Takes a waiting request out of the queue with `code`.
+    pub(super) fn withdraw(&self, id: RequestId, code: ResultCode) {
+        let now_ms = self.inner.clock.now_ms();
+        self.lock().withdraw(now_ms, id, code);
+    }
+
+    /// Notes how a permitted request ended, and gives its slot back.
+    pub(super) fn finish(&self, server: &str, id: RequestId, service_us: u64, ending: Ending) {
+        let now_ms = self.inner.clock.now_ms();
+        let mut core = self.lock();
+        let result = core.settle(now_ms, id, ending);
+        let decisions = core.end(now_ms, server, id, (service_us, result));
+        core.apply(now_ms, server, decisions);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateCore> {
+        self.inner
+            .core
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Load of all local servers together.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadTotals {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+}
+
+impl GateCore {
+    fn queue(&mut self, server: &LocalServer, max_queued: usize) -> &mut AdmissionQueue {
+        if !self.queues.contains_key(&server.name) {
+            let queue = AdmissionQueue::new(admission::Options {
+                slots: server.slots,
+                max_queued,
+                ..admission::Options::default()
+            });
+            self.queues.insert(server.name.clone(), queue);
+        }
+        let queue = self
+            .queues
+            .get_mut(&server.name)
+            .expect("inserted when absent");
+        queue.set_slots(server.slots);
+        queue.set_draining(server.draining);
+        queue
+    }
+
+    /// Carries decisions out, with those that follow from them.
+    fn apply(&mut self, now_ms: u64, server: &str, mut decisions: Vec<Decision>) {
+        while let Some(decision) = decisions.pop() {
+            let mut followers = match decision {
+                Decision::Dispatch(id) => self.dispatch(now_ms, server, id),
+                Decision::Refuse(id, code) => {
+                    self.refuse(now_ms, id, code);
+                    Vec::new()
+                }
+            };
+            decisions.append(&mut followers);
+        }
+    }
+
+    fn dispatch(&mut self, now_ms: u64, server: &str, id: RequestId) -> Vec<Decision> {
+        let waiting = self.waiting.remove(&id);
+        let is_free = self.ledger.dispatched(now_ms, id);
+        let is_taken =
+            waiting.is_some_and(|waiting| is_free && waiting.verdict.send(Verdict::Run).is_ok());
+        if is_taken {
+            return Vec::new();
+        }
+        self.ledger.not_run(now_ms, id, ResultCode::Cancelled);
+        self.end(now_ms, server, id, (0, admission::Result::Cancelled))
+    }
+
+    fn refuse(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
+        self.ledger.not_run(now_ms, id, code);
+        if let Some(waiting) = self.waiting.remove(&id) {
+            let _ = waiting.verdict.send(Verdict::Refuse(code));
+        }
+    }
+
+    fn withdraw(&mut self, now_ms: u64, id: RequestId, code: ResultCode) {
+        self.ledger.not_run(now_ms, id, code);
+        let Some(server) = self.waiting.get(&id).map(|waiting| waiting.server.clone()) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&server) {
+            let decisions = queue.cancel(now_ms, id);
+            self.apply(now_ms, &server, decisions);
+        }
+        self.refuse(now_ms, id, code);
+    }
+
+    fn end(
+        &mut self,
+        now_ms: u64,
+        server: &str,
+        id: RequestId,
+        end: (u64, admission::Result),
+    ) -> Vec<Decision> {
+        let (service_us, result) = end;
+        let queue = self.queues.get_mut(server);
+        queue.map_or_else(Vec::new, |queue| {
+            queue.finished(now_ms, id, service_us, result)
+        })
+    }
+
+    fn settle(&mut self, now_ms: u64, id: RequestId, ending: Ending) -> admission::Result {
+        match ending {
+            Ending::Done(answer) => {
+                self.store(now_ms, id, answer);
+                admission::Result::Ok
+            }
+            Ending::Shed(answer) => {
+                self.store(now_ms, id, answer);
+                admission::Result::ServerShed
+            }
+            Ending::Failed => {
+                self.ledger.failed(now_ms, id);
+                admission::Result::Failed
+            }
+            Ending::Unknown => {
+                self.ledger.unknown(now_ms, id);
+                admission::Result::Cancelled
+            }
+            Ending::NotRun(code) => {
+                self.ledger.not_run(now_ms, id, code);
+                admission::Result::Cancelled
+            }
+        }
+    }
+
+    fn store(&mut self, now_ms: u64, id: RequestId, answer: StoredAnswer) {
+        let headers = answer.head.headers.iter();
+        let head_bytes: usize = headers
+            .map(|header| header.name.len() + header.value.len())
+            .sum();
+        let body_bytes = answer.body.as_ref().map_or(0, bytes::Bytes::len);
+        let bytes = (head_bytes + body_bytes) as u64;
+        self.ledger.done(now_ms, id, Arc::new(answer), bytes);
+    }
+}
--- a/jayrackd/src/transport/body.rs
+++ b/jayrackd/src/transport/body.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use quinn::{RecvStream, SendStream};
+use jayrack_protocol::frame;
+use quinn::RecvStream;
 
-use super::{Error, wire};
+use super::{Error, wire::StreamSender};
 
 /// Bytes read from a QUIC stream at a time.
 const READ_BYTES: usize = 16 * 1024;
@@ -208,18 +209,35 @@
     }
 }
 
+/// Writes the first message of an answer and its body to `send` and finishes the stream.
+///
+/// A body that is there as a whole leaves together with the message, in one packet if it fits.
+pub(crate) async fn write_answer(
+    message: &impl prost::Message,
+    mut body: RelayBody,
+    send: &mut StreamSender,
+) -> Result<(), Error> {
+    let start = frame::encode(message).freeze();
+    match &mut body.source {
+        Source::Whole(bytes) => {
+            let mut chunks = [start, bytes.take().unwrap_or_default()];
+            send.write_chunks(&mut chunks).await?;
+            send.finish()
+        }
+        _ => {
+            send.write_chunk(start).await?;
+            write_body(body, send).await
+        }
+    }
+}
+
 /// Writes `body` to `send` and finishes the stream.
-pub(crate) async fn write_body(mut body: RelayBody, send: &mut SendStream) -> Result<(), Error> {
+pub(crate) async fn write_body(mut body: RelayBody, send: &mut StreamSender) -> Result<(), Error> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Error::Lost)?;
         if let Ok(data) = frame.into_data() {
-            send.write_chunk(data).await.map_err(|_| Error::Lost)?;
+            send.write_chunk(data).await?;
         }
     }
-    send.finish().map_err(|_| Error::Lost)
-}
-
-/// Cancels the stream in both directions.
-pub(crate) fn cancel(send: &mut SendStream) {
-    let _ = send.reset(wire::RESET_CANCELLED);
+    send.finish()
 }
