--- a/jayrack-config/src/fold.rs
+++ b/jayrack-config/src/fold.rs
@@ -189,7 +189,7 @@
     }
 
     fn advance(&mut self, stored: &StoredRecord) {
-        self.next_offset = stored.offset + 1;
+        self.next_offset = stored.offset.saturating_add(1);
         self.log_time_ms = self.log_time_ms.max(stored.time_ms);
         let now_ms = self.log_time_ms;
         self.removals
--- a/jayrack-config/src/sync/exchange.rs
+++ b/jayrack-config/src/sync/exchange.rs
@@ -132,7 +132,9 @@
         }
         self.readiness.raise_floor(digest.version);
         self.compare(digest.peer, digest.version, digest.digest, actions);
-        let next_offset = digest.next_offset.unwrap_or(digest.version + 1);
+        let next_offset = digest
+            .next_offset
+            .unwrap_or(digest.version.saturating_add(1));
         let is_behind =
             self.state.version() < digest.version || self.state.next_offset() < next_offset;
         let is_witness_wanted = self.readiness.needs_witnesses()
--- a/jayrack-config/src/sync/restore.rs
+++ b/jayrack-config/src/sync/restore.rs
@@ -79,10 +79,11 @@
     }
 
     fn schedule_view(&self, now_ms: u64) -> Option<ScheduleView> {
+        let elapsed_ms = now_ms.saturating_sub(self.log.heard_ms);
         Some(ScheduleView {
             next_offset: self.state.next_offset(),
             log_first: self.log.first,
-            log_now_ms: self.log.now_ms + now_ms.saturating_sub(self.log.heard_ms),
+            log_now_ms: self.log.now_ms.saturating_add(elapsed_ms),
             reader_rank: self.fleet.reader_rank()?,
         })
     }
--- a/jayrack-config/src/tail.rs
+++ b/jayrack-config/src/tail.rs
@@ -80,7 +80,7 @@
         if record.offset > self.next_offset {
             self.reset(record.offset);
         }
-        self.next_offset = record.offset + 1;
+        self.next_offset = record.offset.saturating_add(1);
         self.size_bytes += record.data.len();
         self.records.push_back(record);
         while self.records.len() > self.options.records || self.size_bytes > self.options.size_bytes
