--- a/jayrack-membership/tests/support/mod.rs
+++ b/jayrack-membership/tests/support/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code, unused_imports)]
 mod fixture;
 mod network;
+mod node;
 
 pub use fixture::{address, applied, id, record, server};
-pub use network::{Delivery, FakeNetwork, FakeNode, HEADER_BYTES, wire_bytes};
+pub use network::FakeNetwork;
+pub use node::{Delivery, FakeNode};
 
 use jayrack_membership::MemberStatus;
 
--- a/jayrack-membership/tests/support/network.rs
+++ b/jayrack-membership/tests/support/network.rs
@@ -5,39 +5,18 @@
     sync::Arc,
 };
 
-use jayrack_membership::{
-    Action, Input, MemberRecord, MemberStatus, MembershipCore,
-    core::{Options, TICK_INTERVAL_MS},
-    wire,
-};
-use jayrack_protocol::{gossip::Datagram, seal};
+use jayrack_membership::{Action, Input, MemberRecord, core::TICK_INTERVAL_MS};
+use jayrack_protocol::gossip::Datagram;
 use rand_pcg::{Pcg32, rand_core::Rng};
 
-use super::{address, record};
-
-/// Bytes of the headers of UDP and IPv4.
-pub const HEADER_BYTES: usize = 28;
+use super::{
+    address,
+    node::{Delivery, FakeNode, HEADER_BYTES, wire_bytes},
+};
 
 /// Largest network in which false deaths are looked for.
 const MAX_WATCHED: usize = 200;
 
-pub struct FakeNode {
-    pub core: MembershipCore,
-    pub is_paused: bool,
-    pub floors: BTreeSet<u64>,
-    pub contact_requests: u64,
-    pub has_left: bool,
-    pub bytes: u64,
-    backlog: Vec<Delivery>,
-}
-
-#[derive(Clone)]
-pub struct Delivery {
-    pub from: SocketAddr,
-    pub to: SocketAddr,
-    pub datagram: Arc<Datagram>,
-}
-
 enum Event {
     Tick(SocketAddr),
     Deliver(Delivery),
@@ -57,6 +36,7 @@
     pub false_deaths: BTreeSet<(SocketAddr, SocketAddr)>,
     /// All datagrams sent, when set.
     pub recorded: Option<Vec<Delivery>>,
+    ticking: BTreeSet<SocketAddr>,
     events: BTreeMap<(u64, u64), Event>,
     count: u64,
     rng: Pcg32,
@@ -74,6 +54,7 @@
             island: BTreeSet::new(),
             false_deaths: BTreeSet::new(),
             recorded: None,
+            ticking: BTreeSet::new(),
             events: BTreeMap::new(),
             count: 0,
             rng: Pcg32::new(seed, 1),
@@ -82,23 +63,12 @@
 
     /// Starts a daemon with empty memory.
     pub fn start(&mut self, index: usize, seeds: &[usize]) {
-        let (now_ms, seed) = (self.now_ms, self.rng.next_u64());
-        let record = record(index, now_ms);
-        let node = FakeNode {
-            core: MembershipCore::new(Options::default(), record, seed, now_ms),
-            is_paused: false,
-            floors: BTreeSet::new(),
-            contact_requests: 0,
-            has_left: false,
-            bytes: 0,
-            backlog: Vec::new(),
-        };
         let at = address(index);
+        let node = FakeNode::new(index, self.rng.next_u64(), self.now_ms);
         self.nodes.insert(at, node);
         let seeds = seeds.iter().map(|seed| address(*seed)).collect();
         self.handle(at, Input::Seeds(seeds));
-        let is_ticking = |event: &Event| matches!(event, Event::Tick(ticking) if *ticking == at);
-        if !self.events.values().any(is_ticking) {
+        if self.ticking.insert(at) {
             let phase_ms = self.below(TICK_INTERVAL_MS as u32);
             self.schedule(phase_ms, Event::Tick(at));
         }
@@ -171,6 +141,7 @@
 
     fn tick(&mut self, at: SocketAddr) {
         let Some(node) = self.nodes.get(&at) else {
+            self.ticking.remove(&at);
             return;
         };
         if !node.is_paused {
@@ -183,14 +154,10 @@
     fn handle(&mut self, at: SocketAddr, input: Input) {
         let node = self.nodes.get_mut(&at).unwrap();
         for action in node.core.handle(self.now_ms, input) {
-            let node = self.nodes.get_mut(&at).unwrap();
             match action {
                 Action::Send { to, datagram } => self.send(at, to, *datagram),
-                Action::Floor { version } => _ = node.floors.insert(version),
-                Action::HasLeft => node.has_left = true,
-                Action::NeedContacts => node.contact_requests += 1,
                 Action::Changed => self.note_false_deaths(at),
-                Action::PeerState { .. } => {}
+                other => self.nodes.get_mut(&at).unwrap().note(&other),
             }
         }
     }
@@ -199,12 +166,11 @@
         if self.nodes.len() > MAX_WATCHED {
             return;
         }
-        let members = self.nodes[&at].core.view().members.values();
-        let dead = members.filter(|entry| entry.status == MemberStatus::Dead);
-        let dead = dead.map(|entry| entry.record.gossip_address);
-        let running = dead.filter(|member| self.nodes.get(member).is_some_and(|n| !n.is_paused));
-        self.false_deaths
-            .extend(running.map(|member| (at, member)).collect::<Vec<_>>());
+        for member in self.nodes[&at].dead() {
+            if self.nodes.get(&member).is_some_and(|node| !node.is_paused) {
+                self.false_deaths.insert((at, member));
+            }
+        }
     }
 
     fn send(&mut self, from: SocketAddr, to: SocketAddr, datagram: Datagram) {
@@ -213,9 +179,9 @@
         self.nodes.get_mut(&from).unwrap().bytes += bytes;
         let datagram = Arc::new(datagram);
         let delivery = Delivery { from, to, datagram };
-        self.recorded
-            .iter_mut()
-            .for_each(|r| r.push(delivery.clone()));
+        if let Some(recorded) = &mut self.recorded {
+            recorded.push(delivery.clone());
+        }
         let copies = 1 + u32::from(self.below(100) < u64::from(self.duplicate_percent));
         for _ in 0..copies {
             let is_lost = self.below(100) < u64::from(self.loss_percent);
@@ -236,21 +202,3 @@
         (u64::from(self.rng.next_u32()) * u64::from(bound)) >> u32::BITS
     }
 }
-
-impl FakeNode {
-    /// Records of the members believed alive, ordered by address.
-    pub fn alive(&self) -> Vec<&MemberRecord> {
-        let alive = self.core.view().alive();
-        let mut records: Vec<&MemberRecord> = alive
-            .filter(|entry| entry.status == MemberStatus::Alive)
-            .map(|entry| entry.record.as_ref())
-            .collect();
-        records.sort_by_key(|record| record.gossip_address);
-        records
-    }
-}
-
-/// Bytes of a datagram on the wire, with tag and headers.
-pub fn wire_bytes(datagram: &Datagram) -> u64 {
-    (wire::encode(datagram).len() + seal::TAG_BYTES + HEADER_BYTES) as u64
-}
