fix(membership): many dead contacts no longer keep a newcomer from appending

Only the addresses of the last read counted as tried, so that with more than eight dead contacts in the log a newcomer tried them in turn for ever. All tried offsets are now kept, up to a bound.

--- a/jayrack-membership/src/contacts.rs
+++ b/jayrack-membership/src/contacts.rs
@@ -24,6 +24,8 @@
 /// Age from which an address is no longer tried, in milliseconds of the log's clock.
 pub const MAX_AGE_MS: u64 = 3 * REFRESH_INTERVAL_MS;
 
+/// Offsets remembered at most of addresses that were tried.
+const MAX_TRIED: usize = 1_024;
 const FIRST_READ_JITTER_MS: u64 = 1_000;
 const RETRY_MIN_MS: u64 = 1_000;
 const RETRY_MAX_MS: u64 = 60_000;
@@ -104,6 +106,7 @@
     search: Search,
     tried: BTreeSet<u64>,
     append_at_ms: Option<u64>,
+    appended_ms: Option<u64>,
     is_busy: bool,
     not_before_ms: u64,
     backoff_ms: u64,
@@ -118,6 +121,7 @@
             search: Search::Joined,
             tried: BTreeSet::new(),
             append_at_ms: None,
+            appended_ms: None,
             is_busy: false,
             not_before_ms: now_ms,
             backoff_ms: RETRY_MIN_MS,
@@ -208,7 +212,11 @@
         if contacts.is_empty() {
             return Vec::new();
         }
-        self.tried = contacts.iter().map(|contact| contact.offset).collect();
+        self.tried
+            .extend(contacts.iter().map(|contact| contact.offset));
+        while self.tried.len() > MAX_TRIED {
+            self.tried.pop_first();
+        }
         let seeds = contacts.iter().map(|contact| contact.address).collect();
         vec![Action::Seeds(seeds)]
     }
@@ -216,7 +224,7 @@
     fn advance_search(&mut self, now_ms: u64, is_empty: bool) {
         match self.search {
             Search::Joined => {}
-            Search::Turn { .. } if is_empty => {
+            Search::Turn { .. } if is_empty && self.may_append(now_ms) => {
                 self.append_at_ms = Some(now_ms);
                 self.next_turn(now_ms);
             }
@@ -224,6 +232,12 @@
         }
     }
 
+    /// A daemon that stays alone appends no more often than a keeper.
+    fn may_append(&self, now_ms: u64) -> bool {
+        self.appended_ms
+            .is_none_or(|appended_ms| now_ms.saturating_sub(appended_ms) >= REFRESH_INTERVAL_MS)
+    }
+
     /// Draws the next turn: the share of daemons whose turn has come grows exponentially over the
     /// window.
     fn next_turn(&mut self, now_ms: u64) {
@@ -237,6 +251,7 @@
 
     fn note_appended(&mut self, now_ms: u64) {
         self.succeed();
+        self.appended_ms = Some(now_ms);
         self.append_at_ms = match self.search {
             Search::Joined => {
                 let jitter_ms = self.below(REFRESH_INTERVAL_MS / 4);
--- a/jayrack-membership/tests/contacts.rs
+++ b/jayrack-membership/tests/contacts.rs
@@ -7,7 +7,8 @@
 };
 
 use jayrack_membership::contacts::{
-    Action, ContactCore, ContactRecord, ContactStanding, Input, KEEPERS, standing,
+    Action, ContactCore, ContactRecord, ContactStanding, Input, KEEPERS, REFRESH_INTERVAL_MS,
+    standing,
 };
 use rstest::rstest;
 use support::{address, id, settled};
@@ -181,21 +182,35 @@
     assert_eq!(log.joined.len(), 99);
 }
 
-#[test]
-fn contacts_that_run_no_more_do_not_hold_newcomers_back() {
+#[rstest]
+#[case(1)]
+#[case(30)]
+fn contacts_that_run_no_more_do_not_hold_newcomers_back(#[case] dead: usize) {
     let mut log = FakeLog::new(5, 50);
-    let address = address(99);
-    log.records.push(ContactRecord {
-        offset: 1,
+    let records = (1..=dead).map(|offset| ContactRecord {
+        offset: offset as u64,
         time_ms: 0,
-        address,
+        address: address(100 + offset),
     });
+    log.records.extend(records);
 
-    log.run_ms(90_000);
+    log.run_ms(180_000);
 
     assert!(log.joined.len() >= 4);
 }
 
+#[test]
+fn daemon_that_stays_alone_appends_only_now_and_then() {
+    const RUN_MS: u64 = 2 * 3_600_000;
+    let mut log = FakeLog::new(1, 50);
+
+    log.run_ms(RUN_MS);
+
+    assert!(log.appends >= 1);
+    let most = RUN_MS.div_ceil(REFRESH_INTERVAL_MS) as usize;
+    assert!(log.appends <= most, "{} appends", log.appends);
+}
+
 #[test]
 fn outage_is_met_with_back_off() {
     let mut log = FakeLog::new(100, 50);
