feat(membership): bound the members kept that are gone, refuse unspecified addresses

At most 1,024 dead or left members are kept; before, 3,000 that came and went within minutes all were. Gossip refuses to listen on an unspecified address, since a member is known by its address. Checked: bounds tests (two failed before), the driver's tests.

--- a/jayrack-membership/src/core/forget.rs
+++ b/jayrack-membership/src/core/forget.rs
@@ -8,6 +8,8 @@
 };
 
 pub(super) const FORGET_INTERVAL_MS: u64 = 10_000;
+/// Members kept at most that are dead or left; the ones gone for longest are forgotten first.
+const MAX_ENDED: usize = 1_024;
 /// Time after which an unknown sender is forgotten.
 const FORGET_SENDER_MS: u64 = 600_000;
 
@@ -17,20 +19,7 @@
             return;
         }
         self.schedule.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
-        let is_due = |entry: &MemberEntry| {
-            let limit_ms = match entry.status {
-                MemberStatus::Dead => self.options.forget_dead_ms,
-                MemberStatus::Left => self.options.forget_left_ms,
-                MemberStatus::Alive | MemberStatus::Suspect => return false,
-            };
-            now_ms.saturating_sub(entry.since_ms) >= limit_ms
-        };
-        let entries = self.view.members.values();
-        let due: Vec<MemberId> = entries
-            .filter(|entry| is_due(entry))
-            .map(|entry| entry.record.id)
-            .collect();
-        for id in due {
+        for id in self.forgettable(now_ms) {
             self.forget(id);
         }
         let members = &self.view.members;
@@ -40,7 +29,30 @@
         });
     }
 
-    pub(super) fn forget(&mut self, id: MemberId) {
+    /// Members that have been gone for long, or that exceed the number kept.
+    fn forgettable(&self, now_ms: u64) -> Vec<MemberId> {
+        let entries = self.view.members.values();
+        let mut ended: Vec<&MemberEntry> = entries
+            .filter(|entry| !entry.status.is_running() && entry.record.id != self.local.id)
+            .collect();
+        ended.sort_by_key(|entry| entry.since_ms);
+        let excess = ended.len().saturating_sub(MAX_ENDED);
+        let indexed = ended.into_iter().enumerate();
+        indexed
+            .filter(|(index, entry)| *index < excess || self.is_long_gone(now_ms, entry))
+            .map(|(_, entry)| entry.record.id)
+            .collect()
+    }
+
+    fn is_long_gone(&self, now_ms: u64, entry: &MemberEntry) -> bool {
+        let limit_ms = match entry.status {
+            MemberStatus::Left => self.options.forget_left_ms,
+            _ => self.options.forget_dead_ms,
+        };
+        now_ms.saturating_sub(entry.since_ms) >= limit_ms
+    }
+
+    fn forget(&mut self, id: MemberId) {
         if let Some(entry) = self.view.members.remove(&id) {
             self.digest.toggle(&entry);
             self.running.is_current = false;
--- /dev/null
+++ b/jayrack-membership/tests/bounds.rs
@@ -0,0 +1,102 @@
+//! What a daemon keeps of others stays bounded, however many come and go.
+mod support;
+
+use jayrack_membership::{Action, Input, MembershipCore, core::Options, wire};
+use jayrack_protocol::gossip::{self, Datagram, SyncRecords, datagram::Body};
+use support::{address, id, record};
+
+/// Members that come and go, several times the target fleet.
+const PASSERS_BY: usize = 3_000;
+/// Entries that a daemon may keep: the target fleet and as many that are gone, rounded up.
+const MAX_ENTRIES: usize = 2_048;
+
+/// A datagram of member 1 with the record of another that has ended.
+fn passer_by(index: usize, status: gossip::MemberStatus) -> Box<Datagram> {
+    let record = record(index, 0);
+    let ended = gossip::StatusUpdate {
+        id: record.id.0,
+        incarnation: record.incarnation,
+        status: status as i32,
+        source: 0,
+    };
+    Box::new(Datagram {
+        sender: id(1).0,
+        incarnation: 1,
+        sequence: index as u32,
+        applied_version: 3,
+        body: Some(Body::SyncRecords(SyncRecords {})),
+        records: vec![wire::to_message(&record, 3)],
+        statuses: vec![ended],
+        ..Datagram::default()
+    })
+}
+
+fn core_after(status: gossip::MemberStatus) -> MembershipCore {
+    let mut core = MembershipCore::new(Options::default(), record(0, 0), 1, 0);
+    for index in 10..10 + PASSERS_BY {
+        let datagram = passer_by(index, status);
+        let from = address(1);
+        let now_ms = index as u64;
+        core.handle(now_ms, Input::Datagram { from, datagram });
+    }
+    (0..150).for_each(|tick| _ = core.handle(4_000 + tick * 100, Input::Tick));
+    core
+}
+
+#[test]
+fn members_that_are_gone_are_forgotten_the_oldest_first() {
+    for status in [gossip::MemberStatus::Dead, gossip::MemberStatus::Left] {
+        let core = core_after(status);
+
+        let view = core.view();
+
+        assert!(view.members.len() <= MAX_ENTRIES, "{}", view.members.len());
+        assert!(view.get(id(10)).is_none());
+        assert!(view.get(id(9 + PASSERS_BY)).is_some());
+    }
+}
+
+#[test]
+fn forgotten_member_does_not_come_back_with_an_old_record() {
+    let mut core = core_after(gossip::MemberStatus::Dead);
+    let mut datagram = passer_by(10, gossip::MemberStatus::Alive);
+    datagram.sequence = 1_000_000;
+
+    let actions = core.handle(
+        30_000,
+        Input::Datagram {
+            from: address(1),
+            datagram,
+        },
+    );
+
+    assert!(core.view().get(id(10)).is_none());
+    assert!(!actions.contains(&Action::Changed));
+}
+
+#[test]
+fn old_and_repeated_datagrams_are_told_from_late_ones() {
+    let mut core = MembershipCore::new(Options::default(), record(0, 0), 1, 0);
+    let mut is_taken = |sequence: u32| {
+        let mut datagram = passer_by(10, gossip::MemberStatus::Alive);
+        datagram.sequence = sequence;
+        !core
+            .handle(
+                0,
+                Input::Datagram {
+                    from: address(1),
+                    datagram,
+                },
+            )
+            .is_empty()
+    };
+
+    let taken: Vec<bool> = [100, 101, 99, 100, 101, 300, 237, 236, 237]
+        .map(&mut is_taken)
+        .to_vec();
+
+    assert_eq!(
+        taken,
+        [true, true, true, false, false, true, true, false, false]
+    );
+}
--- a/jayrackd/src/gossip.rs
+++ b/jayrackd/src/gossip.rs
@@ -29,12 +29,15 @@
 pub enum Error {
     /// The address cannot be listened on.
     Bind(SocketAddr, io::Error),
+    /// The address names no single interface, so that peers cannot tell the member by it.
+    Unspecified(SocketAddr),
 }
 
 impl std::fmt::Display for Error {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Error::Bind(address, error) => write!(f, "cannot listen on {address}: {error}"),
+            Error::Unspecified(address) => write!(f, "{address} is no address of this host"),
         }
     }
 }
@@ -163,6 +166,9 @@
 /// Binds the socket and starts the driver on the runtime of the caller.
 pub async fn start(options: Options) -> Result<GossipHandle, Error> {
     let listen = options.listen;
+    if listen.ip().is_unspecified() {
+        return Err(Error::Unspecified(listen));
+    }
     let socket = UdpSocket::bind(listen)
         .await
         .map_err(|error| Error::Bind(listen, error))?;
--- a/jayrackd/tests/gossip.rs
+++ b/jayrackd/tests/gossip.rs
@@ -3,7 +3,7 @@
 
 use jayrack_membership::{MemberRecord, MemberStatus, MemberView, ServerRecord, core};
 use jayrack_protocol::{MemberId, seal::FleetKeys};
-use jayrackd::gossip::{self, GossipHandle};
+use jayrackd::gossip::{self, GossipEvent, GossipHandle};
 use tokio::{net::UdpSocket, time::timeout};
 
 const HANG_LIMIT: Duration = Duration::from_secs(120);
@@ -13,15 +13,20 @@
     socket.local_addr().unwrap()
 }
 
-async fn start(address: SocketAddr, key: &str, incarnation: u64) -> GossipHandle {
-    let options = gossip::Options {
+fn options(address: SocketAddr, key: &str, incarnation: u64) -> gossip::Options {
+    gossip::Options {
         listen: address,
         keys: FleetKeys::new(key.as_bytes(), None),
         core: core::Options::default(),
         local: MemberRecord::new(address, incarnation).with_place("wrecsam", "wales"),
         seed: u64::from(address.port()),
-    };
-    gossip::start(options).await.unwrap()
+    }
+}
+
+async fn start(address: SocketAddr, key: &str, incarnation: u64) -> GossipHandle {
+    gossip::start(options(address, key, incarnation))
+        .await
+        .unwrap()
 }
 
 async fn wait_for(handle: &GossipHandle, is_met: impl Fn(&MemberView) -> bool) {
@@ -111,3 +116,48 @@
     second.close().await;
     first.close().await;
 }
+
+#[tokio::test]
+async fn unspecified_address_is_refused() {
+    let address = "0.0.0.0:0".parse().unwrap();
+
+    let started = gossip::start(options(address, "key", 1)).await;
+
+    assert!(matches!(started, Err(gossip::Error::Unspecified(_))));
+}
+
+#[tokio::test]
+async fn versions_in_force_and_floors_are_reported() {
+    let first_address = free_address().await;
+    let second_address = free_address().await;
+    let mut first = start(first_address, "key", 1).await;
+    let second = start(second_address, "key", 1).await;
+    second.seeds(vec![first_address]);
+    wait_for(&first, |view| view.alive().count() == 2).await;
+
+    second.applied(42, 7, 50);
+    let state = timeout(HANG_LIMIT, async {
+        loop {
+            match first.events.recv().await.unwrap() {
+                GossipEvent::Peer(report) if report.state.version == 42 => return report.state,
+                _ => {}
+            }
+        }
+    });
+    let state = state.await.unwrap();
+    second.close_abruptly().await;
+    let mut second = start(second_address, "key", 2).await;
+    second.seeds(vec![first_address]);
+    let floor = timeout(HANG_LIMIT, async {
+        loop {
+            if let GossipEvent::Floor(version) = second.events.recv().await.unwrap() {
+                return version;
+            }
+        }
+    });
+
+    assert_eq!((state.digest, state.next_offset), (7, 50));
+    assert_eq!(floor.await.unwrap(), 42);
+    second.close().await;
+    first.close().await;
+}
