--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     backend::BackendPool,
+    settings::PolicyMode,
     shared::LocalServer,
     traffic::{Options, TrafficState},
     transport::{
@@ -24,13 +25,15 @@
 mod cancel;
 mod gate;
 pub(crate) mod headers;
+mod permit;
 mod run;
 
 pub(crate) use answer::OwnerAnswer;
 use answer::StoredAnswer;
 use cancel::Cancellation;
+use gate::Entry;
 pub(crate) use gate::OwnerGate;
-use gate::{Entry, Permit, Ticket};
+use permit::{Permit, Ticket};
 use run::RunContext;
 
 /// Longest encoded head of a forwarded request or answer, in bytes.
@@ -141,6 +144,9 @@
 }
 
 fn class_of(state: &TrafficState, head: &RequestHead) -> RequestClass {
+    if state.options.policy == PolicyMode::Fifo {
+        return fifo_class(state.clock.now_ms(), head);
+    }
     RequestClass {
         rank: u8::try_from(head.rank).unwrap_or(u8::MAX),
         floor_percent: u8::try_from(head.floor_percent).unwrap_or(0),
@@ -153,6 +159,21 @@
     }
 }
 
+/// The class of all requests in the baseline, so that they are served in the order of arrival.
+fn fifo_class(now_ms: u64, head: &RequestHead) -> RequestClass {
+    const PATIENCE_MS: u64 = 3_600_000;
+    RequestClass {
+        rank: 0,
+        floor_percent: 0,
+        kind: String::new(),
+        customer: String::new(),
+        customer_request: 0,
+        depth: 0,
+        deadline_ms: now_ms + PATIENCE_MS,
+        idempotent: head.idempotent,
+    }
+}
+
 /// The answer to a request that arrived a second time.
 fn known(outcome: Outcome<Arc<StoredAnswer>>) -> OwnerAnswer {
     match outcome {
@@ -174,8 +195,7 @@
     let body = RelayBody::quic(receive, length);
     let cancelled = cancel::cancellation(send);
     let answer = serve(state, head, body, cancelled).await;
-    send.write_message(&answer.head).await?;
-    transport::body::write_body(answer.body, send).await
+    transport::body::write_answer(&answer.head, answer.body, send).await
 }
 
 /// Serves a stream that asks for an outcome.
@@ -187,7 +207,6 @@
     let query: OutcomeQuery = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
     let id = RequestId::from_halves(query.request_high, query.request_low);
     let (reply, body) = answer::to_reply(state.owner.gate.query(id, query.fence));
-    send.write_message(&reply).await?;
     let body = RelayBody::whole(body.unwrap_or_else(Bytes::new));
-    transport::body::write_body(body, send).await
+    transport::body::write_answer(&reply, body, send).await
 }
