--- a/jayrack-testkit/src/fleet/plan.rs
+++ b/jayrack-testkit/src/fleet/plan.rs
@@ -62,6 +62,7 @@
 pub struct FleetPlan {
     pub(super) data_centres: Vec<DataCentre>,
     pub(super) daemons: usize,
+    pub(super) newcomers: usize,
     pub(super) servers: Vec<ServerPlan>,
     pub(super) settings: Map<String, Value>,
     pub(super) retention_ms: u64,
@@ -79,6 +80,7 @@
         Self {
             data_centres: ["wrecsam", "abertawe", "casnewydd"].map(centre).to_vec(),
             daemons,
+            newcomers: 0,
             servers: Vec::new(),
             settings: Map::new(),
             retention_ms: 0,
@@ -93,6 +95,12 @@
         self
     }
 
+    /// Adds daemons, the last of the fleet, that are not started with it.
+    pub fn newcomers(mut self, newcomers: usize) -> Self {
+        self.newcomers = newcomers;
+        self
+    }
+
     /// Adds or replaces a field of every daemon's settings.
     pub fn setting(mut self, field: &str, value: Value) -> Self {
         self.settings.insert(field.to_string(), value);
--- a/jayrack-testkit/src/fleet/run.rs
+++ b/jayrack-testkit/src/fleet/run.rs
@@ -41,22 +41,23 @@
         let mut addresses = AddressBlock::choose();
         let daemons = write_daemons(&plan, &log, &mut addresses, &directory)?;
         let servers = plan_servers(&plan, &daemons, &mut addresses, &directory)?;
+        let started = plan.daemons;
         let mut fleet = Self {
             daemons,
             servers,
             log,
             directory,
         };
-        fleet.start_processes().await?;
+        fleet.start_processes(started).await?;
         Ok(fleet)
     }
 
-    async fn start_processes(&mut self) -> Result<()> {
-        for daemon in &mut self.daemons {
+    async fn start_processes(&mut self, started: usize) -> Result<()> {
+        for daemon in &mut self.daemons[..started] {
             daemon.start()?;
         }
         self.until_all_ready().await?;
-        self.until_members_known(self.daemons.len() as u64).await?;
+        self.until_members_known(started as u64).await?;
         for server in &mut self.servers {
             server.start()?;
         }
@@ -246,7 +247,7 @@
     directory: &RunDirectory,
 ) -> Result<Vec<FleetDaemon>> {
     let authority = FleetAuthority::create()?;
-    let addresses = (0..plan.daemons)
+    let addresses = (0..plan.daemons + plan.newcomers)
         .map(|_| take_addresses(block))
         .collect::<Result<Vec<_>>>()?;
     // One seed of each data centre is enough to find the others.
--- a/jayrack-testkit/tests/process_configuration.rs
+++ b/jayrack-testkit/tests/process_configuration.rs
@@ -62,20 +62,32 @@
     fleet.close().await.unwrap();
 }
 
-#[rstest]
-#[case(LostAnswer::Cut)]
-#[case(LostAnswer::Withhold)]
-#[tokio::test]
-async fn confirm_with_lost_answer_comes_to_one_outcome(#[case] lost_answer: LostAnswer) {
-    let fleet = booking_fleet(3, &[], 2).await;
-    let plan = state_everywhere(&fleet, 0, &booking_change(4_000)).await;
-    let lossy = LogBehaviour {
+fn losing_one_answer(lost_answer: LostAnswer) -> LogBehaviour {
+    LogBehaviour {
         lose_answers: 1,
         lose_stream: "intents".to_string(),
         lost_answer,
         ..LogBehaviour::default()
-    };
-    fleet.log.set_behaviour(&lossy).await.unwrap();
+    }
+}
+
+/// Answers that come later than a client waits for them.
+fn slow() -> LogBehaviour {
+    LogBehaviour {
+        delay_ms: 2_500,
+        ..LogBehaviour::default()
+    }
+}
+
+#[rstest]
+#[case::cut(losing_one_answer(LostAnswer::Cut))]
+#[case::withheld(losing_one_answer(LostAnswer::Withhold))]
+#[case::slow(slow())]
+#[tokio::test]
+async fn confirm_without_an_answer_comes_to_one_outcome(#[case] behaviour: LogBehaviour) {
+    let fleet = booking_fleet(3, &[], 2).await;
+    let plan = state_everywhere(&fleet, 0, &booking_change(4_000)).await;
+    fleet.log.set_behaviour(&behaviour).await.unwrap();
 
     let answer = fleet.daemons[1].operator().confirm(&plan).await.unwrap();
 
@@ -139,6 +151,24 @@
     fleet.close().await.unwrap();
 }
 
+#[rstest]
+#[case(Outage::Refuse)]
+#[case(Outage::Silent)]
+#[tokio::test]
+async fn newcomer_gets_the_state_from_peers_in_an_outage(#[case] kind: Outage) {
+    let plan = FleetPlan::new(3).newcomers(1).seed(9);
+    let mut fleet = plan.start().await.unwrap();
+    let version = fleet.apply(&booking_change(4_000), 0, 1).await.unwrap();
+    fleet.until_in_force(version).await.unwrap();
+    fleet.log.set_behaviour(&outage(kind)).await.unwrap();
+
+    fleet.daemons[3].start().unwrap();
+    fleet.until_ready(3).await.unwrap();
+
+    assert_eq!(fleet.version_at(3).await, Some(version));
+    fleet.close().await.unwrap();
+}
+
 #[tokio::test]
 async fn intent_in_an_outage_gets_a_code_and_changes_nothing() {
     let fleet = booking_fleet(3, &[], 5).await;
@@ -217,8 +247,8 @@
     let change = booking_change(4_000);
     let version = fleet.apply(&change, others[0], others[1]).await.unwrap();
 
-    for other in others {
-        fleet.until_in_force_at(other, version).await.unwrap();
+    for other in &others {
+        fleet.until_in_force_at(*other, version).await.unwrap();
     }
     for reader in readers {
         match is_frozen {
@@ -259,3 +289,38 @@
     assert!(appends <= DAEMONS as u64, "{appends} appends");
     fleet.close().await.unwrap();
 }
+
+#[tokio::test]
+async fn same_fault_twice_with_another_beside_it_reverts_nothing() {
+    let mut fleet = booking_fleet(6, &[], 10).await;
+    let mut version = fleet.version_at(0).await.unwrap();
+    for round in 0..2 {
+        let lossy = losing_one_answer(LostAnswer::Cut);
+        fleet.log.set_behaviour(&lossy).await.unwrap();
+        fleet.daemons[3].kill().unwrap();
+        fleet.daemons[4].freeze().unwrap();
+
+        let change = booking_change(4_000 - round);
+        let plan = fleet.daemons[0].operator().propose(&change).await.unwrap();
+        assert!([OK, PLAN_PENDING].contains(&plan.code), "{plan:?}");
+
+        fleet
+            .log
+            .set_behaviour(&outage(Outage::None))
+            .await
+            .unwrap();
+        let next = fleet
+            .apply(&booking_change(3_000 - round), 1, 2)
+            .await
+            .unwrap();
+        assert!(next > version);
+        version = next;
+        fleet.daemons[4].thaw().unwrap();
+        fleet.daemons[3].start().unwrap();
+        fleet.until_in_force(version).await.unwrap();
+    }
+    for daemon in 0..6 {
+        assert_eq!(fleet.version_at(daemon).await, Some(version));
+    }
+    fleet.close().await.unwrap();
+}
