--- a/jayrack-traffic/src/admission/queue.rs
+++ b/jayrack-traffic/src/admission/queue.rs
@@ -8,7 +8,7 @@
 /// Greatest credit that a rank collects towards its floor, in microseconds of slot time.
 const MAX_CREDIT_US: i64 = 1_000_000;
 /// Customers of one kind that are remembered while they have no waiting request.
-const MAX_CUSTOMERS: usize = 4_096;
+const MAX_CUSTOMERS: usize = 256;
 
 /// One request that waits.
 #[derive(Debug, Clone)]
@@ -202,8 +202,9 @@
         }
     }
 
+    /// Whether the rank has earned the slot time of its next request.
     fn is_behind_floor(&self) -> bool {
-        self.floor_percent > 0 && self.credit_us > 0
+        self.floor_percent > 0 && self.credit_us >= (self.work_us / self.len.max(1) as u64) as i64
     }
 
     fn next_id(&self) -> Option<RequestId> {
