--- a/jayrack-testkit/src/bin/jayrack-demo.rs
+++ b/jayrack-testkit/src/bin/jayrack-demo.rs
@@ -50,6 +50,9 @@
         print_addresses(&fleet);
         standin_process::wait_for_interrupt().await?;
     }
+    if outcome.is_err() {
+        print_logs(&fleet);
+    }
     fleet.close().await?;
     outcome?;
     println!("all ended, every step held");
@@ -211,6 +214,12 @@
     println!("end with an interrupt (Ctrl-C)");
 }
 
+fn print_logs(fleet: &Fleet) {
+    for daemon in &fleet.daemons {
+        eprintln!("last lines of {}:\n{}", daemon.name, daemon.log_tail());
+    }
+}
+
 fn step(what: &str, started: Instant) {
     println!("ok: {what}, {} ms", started.elapsed().as_millis());
 }
