test(testkit): print what the caller of the demo is told before it is served

5 of 30 runs of the demo ended with 600 OutcomeUnknown for the first booking. In all runs that tell, the first answers are 508 Fenced (and then 509 RetryBudgetSpent) though both owners are ready and the version is in force; a repeat with the same Idempotency-Key right after such an answer is sometimes told 600, so the key's release seems to race with the repeat.

--- a/jayrack-testkit/src/bin/jayrack-demo.rs
+++ b/jayrack-testkit/src/bin/jayrack-demo.rs
@@ -176,6 +176,14 @@
         let is_not_run = answer
             .as_ref()
             .is_ok_and(|answer| answer.header("x-jayrack-outcome") == "not-run");
+        if let Ok(answer) = &answer
+            && is_not_run
+        {
+            println!(
+                "caller told code {}, tries again",
+                answer.header("x-jayrack-code")
+            );
+        }
         (!is_not_run).then_some(answer)
     })
     .await?
