--- a/jayrack-membership/tests/detection.rs
+++ b/jayrack-membership/tests/detection.rs
@@ -167,3 +167,19 @@
             .is_some()
     );
 }
+
+#[test]
+fn daemon_cut_off_while_paused_rules_on_nobody() {
+    const SILENT_MS: u64 = 25_000;
+    let mut network = settled(20, 13);
+    network.node(3).is_paused = true;
+    network.run_ms(60_000);
+    network.island = [address(3)].into();
+
+    network.resume(3);
+    network.run_ms(SILENT_MS);
+
+    assert_eq!(network.node(3).dead(), []);
+    network.island.clear();
+    assert!(network.run_until(60_000, FakeNetwork::is_agreed).is_some());
+}
