--- a/jayrack-traffic/src/admission.rs
+++ b/jayrack-traffic/src/admission.rs
@@ -1,9 +1,9 @@
 //! The queue in front of one backend server, at its owner.
 //!
-//! * [`queue`]: waiting requests by rank, kind and customer, with fair shares.
-//! * [`limit`]: how many slots are used.
-//! * [`level`]: the share of each rank that ingresses shall refuse.
-//! * [`service`]: estimates of service times.
+//! * `queue`: waiting requests by rank, kind and customer, with fair shares.
+//! * `limit`: how many slots are used.
+//! * `level`: the share of each rank that ingresses shall refuse.
+//! * `service`: estimates of service times.
 mod level;
 mod limit;
 mod queue;
