--- a/jayrack-testkit/tests/process_traffic.rs
+++ b/jayrack-testkit/tests/process_traffic.rs
@@ -324,3 +324,65 @@
     }
     fleet.close().await.unwrap();
 }
+
+#[tokio::test]
+async fn repeat_after_not_run_is_never_told_unknown() {
+    const KEYS: usize = 10;
+    const REPEATS: usize = 20;
+    let fleet = booking_fleet(3, &[0, 1], 11).await;
+    until_served(&fleet, 2).await;
+    for server in &fleet.servers {
+        let draining = BackendBehaviour {
+            draining: true,
+            ..BackendBehaviour::default()
+        };
+        let standin = server.standin().unwrap();
+        standin.set_behaviour(&draining).await.unwrap();
+    }
+    let address = fleet.daemons[2].callers();
+    let mut tasks = JoinSet::new();
+
+    for number in 0..KEYS {
+        let key = format!("refused-{number}");
+        tasks.spawn(async move {
+            let mut outcomes = Vec::new();
+            for _ in 0..REPEATS {
+                outcomes.push(book(address, &key, 1).await);
+            }
+            BookingStory { key, outcomes }
+        });
+    }
+    let stories = tasks.join_all().await;
+
+    check_stories(&fleet, &stories).await;
+    let is_told_unknown =
+        |story: &&BookingStory| story.outcomes.contains(&CustomerOutcome::Unknown);
+    let unknown: Vec<_> = stories.iter().filter(is_told_unknown).collect();
+    assert!(unknown.is_empty(), "{unknown:?}");
+    fleet.close().await.unwrap();
+}
+
+#[tokio::test]
+async fn first_bookings_of_a_young_fleet_are_refused_truly_or_completed() {
+    const KEYS: usize = 20;
+    let fleet = booking_fleet(3, &[0, 1], 12).await;
+    let address = fleet.daemons[2].callers();
+    let mut tasks = JoinSet::new();
+
+    for number in 0..KEYS {
+        let key = format!("young-{number}");
+        tasks.spawn(async move {
+            let deadline = Instant::now() + STATE_LIMIT;
+            loop {
+                let outcome = book(address, &key, 1).await;
+                if outcome != CustomerOutcome::NotRun || Instant::now() > deadline {
+                    return outcome;
+                }
+            }
+        });
+    }
+    let outcomes = tasks.join_all().await;
+
+    assert_eq!(outcomes, [CustomerOutcome::Completed; KEYS]);
+    fleet.close().await.unwrap();
+}
