fix(jayrackd): a request that lost its key to a repeat frees the homes it held

Cause: such a request does not run, but it told its homes "unknown", and every later repeat was told code 600 for the retention time. Ruled out: lost answers of homes (the key was held, not silent).

--- a/jayrackd/src/ingress/claim.rs
+++ b/jayrackd/src/ingress/claim.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub(super) struct KeyClaim {
     driver: ClaimDriver,
+    /// Whether a repeat has taken the key, so that this request does not run.
+    is_superseded: bool,
 }
 
 #[derive(Debug)]
@@ -86,7 +88,10 @@
         wait_ms: subject.deadline_ms,
     };
     match driver.drive(state, Input::Start).await {
-        Pause::Granted => ClaimEnd::Granted(Box::new(KeyClaim { driver })),
+        Pause::Granted => ClaimEnd::Granted(Box::new(KeyClaim {
+            driver,
+            is_superseded: false,
+        })),
         Pause::Attached(answer) => ClaimEnd::Attached(answer),
         Pause::Refused(code) => ClaimEnd::Refused(code),
         Pause::Superseded => ClaimEnd::Refused(ResultCode::OutcomeUnknown),
@@ -101,7 +106,9 @@
         owner: MemberId,
     ) -> bool {
         let input = Input::Retry { owner };
-        matches!(self.driver.drive(state, input).await, Pause::Granted)
+        let pause = self.driver.drive(state, input).await;
+        self.is_superseded = !matches!(pause, Pause::Granted);
+        !self.is_superseded
     }
 
     /// Tells the homes how the request ended.
@@ -111,6 +118,7 @@
         result: &Result<OwnerAnswer, ResultCode>,
     ) {
         let action = match result {
+            _ if self.is_superseded => ClaimAction::ResolveNotRun,
             Ok(_) => ClaimAction::ResolveDone,
             Err(code) if code.is_not_run() => ClaimAction::ResolveNotRun,
             Err(_) => ClaimAction::ResolveUnknown,
