fix(jayrackd): a daemon found dead keeps its part in the memory of keys until it is forgotten

Cause: a daemon behind a cut counts as dead; once its death was past the 60 s retention its homes were no longer missed, so both sides of a long cut between regions granted the same key. Before: jayrackd's tests/peers.rs failed with keys grantable on both sides. After: none of 200. Daemons that said that they leave are not missed.

--- a/jayrackd/src/control/publish.rs
+++ b/jayrackd/src/control/publish.rs
@@ -77,6 +77,7 @@
         is_alive,
         alive_since_ms,
         dead_since_ms: (!is_alive).then_some(entry.since_ms),
+        has_left: entry.status == MemberStatus::Left,
     }
 }
 
--- a/jayrackd/src/ingress/claim.rs
+++ b/jayrackd/src/ingress/claim.rs
@@ -74,7 +74,13 @@
 pub(super) async fn acquire(state: &Arc<TrafficState>, subject: ClaimSubject<'_>) -> ClaimEnd {
     let claim = to_claim(state, subject);
     let now_ms = state.clock.now_ms();
-    let peers: Vec<PeerSummary> = state.shared.peers.load().iter().map(summary).collect();
+    let peers: Vec<PeerSummary> = state
+        .shared
+        .peers
+        .load()
+        .iter()
+        .map(|peer| summary(peer, now_ms))
+        .collect();
     let retention_ms = state.options.claims.retention_ms;
     let homes = claim::homes(claim.key_hash, &peers, now_ms, retention_ms);
     let options = coordinate::Options {
@@ -253,11 +259,11 @@
     }
 }
 
-fn summary(peer: &PeerEntry) -> PeerSummary {
+fn summary(peer: &PeerEntry, now_ms: u64) -> PeerSummary {
     PeerSummary {
         id: peer.id,
         alive: peer.is_alive,
         alive_since_ms: peer.alive_since_ms,
-        dead_since_ms: peer.dead_since_ms,
+        dead_since_ms: peer.stopped_ms(now_ms),
     }
 }
--- a/jayrackd/src/shared.rs
+++ b/jayrackd/src/shared.rs
@@ -48,6 +48,22 @@
     pub alive_since_ms: u64,
     /// When it was found dead or left, in milliseconds of the daemon's monotonic clock.
     pub dead_since_ms: Option<u64>,
+    /// Whether it said that it leaves.
+    pub has_left: bool,
+}
+
+impl PeerEntry {
+    /// The latest time at which the daemon may have run; `None` while it is believed to run.
+    ///
+    /// A daemon that was found dead may still run behind a cut, so only one that said that it leaves
+    /// is known to have stopped.
+    pub fn stopped_ms(&self, now_ms: u64) -> Option<u64> {
+        match (self.is_alive, self.has_left) {
+            (true, _) => None,
+            (false, true) => self.dead_since_ms,
+            (false, false) => Some(now_ms),
+        }
+    }
 }
 
 /// State written by the control thread and read by the traffic threads.
--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -83,6 +83,7 @@
             is_alive: true,
             alive_since_ms: 0,
             dead_since_ms: None,
+            has_left: false,
         }
     }
 }
