--- a/jayrack-config/tests/support/world.rs
+++ b/jayrack-config/tests/support/world.rs
@@ -1,4 +1,7 @@
 //! The world of the configuration model: real state machines, a log and a network that fail.
+mod check;
+mod steps;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     hash::{Hash, Hasher},
@@ -6,14 +9,13 @@
 };
 
 use jayrack_config::{
-    fold::{ConfigState, Outcome, Verdict},
-    plan,
+    fold::ConfigState,
     record::StoredRecord,
     sync::{
         Action, ConfigSync, FleetMember, Input, LogAnswer, Options, PeerDigest, PullAnswer,
         RecordPush,
     },
-    tracker::{AppendState, AppendTracker},
+    tracker::AppendTracker,
 };
 use jayrack_protocol::{MemberId, ResultCode};
 use xxhash_rust::xxh3::xxh3_128;
@@ -144,14 +146,6 @@
     }
 }
 
-fn verdict_name(verdict: &Verdict) -> String {
-    match verdict {
-        Verdict::Confirmed { version } => format!("confirmed {version}"),
-        Verdict::Conflict(_) => "conflict".to_string(),
-        other => format!("{other:?}"),
-    }
-}
-
 impl World {
     /// Four ready daemons, two of them readers, that have folded two overlapping open plans.
     pub fn new(faults: Faults, defect: Option<Defect>) -> Self {
@@ -221,221 +215,6 @@
         self.nodes[index].sync.fleet().is_reader()
     }
 
-    /// All states that one step leads to.
-    pub fn successors(&self) -> Vec<World> {
-        let mut next = Vec::new();
-        self.operator_steps(&mut next);
-        self.log_steps(&mut next);
-        self.network_steps(&mut next);
-        self.process_steps(&mut next);
-        next
-    }
-
-    fn step(&self, next: &mut Vec<World>, label: String, change: impl FnOnce(&mut World)) {
-        let mut world = self.clone();
-        world.depth += 1;
-        world.label = label;
-        change(&mut world);
-        world.check();
-        world.print = world.fingerprint();
-        next.push(world);
-    }
-
-    /// Each operator confirms a plan through daemon 2 or 3 and may then drop it, without an answer of the log.
-    fn operator_steps(&self, next: &mut Vec<World>) {
-        for (index, plan_id) in PLANS.iter().enumerate().take(self.faults.operators) {
-            let node = index + 2;
-            if !self.nodes[node].sync.is_ready() {
-                continue;
-            }
-            let state = self.nodes[node].sync.state();
-            let shop = operator("shop");
-            let record_id = format!("{plan_id}-{}", self.operators[index]);
-            let (name, text) = match self.operators[index] {
-                0 => ("confirms", plan::confirm(state, &shop, plan_id, &record_id)),
-                1 if index == 0 => ("drops", plan::drop_plan(state, &shop, plan_id, &record_id)),
-                _ => continue,
-            };
-            let Ok(text) = text else { continue };
-            self.step(
-                next,
-                format!("operator {name} {plan_id} at daemon {node}"),
-                |world| {
-                    world.operators[index] += 1;
-                    world.in_flight.insert(text);
-                    let now_ms = world.now_ms;
-                    let tracker = &mut world.nodes_mut(node).tracker;
-                    tracker.start(&record_id, plan_id, now_ms);
-                    if world.defect == Some(Defect::LostIsFailed) {
-                        world.nodes_mut(node).tracker.refused(&record_id);
-                    }
-                    if world.defect == Some(Defect::DropUnfolded) && name == "drops" {
-                        world.told.insert(plan_id.to_string(), "Dropped");
-                    }
-                },
-            );
-        }
-    }
-
-    fn log_steps(&self, next: &mut Vec<World>) {
-        for text in &self.in_flight {
-            self.step(next, format!("log stores {text}"), |world| {
-                world.in_flight.remove(text);
-                world.store(text.clone());
-            });
-            if self.faults.duplicates > 0 {
-                self.step(
-                    next,
-                    format!("log stores {text}, which is sent again"),
-                    |world| {
-                        world.faults.duplicates -= 1;
-                        world.store(text.clone());
-                    },
-                );
-            }
-        }
-        let end = self.records.len() as u64 + 1;
-        if self.faults.expiries > 0 && self.log_first < end {
-            self.step(next, "log expires all records".to_string(), |world| {
-                world.faults.expiries -= 1;
-                world.log_first = end;
-            });
-        }
-        for index in 0..NODES {
-            self.log_answers(index, next);
-        }
-    }
-
-    fn log_answers(&self, index: usize, next: &mut Vec<World>) {
-        let waiting = &self.nodes[index].waiting;
-        let end = self.records.len() as u64 + 1;
-        if let Some((from, is_held)) = waiting.log {
-            if from < end || !is_held {
-                self.step(next, format!("log answers daemon {index}"), |world| {
-                    world.answer_log(index)
-                });
-            }
-            if self.faults.log_failures > 0 {
-                self.step(next, format!("log fails daemon {index}"), |world| {
-                    world.faults.log_failures -= 1;
-                    world.nodes_mut(index).waiting.log = None;
-                    world.handle(index, Input::LogFailed);
-                });
-            }
-        }
-        if waiting.snapshots {
-            self.step(
-                next,
-                format!("log answers daemon {index} with snapshots"),
-                |world| {
-                    world.nodes_mut(index).waiting.snapshots = false;
-                    let records = world.snapshots.clone();
-                    world.handle(index, Input::SnapshotsRead { records });
-                },
-            );
-            if self.faults.log_failures > 0 {
-                self.step(
-                    next,
-                    format!("log fails daemon {index} with snapshots"),
-                    |world| {
-                        world.faults.log_failures -= 1;
-                        world.nodes_mut(index).waiting.snapshots = false;
-                        world.handle(index, Input::SnapshotsFailed);
-                    },
-                );
-            }
-        }
-    }
-
-    fn network_steps(&self, next: &mut Vec<World>) {
-        for (place, message) in self.network.iter().enumerate() {
-            self.step(
-                next,
-                format!("network delivers {}", message.describe()),
-                |world| {
-                    let message = world.network.remove(place);
-                    world.deliver(message);
-                },
-            );
-            if self.faults.losses > 0 {
-                self.step(
-                    next,
-                    format!("network loses {}", message.describe()),
-                    |world| {
-                        world.faults.losses -= 1;
-                        world.network.remove(place);
-                    },
-                );
-            }
-            if self.faults.duplicates > 0 {
-                self.step(
-                    next,
-                    format!("network delivers and keeps {}", message.describe()),
-                    |world| {
-                        world.faults.duplicates -= 1;
-                        let message = world.network[place].clone();
-                        world.deliver(message);
-                    },
-                );
-            }
-        }
-        for index in 0..NODES {
-            if let Some((peer, from)) = self.nodes[index].waiting.pull {
-                self.step(
-                    next,
-                    format!("daemon {peer} answers the pull of daemon {index}"),
-                    |world| {
-                        world.nodes_mut(index).waiting.pull = None;
-                        world.serve_pull(peer, index, from);
-                    },
-                );
-            }
-        }
-    }
-
-    fn process_steps(&self, next: &mut Vec<World>) {
-        if self.faults.clock_steps > 0 {
-            self.step(next, "time passes".to_string(), |world| {
-                world.faults.clock_steps -= 1;
-                world.now_ms += CLOCK_STEP_MS;
-                for index in 0..NODES {
-                    world.handle(index, Input::Tick);
-                }
-            });
-        }
-        for index in 0..NODES {
-            if self.faults.crashes > 0 && (self.faults.readers_crash || !self.is_reader(index)) {
-                self.step(
-                    next,
-                    format!("daemon {index} restarts with an empty memory"),
-                    |world| {
-                        world.faults.crashes -= 1;
-                        world.restart(index);
-                    },
-                );
-            }
-            for peer in (0..NODES).filter(|peer| *peer != index && self.faults.digests > 0) {
-                let (version, digest) = self.nodes[peer].sync.announced();
-                let heard = self.nodes[index]
-                    .heard
-                    .get(&peer)
-                    .copied()
-                    .unwrap_or_default();
-                let is_news = version > heard.max(2) || self.defect == Some(Defect::AcceptsLower);
-                if digest != 0 && is_news {
-                    self.step(
-                        next,
-                        format!("daemon {index} hears the digest of daemon {peer}"),
-                        |world| {
-                            world.faults.digests -= 1;
-                            world.hear(index, peer, version, digest);
-                        },
-                    );
-                }
-            }
-        }
-    }
-
     fn restart(&mut self, index: usize) {
         self.is_restarted = true;
         self.nodes[index] = Arc::new(self.started(index));
@@ -607,85 +386,6 @@
         }
     }
 
-    /// Notes the version that the daemon at an address serves, which must never fall.
-    fn served(&mut self, index: usize, version: u64) {
-        if version < self.served[index] {
-            self.violation = Some(format!(
-                "daemon {index} served version {} and now serves {version}",
-                self.served[index]
-            ));
-        }
-        self.served[index] = version;
-    }
-
-    fn check(&mut self) {
-        for index in 0..NODES {
-            let node = self.nodes[index].clone();
-            let state = node.sync.state();
-            for plan_id in PLANS {
-                let verdict = state
-                    .find_closed(plan_id)
-                    .map(|closed| verdict_name(&closed.verdict));
-                let expected = self
-                    .reference
-                    .find_closed(plan_id)
-                    .map(|closed| verdict_name(&closed.verdict));
-                if verdict.is_some() && verdict != expected {
-                    self.violation = Some(format!(
-                        "daemon {index}: {plan_id} is {verdict:?} and not {expected:?}"
-                    ));
-                }
-            }
-            self.check_told(&node);
-        }
-    }
-
-    fn check_told(&mut self, node: &Node) {
-        for plan_id in PLANS {
-            let Some(closed) = self.reference.find_closed(plan_id) else {
-                continue;
-            };
-            let is_confirmed = matches!(closed.verdict, Verdict::Confirmed { .. });
-            if is_confirmed && self.told.get(plan_id) == Some(&"Dropped") {
-                self.violation = Some(format!("{plan_id} was told to be dropped and is in force"));
-            }
-            let confirm = node.tracker.state(&format!("{plan_id}-0"));
-            let is_false = match confirm {
-                Some(AppendState::Refused) => is_confirmed,
-                Some(AppendState::Folded {
-                    outcome: Outcome::Accepted { version },
-                    ..
-                }) => closed.verdict != Verdict::Confirmed { version: *version },
-                Some(AppendState::Folded {
-                    outcome: Outcome::Dropped,
-                    ..
-                }) => is_confirmed,
-                _ => false,
-            };
-            if is_false {
-                self.violation = Some(format!(
-                    "{plan_id}: told {confirm:?} and is {:?}",
-                    closed.verdict
-                ));
-            }
-        }
-    }
-
-    /// Whether all daemons have folded the whole log and nothing is under way.
-    pub fn is_settled(&self) -> bool {
-        let next = self.reference.next_offset();
-        self.in_flight.is_empty()
-            && self
-                .nodes
-                .iter()
-                .all(|node| node.sync.state().next_offset() == next)
-    }
-
-    /// Whether some daemon restarted and all are ready again.
-    pub fn is_recovered(&self) -> bool {
-        self.is_restarted && self.nodes.iter().all(|node| node.sync.is_ready())
-    }
-
     /// Identifies the state, whatever history led to it.
     fn fingerprint(&self) -> u128 {
         let parts = (
--- /dev/null
+++ b/jayrack-config/tests/support/world/check.rs
@@ -0,0 +1,96 @@
+//! Invariants of the model.
+use jayrack_config::{
+    fold::{Outcome, Verdict},
+    tracker::AppendState,
+};
+
+use super::{NODES, Node, PLANS, World};
+
+impl World {
+    /// Notes the version that the daemon at an address serves, which must never fall.
+    pub(super) fn served(&mut self, index: usize, version: u64) {
+        if version < self.served[index] {
+            self.violation = Some(format!(
+                "daemon {index} served version {} and now serves {version}",
+                self.served[index]
+            ));
+        }
+        self.served[index] = version;
+    }
+
+    pub(super) fn check(&mut self) {
+        for index in 0..NODES {
+            let node = self.nodes[index].clone();
+            let state = node.sync.state();
+            for plan_id in PLANS {
+                let verdict = state
+                    .find_closed(plan_id)
+                    .map(|closed| verdict_name(&closed.verdict));
+                let expected = self
+                    .reference
+                    .find_closed(plan_id)
+                    .map(|closed| verdict_name(&closed.verdict));
+                if verdict.is_some() && verdict != expected {
+                    self.violation = Some(format!(
+                        "daemon {index}: {plan_id} is {verdict:?} and not {expected:?}"
+                    ));
+                }
+            }
+            self.check_told(&node);
+        }
+    }
+
+    fn check_told(&mut self, node: &Node) {
+        for plan_id in PLANS {
+            let Some(closed) = self.reference.find_closed(plan_id) else {
+                continue;
+            };
+            let is_confirmed = matches!(closed.verdict, Verdict::Confirmed { .. });
+            if is_confirmed && self.told.get(plan_id) == Some(&"Dropped") {
+                self.violation = Some(format!("{plan_id} was told to be dropped and is in force"));
+            }
+            let confirm = node.tracker.state(&format!("{plan_id}-0"));
+            let is_false = match confirm {
+                Some(AppendState::Refused) => is_confirmed,
+                Some(AppendState::Folded {
+                    outcome: Outcome::Accepted { version },
+                    ..
+                }) => closed.verdict != Verdict::Confirmed { version: *version },
+                Some(AppendState::Folded {
+                    outcome: Outcome::Dropped,
+                    ..
+                }) => is_confirmed,
+                _ => false,
+            };
+            if is_false {
+                self.violation = Some(format!(
+                    "{plan_id}: told {confirm:?} and is {:?}",
+                    closed.verdict
+                ));
+            }
+        }
+    }
+
+    /// Whether all daemons have folded the whole log and nothing is under way.
+    pub fn is_settled(&self) -> bool {
+        let next = self.reference.next_offset();
+        self.in_flight.is_empty()
+            && self
+                .nodes
+                .iter()
+                .all(|node| node.sync.state().next_offset() == next)
+    }
+
+    /// Whether some daemon restarted and all are ready again.
+    pub fn is_recovered(&self) -> bool {
+        self.is_restarted && self.nodes.iter().all(|node| node.sync.is_ready())
+    }
+}
+
+fn verdict_name(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Confirmed { version } => format!("confirmed {version}"),
+        Verdict::Conflict(_) => "conflict".to_string(),
+        other => format!("{other:?}"),
+    }
+}
