fix(jayrackd): close only after the answers sent have arrived

An owner that closed while its last answer was on its way dropped what was not acknowledged yet, and the caller was told "unknown" about a request that ran: a cut request. Streams now count as in flight until their end is acknowledged, and callers' connections until they are done.

--- a/jayrackd/src/owner.rs
+++ b/jayrackd/src/owner.rs
@@ -191,11 +191,15 @@
     state: &Arc<TrafficState>,
 ) -> Result<(), transport::Error> {
     let head: RequestHead = wire::read_message(&mut receive, HEAD_MESSAGE_BYTES).await?;
+    let _flight = state.in_flight.enter();
     let length = headers::content_length(&head.headers);
     let body = RelayBody::quic(receive, length);
     let cancelled = cancel::cancellation(send);
     let answer = serve(state, head, body, cancelled).await;
-    transport::body::write_answer(&answer.head, answer.body, send).await
+    transport::body::write_answer(&answer.head, answer.body, send).await?;
+    // A daemon that closes waits until its answers have arrived.
+    let _ = send.stopped().await;
+    Ok(())
 }
 
 /// Serves a stream that asks for an outcome.
--- a/jayrackd/src/traffic.rs
+++ b/jayrackd/src/traffic.rs
@@ -214,11 +214,16 @@
     pub async fn close(self) {
         self.drain();
         let deadline = tokio::time::Instant::now() + self.state.options.timeouts.grace;
-        while self.in_flight() > 0 && tokio::time::Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
-        }
+        wait_until(deadline, || self.in_flight() == 0).await;
         self.state.stopping.cancel();
+        wait_until(deadline, || self.state.connections.count() == 0).await;
         let peers = self.state.peers.clone();
         self.threads.run(async move { peers.close().await }).await;
     }
 }
+
+async fn wait_until(deadline: tokio::time::Instant, is_done: impl Fn() -> bool) {
+    while !is_done() && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
+    }
+}
--- a/jayrackd/tests/stop.rs
+++ b/jayrackd/tests/stop.rs
@@ -1,13 +1,14 @@
 //! Daemons and backend servers that stop taking work.
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use jayrack_config::table::RouteTable;
 use support::{
     backend::{HOLD_HEADER, MARK_HEADER, SLEEP_HEADER},
     block_on, caller,
-    fleet::{Pair, Setup, local_server, publish, start_pair},
+    fleet::{Pair, Setup, local_server, publish, server_entry, start_pair},
+    relay::Relay,
     wait_until,
 };
 
@@ -59,6 +60,28 @@
     });
 }
 
+#[test]
+fn closing_the_owner_waits_until_its_answer_has_arrived() {
+    block_on(async {
+        let pair = start_pair(&Setup::default()).await;
+        let relay = Relay::start(pair.owner.handle.forward_address()).await;
+        let entry = server_entry("s1", &pair.owner, relay.address);
+        publish(&[&pair.ingress, &pair.owner], &[entry]);
+        let calling = held_call(&pair).await;
+
+        relay.set_drop_answers(true);
+        let closing = tokio::spawn(pair.owner.handle.close());
+        pair.backend.release();
+        wait_until("answer", || pair.backend.seen("held").completed == 1).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        relay.set_drop_answers(false);
+        let told = calling.await.unwrap();
+        closing.await.unwrap();
+
+        assert_eq!((told.code, &told.body[..]), (0, &b"slot 7"[..]));
+    });
+}
+
 #[test]
 fn closing_under_load_cuts_no_answer() {
     block_on(async {
