fix(membership): a daemon that hears nothing from anybody suspects nobody

A daemon cut off alone suspected and struck out the others one by one, and its probes stayed rare until eight were answered. With three or more other members it now takes full silence for its own fault, and an answered probe restores the usual interval.

--- a/jayrack-membership/src/core/health.rs
+++ b/jayrack-membership/src/core/health.rs
@@ -9,6 +9,8 @@
 const ANSWERS_TO_TRUST: u32 = 2;
 /// Unanswered probes after which a paused daemon rules on others again all the same.
 const FAILURES_TO_TRUST: u32 = 30;
+/// Other members from which on silence tells of this daemon rather than of them.
+const TALKATIVE_MEMBERS: usize = 3;
 /// Highest value of the local health factor.
 const MAX_HEALTH_FACTOR: u64 = 8;
 
@@ -54,6 +56,11 @@
 }
 
 impl MembershipCore {
+    /// Whether nothing at all was heard since a probe started, from as many members as would talk.
+    pub(super) fn is_isolated(&mut self, started_ms: u64) -> bool {
+        self.running_others().len() >= TALKATIVE_MEMBERS && self.heard_ms < started_ms
+    }
+
     /// Makes up for time in which this daemon did not run.
     pub(super) fn note_gap(&mut self, now_ms: u64, gap_ms: u64) {
         let lost_ms = gap_ms.saturating_sub(TICK_INTERVAL_MS + GAP_TOLERANCE_MS);
--- a/jayrack-membership/src/core/probe.rs
+++ b/jayrack-membership/src/core/probe.rs
@@ -16,6 +16,7 @@
 pub(super) struct Outstanding {
     pub(super) target: MemberId,
     pub(super) nonce: u32,
+    pub(super) started_ms: u64,
     pub(super) ack_deadline_ms: u64,
     pub(super) end_deadline_ms: u64,
     pub(super) has_asked_helpers: bool,
@@ -90,7 +91,7 @@
         for _ in 0..probe.nacks_expected {
             self.probe.doubt_self();
         }
-        if self.probe.is_trusted() {
+        if self.probe.is_trusted() && !self.is_isolated(probe.started_ms) {
             self.suspect(now_ms, probe.target, self.local.id);
         }
         self.probe.count_failure();
@@ -107,6 +108,7 @@
         self.probe.outstanding = Some(Outstanding {
             target,
             nonce,
+            started_ms: now_ms,
             ack_deadline_ms: now_ms + self.options.ack_timeout_ms * factor,
             end_deadline_ms: now_ms + interval_ms,
             has_asked_helpers: false,
@@ -190,7 +192,8 @@
             return;
         }
         let is_awaited = |probe: &mut Outstanding| probe.nonce == nonce;
-        if self.probe.outstanding.take_if(is_awaited).is_some() {
+        if let Some(probe) = self.probe.outstanding.take_if(is_awaited) {
+            self.probe.next_probe_ms = probe.started_ms + self.options.probe_interval_ms;
             self.probe.trust_self();
             self.probe.count_answer();
         }
--- a/jayrack-membership/src/core/receive.rs
+++ b/jayrack-membership/src/core/receive.rs
@@ -24,6 +24,7 @@
             return;
         }
         track.heard_ms = Some(now_ms);
+        self.heard_ms = now_ms;
         let origin = match datagram.body {
             Some(Body::SyncRecords(_)) => RecordOrigin::Sync,
             _ => RecordOrigin::Update,
--- a/jayrack-membership/tests/detection.rs
+++ b/jayrack-membership/tests/detection.rs
@@ -183,3 +183,30 @@
     network.island.clear();
     assert!(network.run_until(60_000, FakeNetwork::is_agreed).is_some());
 }
+
+/// The target for a change to be in force everywhere.
+const TARGET_MS: u64 = 11_000;
+
+#[rstest]
+#[case(20, 180_000, 0)]
+#[case(20, 180_000, 2)]
+#[case(100, 20_000, 14)]
+fn daemon_that_hears_nothing_doubts_itself(
+    #[case] size: usize,
+    #[case] cut_ms: u64,
+    #[case] seed: u64,
+) {
+    let mut network = settled(size, seed);
+    network.island = [address(0)].into();
+    network.run_ms(cut_ms);
+    let dead = network.node(0).dead();
+
+    network.island.clear();
+
+    assert_eq!(dead, []);
+    assert!(
+        network
+            .run_until(TARGET_MS, FakeNetwork::is_agreed)
+            .is_some()
+    );
+}
