--- a/jayrack-testkit/src/fleet/run.rs
+++ b/jayrack-testkit/src/fleet/run.rs
@@ -3,6 +3,7 @@
 
 use eyre::{Result, WrapErr, ensure, eyre};
 use serde_json::Value;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::{
     FleetDaemon, FleetPlan, ServerPlan, ServerProcess, StandinProcess,
@@ -21,6 +22,9 @@
 /// Longest wait for a state; only ends a hung run.
 pub const STATE_LIMIT: Duration = Duration::from_secs(120);
 
+/// Lets one fleet of this process run at a time, so that tests do not starve each other.
+static FLEET_TURN: Semaphore = Semaphore::const_new(1);
+
 /// Daemons and stand-ins; everything is killed when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
@@ -31,11 +35,14 @@
     /// The log.
     pub log: StandinProcess,
     directory: RunDirectory,
+    _turn: SemaphorePermit<'static>,
 }
 
 impl Fleet {
-    /// Starts everything that `plan` names and waits until it works.
+    /// Waits for other fleets of this process to end, starts everything that `plan` names and waits
+    /// until it works.
     pub async fn start(plan: FleetPlan) -> Result<Self> {
+        let turn = FLEET_TURN.acquire().await?;
         let directory = RunDirectory::create()?;
         let log = start_log(&directory)?;
         let mut addresses = AddressBlock::choose();
@@ -47,6 +54,7 @@
             servers,
             log,
             directory,
+            _turn: turn,
         };
         fleet.start_processes(started).await?;
         Ok(fleet)
