--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -264,6 +264,7 @@
             }
             Action::Installed { version } => {
                 log::info!(version; "configuration in force");
+                self.tracker.reconcile(self.parts.sync.state());
                 publish::publish_table(&self.parts.shared, self.parts.sync.state(), &self.view);
             }
             Action::Ready => {
