fix(jayrackd): free a key before its caller is told that the request did not run

Cause: the homes were told in the background, so a repeat could still find the key held by the earlier request; a young owner cannot say later that this request did not run, and the repeat was told 600. A refusal that came as an owner's answer was even noted as done. Ruled out: homes that do not vouch.

--- a/jayrackd/src/ingress/claim.rs
+++ b/jayrackd/src/ingress/claim.rs
@@ -118,18 +118,28 @@
     }
 
     /// Tells the homes how the request ended.
-    pub(super) fn resolve(
+    ///
+    /// Returns at once unless the request did not run: then it waits until the homes have freed the
+    /// key, since a repeat may come as soon as the caller is told, and the owner may not know later
+    /// that the request did not run.
+    pub(super) async fn resolve(
         self,
         state: &Arc<TrafficState>,
         result: &Result<OwnerAnswer, ResultCode>,
     ) {
         let action = match result {
             _ if self.is_superseded => ClaimAction::ResolveNotRun,
+            Ok(answer) if answer.code().is_not_run() => ClaimAction::ResolveNotRun,
             Ok(_) => ClaimAction::ResolveDone,
             Err(code) if code.is_not_run() => ClaimAction::ResolveNotRun,
             Err(_) => ClaimAction::ResolveUnknown,
         };
-        resolve_at(state, &self.driver.homes, &self.driver.claim, action);
+        let mut calls = resolve_at(state, &self.driver.homes, &self.driver.claim, action);
+        if action == ClaimAction::ResolveNotRun {
+            while calls.join_next().await.is_some() {}
+        } else {
+            calls.detach_all();
+        }
     }
 }
 
@@ -166,7 +176,7 @@
                 calls.spawn(attach(state.clone(), holder, fence));
             }
             Action::Release { homes } => {
-                resolve_at(state, &homes, &self.claim, ClaimAction::ResolveNotRun);
+                resolve_at(state, &homes, &self.claim, ClaimAction::ResolveNotRun).detach_all();
             }
             Action::Wait { until_ms } => self.wait_ms = until_ms,
             Action::Run => return Some(Pause::Granted),
@@ -227,17 +237,23 @@
     }
 }
 
+/// Brings the end of a request to its homes; the calls run until they are joined or detached.
 fn resolve_at(
     state: &Arc<TrafficState>,
     homes: &[MemberId],
     claim: &ClaimRequest,
     action: ClaimAction,
-) {
+) -> JoinSet<()> {
+    let mut calls = JoinSet::new();
     for home in homes.iter().copied() {
         let call = message::to_call(claim, message::holder_of(claim), action);
         let state = state.clone();
-        tokio::spawn(async move { home::call(&state, home, call).await });
+        calls.spawn(async move {
+            // A home that does not answer frees the key when the claim is past its retention.
+            home::call(&state, home, call).await;
+        });
     }
+    calls
 }
 
 fn to_claim(state: &TrafficState, subject: ClaimSubject<'_>) -> ClaimRequest {
--- a/jayrackd/src/ingress/flow.rs
+++ b/jayrackd/src/ingress/flow.rs
@@ -68,7 +68,7 @@
     };
     let result = driver.drive().await;
     if let Some(claim) = driver.request.claim.take() {
-        claim.resolve(&driver.state, &result);
+        claim.resolve(&driver.state, &result).await;
     }
     result
 }
