fix(jayrackd): let an operator's record wait for the append budget

Cause: a daemon's share of the quota starts empty and earns slowly in a large fleet, so a confirm right after its plan was refused with 301. A record now waits as long as its operator does.

--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -49,6 +49,13 @@
         /// What the log answered.
         result: log_calls::AppendResult,
     },
+    /// An operator's record that waited for the append budget may be tried again.
+    AppendDue {
+        /// Identifier of the record.
+        record: String,
+        /// Text of the record.
+        text: String,
+    },
     /// The log answered a call about contacts.
     Contacts(contacts::Input),
     /// The fleet answered for a report.
--- a/jayrackd/src/control/admin_calls.rs
+++ b/jayrackd/src/control/admin_calls.rs
@@ -105,11 +105,6 @@
 
     fn append(&mut self, prepared: PreparedRecord, reply: oneshot::Sender<ApiAnswer>) {
         let now_ms = self.now_ms();
-        if let Err(retry_after_ms) = self.budget.charge(now_ms) {
-            let body = json!({"retry_after_ms": retry_after_ms});
-            let _ = reply.send(ApiAnswer::refusal_with(ResultCode::LogThrottled, body));
-            return;
-        }
         self.tracker.start(&prepared.record, &prepared.plan, now_ms);
         self.operations.insert(PendingOperation {
             kind: prepared.kind,
@@ -120,7 +115,28 @@
             prepared: prepared.view,
             reply,
         });
-        self.parts.log.append_intent(prepared.record, prepared.text);
+        self.append_within_budget(prepared.record, prepared.text);
+    }
+
+    /// Appends an operator's record as soon as the budget allows, or refuses it when that is too late
+    /// for the operator.
+    pub(super) fn append_within_budget(&mut self, record: String, text: String) {
+        let now_ms = self.now_ms();
+        let Some(deadline_ms) = self.operations.deadline_ms(&record) else {
+            // The operator was told that it is pending; it is not appended any more.
+            self.tracker.refused(&record);
+            return;
+        };
+        match self.budget.charge(now_ms) {
+            Ok(()) => self.parts.log.append_intent(record, text),
+            Err(wait_ms) if now_ms + wait_ms < deadline_ms => {
+                self.parts.log.append_later(record, text, wait_ms);
+            }
+            Err(_) => {
+                self.tracker.refused(&record);
+                self.operations.refused(&record, ResultCode::LogThrottled);
+            }
+        }
     }
 
     fn prepare_proposal(
--- a/jayrackd/src/control/log_calls.rs
+++ b/jayrackd/src/control/log_calls.rs
@@ -160,6 +160,17 @@
         });
     }
 
+    /// Reports after `wait_ms` that the record named may be tried again.
+    pub fn append_later(&self, record: String, text: String, wait_ms: u64) {
+        let caller = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(wait_ms)).await;
+            caller
+                .report(ControlEvent::AppendDue { record, text })
+                .await;
+        });
+    }
+
     async fn report(&self, event: ControlEvent) {
         // The loop has ended when nobody receives; the result is of no use then.
         let _ = self.events.send(event).await;
--- a/jayrackd/src/control/operations.rs
+++ b/jayrackd/src/control/operations.rs
@@ -54,6 +54,13 @@
         self.pending.push(operation);
     }
 
+    /// When the operation of the record named is answered at the latest; `None` when it was answered.
+    pub fn deadline_ms(&self, record: &str) -> Option<u64> {
+        let mut pending = self.pending.iter();
+        let found = pending.find(|operation| operation.record == record);
+        found.map(|operation| operation.deadline_ms)
+    }
+
     /// Notes where the log put the record named.
     pub fn appended(&mut self, record: &str, offset: u64) {
         for operation in self
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -138,6 +138,7 @@
                 self.step(edges, input);
             }
             ControlEvent::Peer(input) => self.step(edges, input),
+            ControlEvent::AppendDue { record, text } => self.append_within_budget(record, text),
             ControlEvent::Contacts(input) => self.contact_step(edges, input),
             ControlEvent::Gathered(gathered) => self.gathered(gathered),
             ControlEvent::Appended { record, result } => self.appended(&record, result),
