--- a/jayrackd/src/control.rs
+++ b/jayrackd/src/control.rs
@@ -3,6 +3,7 @@
 //! One loop owns all control state and takes one event at a time. Calls to the log and to peers run
 //! in tasks that report back as events; what traffic needs is published through [`SharedState`].
 mod admin_calls;
+mod contact_steps;
 pub mod log_calls;
 pub mod operations;
 pub mod peer_calls;
--- /dev/null
+++ b/jayrackd/src/control/contact_steps.rs
@@ -0,0 +1,27 @@
+//! Drives the state machine that finds and keeps contacts in the log.
+use std::net::SocketAddr;
+
+use jayrack_membership::contacts;
+
+use super::{DaemonEdges, state::ControlState};
+
+impl ControlState {
+    /// Hands one input to the state machine of contacts and carries out what it wants.
+    pub(super) fn contact_step(&mut self, edges: &DaemonEdges, input: contacts::Input) {
+        let now_ms = self.now_ms();
+        for action in self.contacts.handle(now_ms, input) {
+            match action {
+                contacts::Action::Read => self.parts.log.read_contacts(),
+                contacts::Action::Seeds(seeds) => edges.gossip.seeds(seeds),
+                contacts::Action::Append(address) => self.append_contact(edges, address),
+            }
+        }
+    }
+
+    fn append_contact(&mut self, edges: &DaemonEdges, address: SocketAddr) {
+        match self.budget.charge(self.now_ms()) {
+            Ok(()) => self.parts.log.append_contact(address),
+            Err(_) => self.contact_step(edges, contacts::Input::Failed),
+        }
+    }
+}
--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -77,7 +77,7 @@
     servers: Vec<LocalServer>,
     published: AppliedMark,
     table_is_stale: bool,
-    contacts: ContactCore,
+    pub(super) contacts: ContactCore,
 }
 
 /// What was last told to gossip about the configuration.
@@ -207,25 +207,6 @@
         self.step(edges, input);
     }
 
-    /// Hands one input to the state machine of contacts and carries out what it wants.
-    fn contact_step(&mut self, edges: &DaemonEdges, input: contacts::Input) {
-        let now_ms = self.now_ms();
-        for action in self.contacts.handle(now_ms, input) {
-            match action {
-                contacts::Action::Read => self.parts.log.read_contacts(),
-                contacts::Action::Seeds(seeds) => edges.gossip.seeds(seeds),
-                contacts::Action::Append(address) => self.append_contact(edges, address),
-            }
-        }
-    }
-
-    fn append_contact(&mut self, edges: &DaemonEdges, address: std::net::SocketAddr) {
-        match self.budget.charge(self.now_ms()) {
-            Ok(()) => self.parts.log.append_contact(address),
-            Err(_) => self.contact_step(edges, contacts::Input::Failed),
-        }
-    }
-
     /// Milliseconds of the daemon's clock.
     pub(super) fn now_ms(&self) -> u64 {
         self.parts.clock.now_ms()
