fix(jayrackd): count answers with a server error against the objective

Cause: an answer of the backend server counted as good whatever its status, so a server that failed fast burned nothing. Before: the new test counted 3 of 3 good with one answer of status 500; after: 2.

--- a/jayrackd/src/ingress/objective.rs
+++ b/jayrackd/src/ingress/objective.rs
@@ -5,7 +5,7 @@
 use jayrack_config::table::{RouteEntry, RouteTable};
 use jayrack_protocol::ResultCode;
 
-use crate::traffic::TrafficState;
+use crate::{owner::OwnerAnswer, traffic::TrafficState};
 
 /// What a request is about; empty when it matched no route.
 #[derive(Debug, Default)]
@@ -39,12 +39,13 @@
 pub(super) fn observe(
     state: &TrafficState,
     subject: &RequestSubject,
-    code: ResultCode,
+    result: &Result<OwnerAnswer, ResultCode>,
     elapsed: Duration,
 ) {
     let Some(latency) = subject.latency else {
         return;
     };
+    let code = code_of(result);
     if is_fault_of_caller(code) {
         return;
     }
@@ -53,10 +54,22 @@
         rank: &subject.rank,
         is_good: code == ResultCode::Ok && elapsed <= latency,
     };
-    state
-        .shared
-        .lock_burn()
-        .record(state.clock.now_ms(), request);
+    let now_ms = state.clock.now_ms();
+    state.shared.lock_burn().record(now_ms, request);
+}
+
+/// The code of the result; an answer that reports an error of the backend server counts as failed.
+fn code_of(result: &Result<OwnerAnswer, ResultCode>) -> ResultCode {
+    const SERVER_ERRORS: std::ops::RangeInclusive<u32> = 500..=599;
+    match result {
+        Ok(answer)
+            if answer.code() == ResultCode::Ok && SERVER_ERRORS.contains(&answer.head.status) =>
+        {
+            ResultCode::ServerFailed
+        }
+        Ok(answer) => answer.code(),
+        Err(code) => *code,
+    }
 }
 
 fn is_fault_of_caller(code: ResultCode) -> bool {
--- a/jayrackd/src/ingress/serve.rs
+++ b/jayrackd/src/ingress/serve.rs
@@ -43,7 +43,7 @@
         code,
         elapsed,
     });
-    objective::observe(&state, &subject, code, elapsed);
+    objective::observe(&state, &subject, &result, elapsed);
     let response = to_response(result);
     response.map(|body| body.holding(flight))
 }
--- a/jayrackd/tests/path.rs
+++ b/jayrackd/tests/path.rs
@@ -2,9 +2,9 @@
 mod support;
 
 use support::{
-    backend::{ANSWER_HEADER, MARK_HEADER, pattern},
+    backend::{ANSWER_HEADER, MARK_HEADER, STATUS_HEADER, pattern},
     block_on, caller,
-    fleet::{Setup, start_pair},
+    fleet::{CLOCK_START_MS, Setup, start_pair},
 };
 
 #[test]
@@ -55,3 +55,20 @@
         assert!(downloaded.body == pattern("m2", 5_000_000));
     });
 }
+
+#[test]
+fn server_errors_count_against_the_objective() {
+    block_on(async {
+        let pair = start_pair(&Setup::default()).await;
+        let daemon = &pair.ingress;
+
+        for status in ["200", "404", "500"] {
+            let request = caller::get("/browse").header(STATUS_HEADER, status);
+            caller::call(daemon.callers(), request, "").await;
+        }
+
+        let report = daemon.shared.lock_burn().report(CLOCK_START_MS + 60_000);
+        let count = report.rows[0].counts[0];
+        assert_eq!((count.good, count.total), (2, 3));
+    });
+}
--- a/jayrackd/tests/support/backend.rs
+++ b/jayrackd/tests/support/backend.rs
@@ -24,6 +24,8 @@
 pub const MARK_HEADER: &str = "x-mark";
 /// Header: the server waits this long before it answers.
 pub const SLEEP_HEADER: &str = "x-sleep-ms";
+/// Status of the answer.
+pub const STATUS_HEADER: &str = "x-status";
 /// Header: bytes of the answer; the request's body is echoed without it.
 pub const ANSWER_HEADER: &str = "x-answer-bytes";
 /// Header: the server runs the request, then cuts the connection.
@@ -172,6 +174,7 @@
     let mark = text(&request, MARK_HEADER).unwrap_or_default();
     let answer_bytes = number(&request, ANSWER_HEADER);
     let sleep_ms = number(&request, SLEEP_HEADER).unwrap_or(0);
+    let status = number(&request, STATUS_HEADER).unwrap_or(200) as u16;
     let is_cut = request.headers().contains_key(CUT_HEADER);
     let is_held = request.headers().contains_key(HOLD_HEADER);
     record(&backend, &mark, |seen| {
@@ -209,6 +212,7 @@
         mark: mark.clone(),
         left: answer,
     });
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap();
     let mark = hyper::header::HeaderValue::from_str(&mark).unwrap();
     response.headers_mut().insert(MARK_HEADER, mark);
     Ok(response)
--- a/jayrackd/tests/support/fleet.rs
+++ b/jayrackd/tests/support/fleet.rs
@@ -2,7 +2,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use jayrack_config::{
-    object::{RankSpec, RouteSpec, ServiceSpec},
+    object::{RankSpec, RouteSpec, ServiceObjective, ServiceSpec},
     table::{RouteEntry, RouteTable, ServerEntry, ServiceEntry},
 };
 use jayrack_protocol::MemberId;
@@ -24,7 +24,7 @@
 }
 
 /// Daemons behave as if they had run for this long.
-const CLOCK_START_MS: u64 = 600_000;
+pub const CLOCK_START_MS: u64 = 600_000;
 
 /// Settings that a test changes.
 #[derive(Debug, Clone)]
@@ -131,7 +131,11 @@
     let rank = rank_spec();
     let service = ServiceSpec {
         name: "bookings".to_string(),
-        objectives: Vec::new(),
+        objectives: vec![ServiceObjective {
+            rank: rank.name.clone(),
+            latency_ms: 60_000,
+            target_millipercent: 99_900,
+        }],
     };
     let route = |path: &str, idempotent: bool| RouteEntry {
         spec: route_spec(path, idempotent),
