fix(testkit): report datagrams and connections in the cost of control

Cause: the tool looked for a series that the daemon names otherwise, so packets a second were missing.

--- a/jayrack-testkit/src/load/control_cost.rs
+++ b/jayrack-testkit/src/load/control_cost.rs
@@ -76,7 +76,7 @@
     pub cpu_percent: Spread,
     /// Resident memory, in megabytes (1,000,000 bytes).
     pub resident_megabytes: Spread,
-    /// Growth per second of each counter of bytes or datagrams.
+    /// Growth per second of each counter of bytes, datagrams and connections.
     pub counters_per_second: BTreeMap<String, Spread>,
     /// Requests per second at the log, of the whole fleet.
     pub log_requests_per_second: f64,
@@ -216,7 +216,7 @@
     let mut figures: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     for (before, after) in before.metrics.iter().zip(&after.metrics) {
         for (series, growth) in metrics::growth(before, after) {
-            if series.contains("bytes") || series.contains("datagrams") {
+            if series.contains("bytes") || series.contains("units") {
                 figures.entry(series).or_default().push(growth / seconds);
             }
         }
