--- a/jayrackd/src/control/state.rs
+++ b/jayrackd/src/control/state.rs
@@ -40,7 +40,7 @@
 
 /// What a control state is made of.
 #[derive(Debug)]
-pub struct Parts {
+pub struct ControlParts {
     /// Settings of the daemon.
     pub settings: Arc<DaemonSettings>,
     /// The daemon's clock.
@@ -64,7 +64,7 @@
 /// All control state of one daemon.
 #[derive(Debug)]
 pub struct ControlState {
-    pub(super) parts: Parts,
+    pub(super) parts: ControlParts,
     pub(super) operations: OperationTable,
     pub(super) tracker: AppendTracker,
     pub(super) budget: AppendBudget,
@@ -90,7 +90,7 @@
 
 impl ControlState {
     /// Puts the state together.
-    pub fn new(parts: Parts) -> Self {
+    pub fn new(parts: ControlParts) -> Self {
         let budget_options = budget::Options {
             fleet_per_second: parts.settings.log.appends_per_second,
             ..budget::Options::default()
