--- /dev/null
+++ b/jayrack-mesh/src/budget.rs
@@ -0,0 +1,83 @@
+//! How many requests may be sent a second time.
+use std::collections::{BTreeMap, VecDeque};
+
+/// Part of the fleet's allowance that is spent, in percent.
+///
+/// The rest covers hosts that join within a window and requests that a repeat causes in other services.
+const SPENT_PERCENT: u64 = 50;
+
+/// Bounds that the operator sets for the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Length of the window, in milliseconds.
+    pub window_ms: u64,
+    /// Repeats allowed for each thousand requests of a service in the window.
+    pub per_mille: u64,
+    /// Repeats allowed for each service in the window whatever the number of requests.
+    pub slack: u64,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    requests: VecDeque<u64>,
+    repeats: VecDeque<u64>,
+}
+
+impl ServiceWindow {
+    fn expire(&mut self, start_ms: u64) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|time| *time < start_ms) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// This daemon's part of the fleet's allowance of repeats, for each service.
+///
+/// The parts of all daemons together stay within the allowance in every window.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    options: Options,
+    services: BTreeMap<String, ServiceWindow>,
+}
+
+impl RepeatBudget {
+    /// Creates an unused budget.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request of `service`.
+    pub fn record_request(&mut self, now_ms: u64, service: &str) {
+        self.window(now_ms, service).requests.push_back(now_ms);
+    }
+
+    /// Takes one repeat at `service`; `hosts` is the number of hosts that share the allowance.
+    pub fn try_repeat(&mut self, now_ms: u64, service: &str, hosts: usize) -> bool {
+        let Options {
+            per_mille, slack, ..
+        } = self.options;
+        let window = self.window(now_ms, service);
+        let by_requests = window.requests.len() as u64 * per_mille * SPENT_PERCENT / 100_000;
+        let by_slack = slack * SPENT_PERCENT / (100 * hosts.max(1) as u64);
+        if window.repeats.len() as u64 >= by_requests + by_slack {
+            return false;
+        }
+        window.repeats.push_back(now_ms);
+        true
+    }
+
+    fn window(&mut self, now_ms: u64, service: &str) -> &mut ServiceWindow {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_string(), ServiceWindow::default());
+        }
+        let window = self.services.get_mut(service).expect("inserted above");
+        window.expire(now_ms.saturating_sub(self.options.window_ms));
+        window
+    }
+}
--- /dev/null
+++ b/jayrack-mesh/src/gate.rs
@@ -0,0 +1,352 @@
+//! Who gets a slot of the backend server beside the daemon, who waits and who is refused.
+//!
+//! A request is admitted only if it can be expected to be answered in time, so that whoever waits is
+//! served and whoever cannot be served learns it at once.
+use std::collections::BTreeMap;
+
+/// Service time assumed of a route that has not been seen yet, in milliseconds.
+const UNSEEN_SERVICE_MS: f64 = 150.0;
+/// Weight of a new observation in the average service time.
+const SERVICE_WEIGHT: f64 = 0.08;
+/// Part of the expected service time that a running request is assumed to need at least, since long
+/// runs outlast the average.
+const RESIDUAL_PART: f64 = 0.25;
+/// Room kept between the expected end and the time limit, as a part of the service time.
+const SERVICE_MARGIN: f64 = 0.3;
+/// Shortest pause that a refused caller is told, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 40;
+/// One of so many dispatches goes to the least urgent request that waits, so that none starves.
+const FLOOR_EVERY: u32 = 10;
+
+/// How urgent a request is; the order of the fields is that of their weight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// 0 for a call of a request that is already being worked on, 1 for a new request.
+    pub stage: u8,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// 0 for a request that was refused before, 1 for one that comes for the first time.
+    pub turn: u8,
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GateRequest {
+    /// Unique among the requests at this gate.
+    pub id: u64,
+    /// Route, by which service times are averaged.
+    pub route: String,
+    /// How urgent it is.
+    pub urgency: Urgency,
+    /// Time until which an answer is worth most, in milliseconds of the monotonic clock.
+    pub target_at_ms: u64,
+    /// Time at which its caller stops waiting, in milliseconds of the monotonic clock.
+    pub expires_at_ms: u64,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Others come first and the time left is not enough.
+    Busy,
+    /// The backend server takes no work.
+    Closed,
+    /// Its time is over.
+    Expired,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateVerdict {
+    /// It runs now.
+    Run,
+    /// It waits for a slot.
+    Wait,
+    /// It does not run.
+    Refuse(GateRefusal),
+}
+
+/// A refusal with its reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GateRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When there may be room, in milliseconds from now.
+    pub retry_after_ms: u64,
+}
+
+/// A decision about a request that waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateDecision {
+    /// The request runs now.
+    Run(u64),
+    /// The request does not run.
+    Refuse(u64, GateRefusal),
+}
+
+/// Load at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GateLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    request: GateRequest,
+    expected_ms: f64,
+    arrival: u64,
+}
+
+#[derive(Debug)]
+struct RunningRequest {
+    route: String,
+    started_ms: u64,
+    expected_ms: f64,
+}
+
+/// The slots of one backend server and the requests that wait for them.
+#[derive(Debug)]
+pub struct AdmissionGate {
+    slots: u32,
+    max_waiting: usize,
+    is_open: bool,
+    waiting: Vec<WaitingRequest>,
+    running: BTreeMap<u64, RunningRequest>,
+    service_ms: BTreeMap<String, f64>,
+    arrivals: u64,
+    dispatches: u32,
+}
+
+impl AdmissionGate {
+    /// Creates a closed gate where at most `max_waiting` requests wait.
+    pub fn new(max_waiting: usize) -> Self {
+        Self {
+            slots: 0,
+            max_waiting,
+            is_open: false,
+            waiting: Vec::new(),
+            running: BTreeMap::new(),
+            service_ms: BTreeMap::new(),
+            arrivals: 0,
+            dispatches: 0,
+        }
+    }
+
+    /// Opens the gate for a backend server with `slots` slots.
+    pub fn open(&mut self, now_ms: u64, slots: u32) -> Vec<GateDecision> {
+        self.is_open = true;
+        self.slots = slots;
+        self.dispatch(now_ms)
+    }
+
+    /// Refuses whatever waits or comes until the gate is opened again.
+    pub fn shut(&mut self) -> Vec<GateDecision> {
+        self.is_open = false;
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting
+            .into_iter()
+            .map(|waiting| GateDecision::Refuse(waiting.request.id, closed()))
+            .collect()
+    }
+
+    /// Decides about a request that arrives.
+    pub fn offer(&mut self, now_ms: u64, request: GateRequest) -> GateVerdict {
+        if !self.is_open {
+            return GateVerdict::Refuse(closed());
+        }
+        let expected_ms = self.expected_ms(&request.route);
+        let time_left_ms = request.expires_at_ms.saturating_sub(now_ms) as f64;
+        if time_left_ms < 1.0 {
+            return GateVerdict::Refuse(GateRefusal {
+                reason: RefusalReason::Expired,
+                retry_after_ms: MIN_RETRY_AFTER_MS,
+            });
+        }
+        if self.free_slots() > 0 && self.waiting.is_empty() {
+            self.start(now_ms, &request, expected_ms);
+            return GateVerdict::Run;
+        }
+        let wait_ms = self.wait_ms(now_ms, &request);
+        let limit_ms = wait_limit_ms(now_ms, &request, expected_ms);
+        if wait_ms > limit_ms || self.waiting.len() >= self.max_waiting {
+            return GateVerdict::Refuse(GateRefusal {
+                reason: RefusalReason::Busy,
+                retry_after_ms: ((wait_ms - limit_ms) as u64).max(MIN_RETRY_AFTER_MS),
+            });
+        }
+        self.arrivals += 1;
+        self.waiting.push(WaitingRequest {
+            request,
+            expected_ms,
+            arrival: self.arrivals,
+        });
+        GateVerdict::Wait
+    }
+
+    /// Notes that a request has ended; `service_ms` is the time that it took, if that tells how long
+    /// others of its route take.
+    pub fn finished(
+        &mut self,
+        now_ms: u64,
+        id: u64,
+        service_ms: Option<u64>,
+    ) -> Vec<GateDecision> {
+        if let Some(running) = self.running.remove(&id)
+            && let Some(service_ms) = service_ms
+        {
+            self.observe(&running.route, service_ms as f64);
+        }
+        self.dispatch(now_ms)
+    }
+
+    /// Takes a waiting request out.
+    pub fn withdraw(&mut self, id: u64) {
+        self.waiting.retain(|waiting| waiting.request.id != id);
+    }
+
+    /// Refuses the requests whose callers can no longer be served in time.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<GateDecision> {
+        let is_over = |waiting: &WaitingRequest| {
+            let left_ms = waiting.request.expires_at_ms.saturating_sub(now_ms) as f64;
+            left_ms < waiting.expected_ms / 2.0
+        };
+        let (over, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(is_over);
+        self.waiting = waiting;
+        let refuse = |waiting: WaitingRequest| {
+            let refusal = GateRefusal {
+                reason: RefusalReason::Expired,
+                retry_after_ms: MIN_RETRY_AFTER_MS,
+            };
+            GateDecision::Refuse(waiting.request.id, refusal)
+        };
+        over.into_iter().map(refuse).collect()
+    }
+
+    /// Load at this moment.
+    pub fn load(&self) -> GateLoad {
+        GateLoad {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: if self.is_open { self.slots } else { 0 },
+        }
+    }
+
+    /// Average time that requests of `route` take here, in milliseconds.
+    pub fn expected_ms(&self, route: &str) -> f64 {
+        let known = self.service_ms.get(route).copied();
+        known.unwrap_or(UNSEEN_SERVICE_MS)
+    }
+
+    fn observe(&mut self, route: &str, service_ms: f64) {
+        match self.service_ms.get_mut(route) {
+            Some(average) => *average += (service_ms - *average) * SERVICE_WEIGHT,
+            None => {
+                self.service_ms.insert(route.to_string(), service_ms);
+            }
+        }
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.running.len() as u32)
+    }
+
+    fn start(&mut self, now_ms: u64, request: &GateRequest, expected_ms: f64) {
+        let running = RunningRequest {
+            route: request.route.clone(),
+            started_ms: now_ms,
+            expected_ms,
+        };
+        self.running.insert(request.id, running);
+    }
+
+    fn dispatch(&mut self, now_ms: u64) -> Vec<GateDecision> {
+        let mut decisions = Vec::new();
+        while self.is_open && self.free_slots() > 0 {
+            let Some(index) = self.next(now_ms) else {
+                break;
+            };
+            let waiting = self.waiting.swap_remove(index);
+            self.start(now_ms, &waiting.request, waiting.expected_ms);
+            decisions.push(GateDecision::Run(waiting.request.id));
+        }
+        decisions
+    }
+
+    /// Index of the request that runs next.
+    fn next(&mut self, now_ms: u64) -> Option<usize> {
+        self.dispatches = self.dispatches.wrapping_add(1);
+        let key = |index: &usize| order(now_ms, &self.waiting[*index]);
+        let indices = 0..self.waiting.len();
+        if self.dispatches.is_multiple_of(FLOOR_EVERY) {
+            let rank = |index: &usize| self.waiting[*index].request.urgency.rank;
+            let least = indices.clone().map(|index| rank(&index)).max()?;
+            return indices.filter(|index| rank(index) == least).min_by_key(key);
+        }
+        indices.min_by_key(key)
+    }
+
+    /// How long `request` would wait for a slot.
+    fn wait_ms(&self, now_ms: u64, request: &GateRequest) -> f64 {
+        let own = (is_late(now_ms, request, self.expected_ms(&request.route)), request.urgency);
+        let is_ahead = |waiting: &&WaitingRequest| {
+            let late = is_late(now_ms, &waiting.request, waiting.expected_ms);
+            (late, waiting.request.urgency) <= own
+        };
+        let ahead_ms: f64 = self
+            .waiting
+            .iter()
+            .filter(is_ahead)
+            .map(|waiting| waiting.expected_ms)
+            .sum();
+        let residual_ms: f64 = self
+            .running
+            .values()
+            .map(|running| running.residual_ms(now_ms))
+            .sum();
+        let running = self.running.len().max(1) as f64;
+        let next_end_ms = residual_ms / (running * f64::from(self.slots.max(1)));
+        ahead_ms / f64::from(self.slots.max(1)) + next_end_ms
+    }
+}
+
+impl RunningRequest {
+    fn residual_ms(&self, now_ms: u64) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.started_ms) as f64;
+        (self.expected_ms - elapsed_ms).max(self.expected_ms * RESIDUAL_PART)
+    }
+}
+
+fn closed() -> GateRefusal {
+    GateRefusal {
+        reason: RefusalReason::Closed,
+        retry_after_ms: MIN_RETRY_AFTER_MS,
+    }
+}
+
+/// Whether the time in which an answer is worth most has passed before the request could end.
+fn is_late(now_ms: u64, request: &GateRequest, expected_ms: f64) -> bool {
+    (request.target_at_ms as f64) < now_ms as f64 + expected_ms * (1.0 - SERVICE_MARGIN)
+}
+
+/// How long a request may wait: until its target, or until its caller leaves where that is missed anyway.
+fn wait_limit_ms(now_ms: u64, request: &GateRequest, expected_ms: f64) -> f64 {
+    let end_ms = if is_late(now_ms, request, expected_ms) {
+        request.expires_at_ms
+    } else {
+        request.target_at_ms.min(request.expires_at_ms)
+    };
+    end_ms.saturating_sub(now_ms) as f64 - expected_ms * (1.0 + SERVICE_MARGIN)
+}
+
+/// Requests that can be answered in time come before those that cannot.
+fn order(now_ms: u64, waiting: &WaitingRequest) -> (bool, Urgency, u64) {
+    let late = is_late(now_ms, &waiting.request, waiting.expected_ms);
+    (late, waiting.request.urgency, waiting.arrival)
+}
--- /dev/null
+++ b/jayrack-mesh/src/hosts.rs
@@ -0,0 +1,148 @@
+//! The hosts of the fleet, and which record of a host is newer.
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::server::{ServerPhase, ServerRecord};
+
+/// First pause after a host could not be reached, in milliseconds; it doubles with each further time.
+const FIRST_PAUSE_MS: u64 = 250;
+/// Longest pause after a host could not be reached, in milliseconds.
+const MAX_PAUSE_MS: u64 = 2_000;
+/// Largest number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// What a daemon says of its host and the backend server beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Address of the host.
+    pub address: IpAddr,
+    /// Grows with each start of the host's daemon.
+    pub epoch: u64,
+    /// Grows with each change within one epoch.
+    pub revision: u64,
+    /// Data centre.
+    pub data_centre: String,
+    /// Listener for requests that other daemons forward.
+    pub forward: SocketAddr,
+    /// Listener for datagrams of other daemons.
+    pub gossip: SocketAddr,
+    /// Backend server beside the daemon, if one reported itself.
+    pub server: Option<ServerRecord>,
+    /// Whether the daemon is stopping.
+    pub is_leaving: bool,
+}
+
+impl HostRecord {
+    /// Order of the records of one host.
+    pub fn order(&self) -> (u64, u64) {
+        (self.epoch, self.revision)
+    }
+
+    /// The backend server, if requests of `service` may be sent to it.
+    pub fn serving(&self, service: &str) -> Option<&ServerRecord> {
+        self.server.as_ref().filter(|server| {
+            !self.is_leaving && server.service == service && server.phase == ServerPhase::Ready
+        })
+    }
+}
+
+/// A host and what was seen of it.
+#[derive(Debug, Clone)]
+pub struct HostEntry {
+    /// What its daemon says.
+    pub record: HostRecord,
+    /// When its daemon was last heard, in milliseconds; `None` if it never was.
+    pub heard_ms: Option<u64>,
+    /// Time before which it is used only if there is no other.
+    pub paused_until_ms: u64,
+    /// Whether it was told about this daemon and answered.
+    pub is_acquainted: bool,
+    failures: u32,
+}
+
+/// The hosts that are known, by address.
+#[derive(Debug, Default)]
+pub struct HostDirectory {
+    hosts: BTreeMap<IpAddr, HostEntry>,
+}
+
+impl HostDirectory {
+    /// Takes `record` if it is newer than what is known of its host.
+    pub fn merge(&mut self, record: &HostRecord) -> bool {
+        match self.hosts.get_mut(&record.address) {
+            Some(entry) if entry.record.order() >= record.order() => false,
+            Some(entry) => {
+                if entry.record.epoch != record.epoch {
+                    entry.is_acquainted = false;
+                    entry.failures = 0;
+                    entry.paused_until_ms = 0;
+                }
+                entry.record = record.clone();
+                true
+            }
+            None => {
+                let entry = HostEntry {
+                    record: record.clone(),
+                    heard_ms: None,
+                    paused_until_ms: 0,
+                    is_acquainted: false,
+                    failures: 0,
+                };
+                self.hosts.insert(record.address, entry);
+                true
+            }
+        }
+    }
+
+    /// Notes that the daemon at `address` was heard.
+    pub fn heard(&mut self, now_ms: u64, address: IpAddr) {
+        if let Some(entry) = self.hosts.get_mut(&address) {
+            entry.heard_ms = Some(now_ms);
+            entry.failures = 0;
+            entry.paused_until_ms = 0;
+        }
+    }
+
+    /// Notes that the daemon at `address` knows this daemon.
+    pub fn acquainted(&mut self, address: IpAddr) {
+        if let Some(entry) = self.hosts.get_mut(&address) {
+            entry.is_acquainted = true;
+        }
+    }
+
+    /// Notes that the daemon at `address` could not be reached; returns the pause in milliseconds.
+    pub fn unreachable(&mut self, now_ms: u64, address: IpAddr) -> u64 {
+        let Some(entry) = self.hosts.get_mut(&address) else {
+            return 0;
+        };
+        let doublings = entry.failures.min(MAX_DOUBLINGS);
+        let pause_ms = (FIRST_PAUSE_MS << doublings).min(MAX_PAUSE_MS);
+        entry.failures += 1;
+        entry.paused_until_ms = now_ms + pause_ms;
+        pause_ms
+    }
+
+    /// What is known of the host at `address`.
+    pub fn get(&self, address: IpAddr) -> Option<&HostEntry> {
+        self.hosts.get(&address)
+    }
+
+    /// All hosts, ordered by address.
+    pub fn entries(&self) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.values()
+    }
+
+    /// Number of hosts.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- /dev/null
+++ b/jayrack-mesh/src/lib.rs
@@ -0,0 +1,29 @@
+//! Decisions of the daemon on the platform.
+//!
+//! Every module is free of I/O: time comes in as milliseconds of a monotonic clock, and nothing here
+//! opens a socket, reads a clock or draws unseeded random numbers.
+//!
+//! * [`routes`]: the operator's configuration and the route of a request.
+//! * [`hosts`]: the hosts of the fleet, and which record of a host is newer.
+//! * [`server`]: the backend server beside the daemon, from its status reports.
+//! * [`gate`]: who gets a slot of that backend server, who waits and who is refused.
+//! * [`pick`]: the choice of a host for a request.
+//! * [`budget`]: how many requests may be sent a second time.
+//! * [`split`]: the choice among the weighted services of a route.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod budget;
+pub mod gate;
+pub mod hosts;
+pub mod pick;
+pub mod routes;
+pub mod server;
+pub mod split;
+
+pub use budget::RepeatBudget;
+pub use gate::AdmissionGate;
+pub use hosts::{HostDirectory, HostRecord};
+pub use pick::HostPicker;
+pub use routes::MeshRoutes;
+pub use server::ServerTracker;
+pub use split::SplitChooser;
--- /dev/null
+++ b/jayrack-mesh/src/pick.rs
@@ -0,0 +1,360 @@
+//! The choice of a host for a request.
+use std::{collections::BTreeMap, net::IpAddr};
+
+use rand_pcg::{
+    Pcg32,
+    rand_core::{Rng, SeedableRng},
+};
+
+use crate::gate::{GateLoad, Urgency};
+
+/// Service time assumed of a route that has not been seen yet, in milliseconds.
+const UNSEEN_SERVICE_MS: f64 = 150.0;
+/// Answer size assumed of a route that has not been seen yet, in kilobytes.
+const UNSEEN_ANSWER_KB: f64 = 4.0;
+/// Weight of a new observation in an average.
+const AVERAGE_WEIGHT: f64 = 0.1;
+/// Age at which reported load no longer counts, in milliseconds.
+const LOAD_AGE_MS: u64 = 1_500;
+/// Cost of a border between data centres for each kilobyte of answer, as milliseconds of waiting.
+///
+/// Traffic between data centres is charged by volume; small answers hardly count, large ones go there
+/// only if their own data centre is full.
+const BORDER_MS_PER_KB: f64 = 5.0;
+/// Cost of a border between data centres whatever the answer, in milliseconds.
+const BORDER_MS: f64 = 6.0;
+/// Most that a border may cost, in milliseconds.
+const MAX_BORDER_MS: f64 = 400.0;
+/// Cost of a failure that is certain, in milliseconds; scaled by the share of failures.
+const FAILURE_MS: f64 = 1_500.0;
+/// Part of the service time that a server's last free slot costs, since servers slow down when full.
+const CROWDING_PART: f64 = 0.35;
+/// Longest time for which a refusal keeps further requests away, in milliseconds.
+const MAX_REFUSAL_MS: u64 = 80;
+/// Random part of the cost, so that daemons with the same view do not all choose the same host.
+const JITTER_PART: f64 = 0.1;
+/// First pause of a server whose connection failed, in milliseconds; it doubles with each further time.
+const FIRST_PAUSE_MS: u64 = 200;
+/// Largest number of doublings of that pause.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// A host that could take a request.
+#[derive(Debug, Clone)]
+pub struct HostCandidate {
+    /// Address of the host.
+    pub address: IpAddr,
+    /// Life of the backend server there.
+    pub instance: String,
+    /// Requests that the server runs at once.
+    pub slots: u32,
+    /// Whether it stands in the data centre of this daemon.
+    pub is_near: bool,
+    /// Whether it did not answer lately.
+    pub is_paused: bool,
+}
+
+/// The request that a host is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct PickRequest<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// How urgent it is.
+    pub urgency: Urgency,
+}
+
+/// How a request at a host ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum HostOutcome {
+    /// The backend server answered; with the time that it took and the size of the answer.
+    Answered {
+        /// Time at the backend server, in milliseconds.
+        service_ms: u64,
+        /// Size of the answer, in bytes.
+        answer_bytes: u64,
+    },
+    /// The backend server failed, by an error status or by breaking off.
+    Failed,
+    /// The host refused it; nothing ran.
+    Refused {
+        /// When there may be room, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The host or its server could not be reached.
+    Unreachable,
+    /// Nobody waits for the outcome any more.
+    Abandoned,
+}
+
+#[derive(Debug, Default)]
+struct HostStats {
+    instance: String,
+    in_flight: u32,
+    load: Option<ReportedLoad>,
+    /// Service time in relation to the average of the route.
+    slowness: Option<f64>,
+    failure_share: f64,
+    refusal: Option<HostRefusal>,
+    paused_until_ms: u64,
+    failures_in_row: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ReportedLoad {
+    busy: u32,
+    at_ms: u64,
+    /// Own requests that were at the host when it reported.
+    own: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HostRefusal {
+    until_ms: u64,
+    urgency: Urgency,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RouteStats {
+    service_ms: f64,
+    answer_kb: f64,
+}
+
+impl Default for RouteStats {
+    fn default() -> Self {
+        Self {
+            service_ms: UNSEEN_SERVICE_MS,
+            answer_kb: UNSEEN_ANSWER_KB,
+        }
+    }
+}
+
+/// Chooses the host where a request is expected to be answered first.
+#[derive(Debug)]
+pub struct HostPicker {
+    random: Pcg32,
+    hosts: BTreeMap<IpAddr, HostStats>,
+    routes: BTreeMap<String, RouteStats>,
+}
+
+impl HostPicker {
+    /// Creates a picker without observations; `seed` determines its choices.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: Pcg32::seed_from_u64(seed),
+            hosts: BTreeMap::new(),
+            routes: BTreeMap::new(),
+        }
+    }
+
+    /// Index of the best of `candidates`; `None` if each of them refused such a request just now.
+    pub fn pick(
+        &mut self,
+        now_ms: u64,
+        candidates: &[HostCandidate],
+        request: &PickRequest<'_>,
+    ) -> Option<usize> {
+        let all_paused = candidates
+            .iter()
+            .all(|candidate| self.is_paused(now_ms, candidate));
+        let mut best: Option<(f64, usize)> = None;
+        for (index, candidate) in candidates.iter().enumerate() {
+            let is_skipped = !all_paused && self.is_paused(now_ms, candidate);
+            if is_skipped || self.is_refused(now_ms, candidate, request) {
+                continue;
+            }
+            let jitter = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+            let cost = self.cost_ms(now_ms, candidate, request) * (1.0 + JITTER_PART * jitter);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// When the first of `candidates` that refused may have room, in milliseconds from now.
+    pub fn room_after_ms(&self, now_ms: u64, candidates: &[HostCandidate]) -> Option<u64> {
+        let refusals = candidates
+            .iter()
+            .filter_map(|candidate| self.stats(candidate)?.refusal);
+        refusals
+            .map(|refusal| refusal.until_ms.saturating_sub(now_ms))
+            .min()
+    }
+
+    /// Notes that a request goes to `candidate`.
+    pub fn started(&mut self, candidate: &HostCandidate) {
+        self.stats_mut(candidate).in_flight += 1;
+    }
+
+    /// Notes how a request that was started ended, with the load that the host reported.
+    pub fn finished(
+        &mut self,
+        now_ms: u64,
+        candidate: &HostCandidate,
+        request: &PickRequest<'_>,
+        end: (HostOutcome, Option<GateLoad>),
+    ) {
+        let (outcome, load) = end;
+        let slowness = match outcome {
+            HostOutcome::Answered {
+                service_ms,
+                answer_bytes,
+            } => Some(self.observe_route(request.route, service_ms as f64, answer_bytes)),
+            _ => None,
+        };
+        let stats = self.stats_mut(candidate);
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        stats.observe(now_ms, outcome, slowness, request.urgency);
+        if let Some(load) = load {
+            stats.report(now_ms, load);
+        }
+    }
+
+    /// Notes the load that a host reported on its own.
+    pub fn reported(&mut self, now_ms: u64, address: IpAddr, load: GateLoad) {
+        if let Some(stats) = self.hosts.get_mut(&address) {
+            stats.report(now_ms, load);
+        }
+    }
+
+    /// Forgets the hosts and routes for which the functions do not hold.
+    pub fn retain(
+        &mut self,
+        is_host_kept: impl Fn(&IpAddr) -> bool,
+        is_route_kept: impl Fn(&str) -> bool,
+    ) {
+        self.hosts.retain(|address, _| is_host_kept(address));
+        self.routes.retain(|route, _| is_route_kept(route));
+    }
+
+    /// Average time that requests of `route` take at backend servers, in milliseconds.
+    pub fn service_ms(&self, route: &str) -> f64 {
+        self.route(route).service_ms
+    }
+
+    fn route(&self, route: &str) -> RouteStats {
+        self.routes.get(route).copied().unwrap_or_default()
+    }
+
+    fn stats(&self, candidate: &HostCandidate) -> Option<&HostStats> {
+        let stats = self.hosts.get(&candidate.address)?;
+        (stats.instance == candidate.instance).then_some(stats)
+    }
+
+    /// Observations of the candidate; those of an earlier server at its address are dropped.
+    fn stats_mut(&mut self, candidate: &HostCandidate) -> &mut HostStats {
+        let stats = self.hosts.entry(candidate.address).or_default();
+        if stats.instance != candidate.instance {
+            *stats = HostStats {
+                instance: candidate.instance.clone(),
+                ..HostStats::default()
+            };
+        }
+        stats
+    }
+
+    fn is_paused(&self, now_ms: u64, candidate: &HostCandidate) -> bool {
+        let is_server_paused = self
+            .stats(candidate)
+            .is_some_and(|stats| now_ms < stats.paused_until_ms);
+        candidate.is_paused || is_server_paused
+    }
+
+    fn is_refused(&self, now_ms: u64, candidate: &HostCandidate, request: &PickRequest<'_>) -> bool {
+        let refusal = self.stats(candidate).and_then(|stats| stats.refusal);
+        refusal.is_some_and(|refusal| {
+            now_ms < refusal.until_ms && refusal.urgency <= request.urgency
+        })
+    }
+
+    fn cost_ms(&self, now_ms: u64, candidate: &HostCandidate, request: &PickRequest<'_>) -> f64 {
+        let route = self.route(request.route);
+        let stats = self.stats(candidate);
+        let slowness = stats.and_then(|stats| stats.slowness).unwrap_or(1.0);
+        let busy = stats.map_or(0, |stats| stats.busy(now_ms));
+        let service_ms = route.service_ms * slowness;
+        let slots = f64::from(candidate.slots.max(1));
+        let fullness = f64::from(busy) / slots;
+        let wait_ms = if fullness < 1.0 {
+            service_ms * CROWDING_PART * fullness * fullness
+        } else {
+            service_ms * (CROWDING_PART + fullness - 1.0 + 1.0 / slots)
+        };
+        let border_ms = if candidate.is_near {
+            0.0
+        } else {
+            (BORDER_MS + BORDER_MS_PER_KB * route.answer_kb).min(MAX_BORDER_MS)
+        };
+        let failure_ms = stats.map_or(0.0, |stats| stats.failure_share) * FAILURE_MS;
+        service_ms + wait_ms + border_ms + failure_ms
+    }
+
+    /// Averages a route's observations; returns the service time in relation to the average.
+    fn observe_route(&mut self, route: &str, service_ms: f64, answer_bytes: u64) -> f64 {
+        let answer_kb = answer_bytes as f64 / 1_000.0;
+        if !self.routes.contains_key(route) {
+            let stats = RouteStats {
+                service_ms: service_ms.max(1.0),
+                answer_kb,
+            };
+            self.routes.insert(route.to_string(), stats);
+        }
+        let stats = self.routes.get_mut(route).expect("inserted above");
+        let slowness = service_ms / stats.service_ms.max(1.0);
+        stats.service_ms += (service_ms - stats.service_ms) * AVERAGE_WEIGHT / 2.0;
+        stats.answer_kb += (answer_kb - stats.answer_kb) * AVERAGE_WEIGHT;
+        slowness
+    }
+}
+
+impl HostStats {
+    /// Requests believed to be at the host.
+    fn busy(&self, now_ms: u64) -> u32 {
+        match self.load {
+            Some(load) if now_ms.saturating_sub(load.at_ms) < LOAD_AGE_MS => {
+                (load.busy + self.in_flight).saturating_sub(load.own).max(self.in_flight)
+            }
+            _ => self.in_flight,
+        }
+    }
+
+    fn report(&mut self, now_ms: u64, load: GateLoad) {
+        self.load = Some(ReportedLoad {
+            busy: load.running + load.waiting,
+            at_ms: now_ms,
+            own: self.in_flight,
+        });
+    }
+
+    fn observe(
+        &mut self,
+        now_ms: u64,
+        outcome: HostOutcome,
+        slowness: Option<f64>,
+        urgency: Urgency,
+    ) {
+        match outcome {
+            HostOutcome::Answered { .. } => {
+                self.failures_in_row = 0;
+                self.refusal = None;
+                self.failure_share -= self.failure_share * AVERAGE_WEIGHT;
+                if let Some(slowness) = slowness {
+                    let known = self.slowness.unwrap_or(1.0);
+                    self.slowness = Some(known + (slowness - known) * AVERAGE_WEIGHT);
+                }
+            }
+            HostOutcome::Failed => {
+                self.failure_share += (1.0 - self.failure_share) * AVERAGE_WEIGHT;
+            }
+            HostOutcome::Refused { retry_after_ms } => {
+                let until_ms = now_ms + retry_after_ms.min(MAX_REFUSAL_MS);
+                self.refusal = Some(HostRefusal { until_ms, urgency });
+            }
+            HostOutcome::Unreachable => {
+                let doublings = self.failures_in_row.min(MAX_DOUBLINGS);
+                self.paused_until_ms = now_ms + (FIRST_PAUSE_MS << doublings);
+                self.failures_in_row += 1;
+            }
+            HostOutcome::Abandoned => {}
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/control.rs
@@ -0,0 +1,243 @@
+//! The control thread: configuration, hosts, status reports, readiness.
+//!
+//! * [`configuration`]: follows the operator's configuration in the store.
+//! * [`hosts`]: makes this host known and learns of the others.
+//! * [`gossip`]: datagrams between daemons.
+//! * [`reports`]: status reports of the backend server beside the daemon.
+//! * [`sync`]: what daemons tell each other when the store does not.
+//! * [`endpoint`]: small HTTP listeners: readiness, reports, metrics.
+pub mod configuration;
+pub mod endpoint;
+pub mod gossip;
+pub mod hosts;
+pub mod reports;
+pub mod sync;
+
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+use eyre::WrapErr;
+use jayrack_platform::store::{self, StoreClient};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    settings::{self, MeshSettings},
+    shared::MeshState,
+    traffic::{
+        ingress::TrafficState,
+        listener::{self, PeerKind},
+    },
+};
+
+/// Longest time for a connection to the store.
+const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for an answer of the store; it usually takes 4 ms, and much longer when it is slow.
+const STORE_ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause between two looks at the settings file, the gate's queue and idle connections.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two looks at idle connections and forgotten routes.
+const TICKS_PER_SWEEP: u32 = 100;
+/// Pause between two looks at the settings file.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+/// Time after the signal to stop in which forwarded requests are still taken.
+const CLOSING_DELAY: Duration = Duration::from_millis(400);
+/// Time after the signal to stop in which callers are still served: the platform notices after two
+/// questions, one a second.
+const MIN_STOP_TIME: Duration = Duration::from_millis(2_300);
+/// Time kept between the end of the process and its forced end.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the connections to end after the last answer.
+const CLOSE_TIME: Duration = Duration::from_millis(60);
+/// Silence of the backend server, in reports and answers, after which it gets no more work: two reports
+/// and their delay.
+const SERVER_SILENCE_MS: u64 = 4_000;
+
+/// What the tasks of the control thread share.
+#[derive(Debug)]
+pub struct ControlState {
+    /// What is shared with the traffic thread.
+    pub mesh: Arc<MeshState>,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// This host's record and the datagrams about it.
+    pub gossip: gossip::GossipState,
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why a listener or the traffic thread could not be started.
+pub fn run(settings: MeshSettings, path: PathBuf) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        let mesh = Arc::new(MeshState::new(settings));
+        let seed = crate::logging::unix_ms() ^ u64::from(std::process::id());
+        let traffic = Arc::new(TrafficState::new(mesh.clone(), seed));
+        start_traffic(traffic.clone())?;
+        let control = start_control(mesh.clone()).await?;
+        log::info!(host = mesh.settings.host.name.as_str(), epoch = control.gossip.epoch(); "started");
+        let mut known = mesh.settings.clone();
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = reload.recv() => reload_settings(&path, &mut known),
+                () = sleep(SETTINGS_PAUSE) => reload_settings(&path, &mut known),
+            }
+        }
+        stop(&control, &traffic).await;
+        Ok(())
+    })
+}
+
+async fn start_control(mesh: Arc<MeshState>) -> eyre::Result<Arc<ControlState>> {
+    let settings = &mesh.settings;
+    let options = store::Options {
+        connect_timeout: STORE_CONNECT_TIMEOUT,
+        answer_timeout: STORE_ANSWER_TIMEOUT,
+    };
+    let [gossip_port, metrics_port] = settings.ports;
+    let address = settings.host.address;
+    let socket = UdpSocket::bind((address, gossip_port))
+        .await
+        .wrap_err("the port for datagrams cannot be bound")?;
+    let ready = bind(settings.listen.ready).await?;
+    let reports = bind(settings.listen.reports).await?;
+    let metrics = bind((address, metrics_port).into()).await?;
+    let control = Arc::new(ControlState {
+        store: StoreClient::new(settings.store, options),
+        gossip: gossip::GossipState::new(&mesh, socket),
+        mesh,
+    });
+    tokio::spawn(endpoint::serve_ready(ready, control.mesh.clone()));
+    tokio::spawn(endpoint::serve_metrics(metrics, control.mesh.clone()));
+    tokio::spawn(reports::serve(reports, control.clone()));
+    tokio::spawn(configuration::follow(control.clone()));
+    tokio::spawn(hosts::register(control.clone()));
+    tokio::spawn(gossip::receive(control.clone()));
+    tokio::spawn(gossip::send(control.clone()));
+    tokio::spawn(watch_server(control.clone()));
+    Ok(control)
+}
+
+async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("{address} cannot be bound"))
+}
+
+fn start_traffic(state: Arc<TrafficState>) -> eyre::Result<()> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::Builder::new()
+        .name("traffic".to_string())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            match runtime {
+                Ok(runtime) => runtime.block_on(run_traffic(state, sender)),
+                Err(error) => {
+                    // The receiver waits for the outcome of the start.
+                    let _ = sender.send(Err(eyre::Report::new(error)));
+                }
+            }
+        })?;
+    receiver.recv()?
+}
+
+async fn run_traffic(state: Arc<TrafficState>, opened: std::sync::mpsc::Sender<eyre::Result<()>>) {
+    let listen = state.mesh.settings.listen.clone();
+    let bound = async { eyre::Ok((bind(listen.callers).await?, bind(listen.forward).await?)) };
+    let (callers, daemons) = match bound.await {
+        Ok(listeners) => listeners,
+        Err(error) => {
+            // The receiver waits for the outcome of the start.
+            let _ = opened.send(Err(error));
+            return;
+        }
+    };
+    let _ = opened.send(Ok(()));
+    tokio::spawn(listener::accept(callers, PeerKind::Caller, state.clone()));
+    tokio::spawn(listener::accept(daemons, PeerKind::Daemon, state.clone()));
+    let mut ticks = 0_u32;
+    loop {
+        sleep(TICK).await;
+        state.mesh.gate.tick();
+        ticks = ticks.wrapping_add(1);
+        if ticks.is_multiple_of(TICKS_PER_SWEEP) {
+            state.peer_pool.expire();
+            state.server_pool.expire();
+            if let Some(routes) = state.mesh.routes.load().as_ref() {
+                state.router.retain(routes);
+            }
+        }
+    }
+}
+
+/// Closes the gate when the backend server neither reports nor answers, and opens it when it returns.
+async fn watch_server(control: Arc<ControlState>) {
+    let mut is_silent = false;
+    loop {
+        sleep(Duration::from_millis(250)).await;
+        let mesh = &control.mesh;
+        let (reported_ms, slots) = {
+            let tracker = mesh.tracker();
+            match tracker.serving() {
+                Some(server) => (tracker.reported_ms(), server.slots),
+                None => continue,
+            }
+        };
+        let last_ms = reported_ms.max(mesh.answered_ms());
+        let silence_ms = mesh.now_ms().saturating_sub(last_ms);
+        let was_silent = std::mem::replace(&mut is_silent, silence_ms > SERVER_SILENCE_MS);
+        if is_silent && !was_silent {
+            log::warn!(silence_ms = silence_ms; "server is silent, no more work");
+            mesh.metrics.count_belief("server-silent");
+            mesh.gate.shut();
+        } else if was_silent && !is_silent && control.gossip.is_memory_checked() {
+            log::info!("server is back");
+            mesh.gate.open(slots);
+        }
+    }
+}
+
+/// Notes a change of the settings file; what has changed takes effect at the next start.
+fn reload_settings(path: &std::path::Path, known: &mut MeshSettings) {
+    match settings::load(path) {
+        Ok(settings) if settings != *known => {
+            log::info!("settings have changed; they take effect at the next start");
+            *known = settings;
+        }
+        Ok(_) => {}
+        Err(error) => log::warn!(error:% = error; "settings not reloaded"),
+    }
+}
+
+/// Stops without cutting requests: callers turn away first, then other daemons.
+async fn stop(control: &ControlState, traffic: &TrafficState) {
+    let mesh = &control.mesh;
+    let grace = Duration::from_secs_f64(mesh.settings.bounds.stop_s).saturating_sub(STOP_MARGIN);
+    let started = Instant::now();
+    log::info!(in_flight = mesh.in_flight(); "stopping");
+    mesh.set_leaving();
+    control.gossip.publish(mesh).await;
+    sleep(CLOSING_DELAY).await;
+    mesh.set_closing();
+    mesh.gate.shut();
+    while started.elapsed() < grace {
+        if mesh.in_flight() == 0 && started.elapsed() >= MIN_STOP_TIME {
+            break;
+        }
+        sleep(TICK).await;
+    }
+    log::info!(in_flight = mesh.in_flight(), store_calls = control.store.calls(); "stopped");
+    traffic.closing.notify_waiters();
+    sleep(CLOSE_TIME).await;
+}
--- /dev/null
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -0,0 +1,105 @@
+//! Follows the operator's configuration in the store.
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use jayrack_platform::{
+    configuration::{self, KEY, TOPIC},
+    store::{Error, NewestRecords},
+};
+use tokio::time::sleep;
+
+use super::ControlState;
+use crate::shared::MeshState;
+
+/// How long the store is asked to wait for a change.
+const POLL_WAIT: Duration = Duration::from_secs(25);
+/// Pause after a change, so that changes in quick succession are read together.
+const POLL_PAUSE: Duration = Duration::from_millis(350);
+/// First pause after a failed call, in milliseconds; it doubles with each further one.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds.
+const MAX_PAUSE_MS: u64 = 800;
+
+/// A configuration in the form in which the operator wrote it.
+#[derive(Debug, Clone)]
+pub struct AcceptedRecord {
+    /// The operator's version.
+    pub version: u64,
+    /// The record.
+    pub bytes: Bytes,
+}
+
+/// Follows the configuration for as long as the process runs.
+pub async fn follow(control: Arc<ControlState>) {
+    let mut next: Option<u64> = None;
+    let mut pause_ms = FIRST_PAUSE_MS;
+    loop {
+        let read = match next {
+            None => control.store.newest(TOPIC).await,
+            Some(from) => control.store.changes(TOPIC, from, POLL_WAIT).await,
+        };
+        match read {
+            Ok(records) => {
+                if pause_ms > FIRST_PAUSE_MS {
+                    log::info!("configuration is followed again");
+                }
+                pause_ms = FIRST_PAUSE_MS;
+                next = Some(records.end);
+                if apply_newest(&control.mesh, &records) {
+                    sleep(POLL_PAUSE).await;
+                }
+            }
+            Err(Error::Expired(first)) => {
+                log::info!(first = first; "changes expired, reading the newest configuration");
+                next = None;
+            }
+            Err(error) => {
+                log::warn!(error:% = error, pause_ms = pause_ms; "configuration not read");
+                sleep(Duration::from_millis(pause_ms + control.gossip.jitter_ms(pause_ms))).await;
+                pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+            }
+        }
+    }
+}
+
+/// Applies the newest of `records` that is a configuration; whether there was any record.
+fn apply_newest(mesh: &MeshState, records: &NewestRecords) -> bool {
+    let is_configuration = |record: &&_| -> bool {
+        let record: &jayrack_platform::store::KeyedRecord = record;
+        record.key == KEY
+    };
+    for record in records.records.iter().rev().filter(is_configuration) {
+        match apply(mesh, &record.value) {
+            Ok(_) => return true,
+            Err(error) => {
+                log::error!(offset = record.offset, error:% = error; "configuration refused");
+                mesh.metrics.count_belief("configuration-refused");
+            }
+        }
+    }
+    !records.records.is_empty()
+}
+
+/// Applies a configuration if it is newer than the one in force; whether it was.
+///
+/// # Errors
+///
+/// Returns why the record is refused as a whole.
+pub fn apply(mesh: &MeshState, record: &[u8]) -> Result<bool, configuration::Error> {
+    let routes = configuration::decode(record)?;
+    let version = routes.version();
+    let mut accepted = mesh.accepted();
+    let in_force = accepted.as_ref().map(|accepted| accepted.version);
+    if in_force.is_some_and(|in_force| in_force >= version) {
+        return Ok(false);
+    }
+    let count = routes.len();
+    mesh.routes.store(Some(Arc::new(routes)));
+    *accepted = Some(AcceptedRecord {
+        version,
+        bytes: Bytes::copy_from_slice(record),
+    });
+    log::info!(version = version, previous:? = in_force, routes = count; "configuration in force");
+    mesh.metrics.count_belief("configuration-applied");
+    Ok(true)
+}
--- /dev/null
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -0,0 +1,99 @@
+//! Makes this host known and learns of the others through the store.
+//!
+//! The topic keeps two kinds of keys: `host/ADDRESS` with the record of a host, and `left/ADDRESS` with the
+//! latest departure of a backend server there. Whatever else changes travels between the daemons.
+use std::{net::IpAddr, sync::Arc, time::Duration};
+
+use jayrack_mesh::{hosts::HostRecord, server::ServerRecord};
+use jayrack_platform::store::{Error, KeyedRecord};
+use tokio::time::sleep;
+
+use super::ControlState;
+
+/// Topic with the hosts of the fleet.
+const TOPIC: &str = "keyed.jayrack-hosts";
+const HOST_PREFIX: &str = "host/";
+const LEFT_PREFIX: &str = "left/";
+
+/// First pause after a failed call, in milliseconds; it doubles with each further one.
+const FIRST_PAUSE_MS: u64 = 150;
+/// Longest pause after failed calls, in milliseconds.
+const MAX_PAUSE_MS: u64 = 1_200;
+
+/// Writes this host's record, then reads those of the others.
+///
+/// Since each host writes first, of two that start together at least one finds the other.
+pub async fn register(control: Arc<ControlState>) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut is_written = false;
+    loop {
+        match try_register(&control, &mut is_written).await {
+            Ok(()) => return,
+            Err(error) => {
+                log::warn!(error:% = error, written = is_written, pause_ms = pause_ms; "hosts not read");
+                sleep(Duration::from_millis(pause_ms + control.gossip.jitter_ms(pause_ms))).await;
+                pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+            }
+        }
+    }
+}
+
+async fn try_register(control: &ControlState, is_written: &mut bool) -> Result<(), Error> {
+    if !*is_written {
+        let record = HostRecord {
+            server: None,
+            ..control.gossip.own_record()
+        };
+        let key = format!("{HOST_PREFIX}{}", record.address);
+        control.store.put(TOPIC, &key, &encode(&record)?).await?;
+        *is_written = true;
+    }
+    let newest = control.store.newest(TOPIC).await?;
+    let local = control.mesh.settings.host.address;
+    for record in &newest.records {
+        if let Err(error) = take_record(control, record, local) {
+            log::warn!(key = record.key.as_str(), error:% = error; "record of a host not understood");
+        }
+    }
+    log::info!(hosts = control.mesh.directory().len(), records = newest.records.len(); "hosts read");
+    control.gossip.set_memory_checked(&control.mesh);
+    control.gossip.publish(&control.mesh).await;
+    Ok(())
+}
+
+fn take_record(
+    control: &ControlState,
+    record: &KeyedRecord,
+    local: IpAddr,
+) -> Result<(), serde_json::Error> {
+    if let Some(address) = record.key.strip_prefix(LEFT_PREFIX) {
+        if address == local.to_string() {
+            let left: ServerRecord = serde_json::from_slice(&record.value)?;
+            log::info!(instance = left.instance.as_str(), phase:? = left.phase; "earlier departure known");
+            control.mesh.tracker().restore(left);
+        }
+        return Ok(());
+    }
+    if record.key.starts_with(HOST_PREFIX) {
+        let host: HostRecord = serde_json::from_slice(&record.value)?;
+        if host.address != local {
+            control.mesh.directory().merge(&host);
+        }
+    }
+    Ok(())
+}
+
+/// Records that the backend server beside the daemon leaves.
+///
+/// # Errors
+///
+/// Returns why the store did not keep it.
+pub async fn record_departure(control: &ControlState, record: &ServerRecord) -> Result<(), Error> {
+    let address = control.mesh.settings.host.address;
+    let key = format!("{LEFT_PREFIX}{address}");
+    control.store.put(TOPIC, &key, &encode(record)?).await
+}
+
+fn encode(record: &impl serde::Serialize) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(record).map_err(|error| Error::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/jayrack-meshd/src/control/reports.rs
@@ -0,0 +1,121 @@
+//! Status reports of the backend server beside the daemon.
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, StatusCode, body::Incoming};
+use jayrack_mesh::server::{ReportEffect, ServerPhase, ServerRecord};
+use jayrack_platform::report::{self, ServerCall};
+use tokio::{net::TcpListener, time::timeout};
+
+use super::{
+    ControlState,
+    endpoint::{self, SmallResponse},
+    hosts,
+};
+
+/// Largest body of a report, in bytes.
+const MAX_REPORT_BYTES: usize = 16 << 10;
+/// Longest wait for the store to keep a departure; the server waits a second for its answer.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Serves reports for as long as the process runs.
+pub async fn serve(listener: TcpListener, control: Arc<ControlState>) {
+    endpoint::serve(listener, move |request| handle(control.clone(), request)).await;
+}
+
+async fn handle(control: Arc<ControlState>, request: Request<Incoming>) -> SmallResponse {
+    let (parts, body) = request.into_parts();
+    let Some(call) = ServerCall::decode(&parts.method, &parts.uri) else {
+        return endpoint::answer(StatusCode::NOT_FOUND, String::new());
+    };
+    let body = match Limited::new(body, MAX_REPORT_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::warn!(error:% = error; "report broke off");
+            return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
+        }
+    };
+    let accepted = match call {
+        ServerCall::Report(instance) => take_report(&control, &instance, &body).await,
+        ServerCall::Leave(instance) => {
+            take_leave(&control, &instance, &body).await;
+            true
+        }
+    };
+    if accepted {
+        endpoint::answer(StatusCode::OK, "{}".to_string())
+    } else {
+        endpoint::answer(StatusCode::BAD_REQUEST, String::new())
+    }
+}
+
+async fn take_report(control: &ControlState, instance: &str, body: &Bytes) -> bool {
+    let decoded = match report::decode(instance, body) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            log::warn!(instance = instance, error:% = error; "report names no server");
+            return false;
+        }
+    };
+    let mesh = &control.mesh;
+    if decoded.address != mesh.settings.server.address.to_string() {
+        log::warn!(instance = instance, address = decoded.address.as_str(); "report of a server elsewhere");
+        return true;
+    }
+    let now_ms = mesh.now_ms();
+    let sequence = decoded.report.record.sequence;
+    let (effect, record) = {
+        let mut tracker = mesh.tracker();
+        let effect = tracker.handle(now_ms, decoded.report);
+        (effect, tracker.record().cloned())
+    };
+    if let (ReportEffect::Changed, Some(record)) = (effect, record) {
+        adopt(control, &record).await;
+    } else if effect == ReportEffect::Outdated {
+        log::info!(instance = instance, sequence = sequence; "outdated report ignored");
+    }
+    true
+}
+
+async fn take_leave(control: &ControlState, instance: &str, body: &Bytes) {
+    let born_ms = report::decode_leave(body);
+    let (effect, record) = {
+        let mut tracker = control.mesh.tracker();
+        let was_leaving = tracker
+            .record()
+            .is_some_and(|record| record.phase != ServerPhase::Ready);
+        let effect = tracker.leave(instance, born_ms);
+        // A departure that was recorded as draining needs no second record.
+        (effect, tracker.record().filter(|_| !was_leaving).cloned())
+    };
+    if let (ReportEffect::Changed, Some(record)) = (effect, record) {
+        adopt(control, &record).await;
+    }
+}
+
+/// Lets the gate, the other daemons and, for a departure, the store know what the server said.
+///
+/// A departure is recorded before it is acknowledged, so that it outlives this process.
+async fn adopt(control: &ControlState, record: &ServerRecord) {
+    let mesh = &control.mesh;
+    log::info!(
+        instance = record.instance.as_str(),
+        born_ms = record.born_ms,
+        sequence = record.sequence,
+        slots = record.slots,
+        phase:? = record.phase;
+        "server changed"
+    );
+    mesh.metrics.count_belief("server-changed");
+    control.gossip.apply_server(mesh);
+    control.gossip.publish(mesh).await;
+    if record.phase == ServerPhase::Ready {
+        return;
+    }
+    match timeout(RECORD_TIMEOUT, hosts::record_departure(control, record)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::warn!(error:% = error; "departure not recorded"),
+        Err(_) => log::warn!("departure not recorded in time"),
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/control/sync.rs
@@ -0,0 +1,128 @@
+//! What daemons tell each other when the store does not.
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+    http::request::Parts,
+};
+use jayrack_mesh::hosts::HostRecord;
+use jayrack_platform::socket::SocketOptions;
+
+use super::ControlState;
+use crate::{
+    control::configuration,
+    shared::MeshState,
+    traffic::{
+        body::AnswerBody,
+        forward,
+        pool::{self, ConnectionPool},
+    },
+};
+
+/// Header that asks for a part of a daemon's state.
+const SYNC: HeaderName = HeaderName::from_static("jayrack-sync");
+const CONFIGURATION: HeaderValue = HeaderValue::from_static("configuration");
+const HOSTS: HeaderValue = HeaderValue::from_static("hosts");
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Longest time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Answers another daemon that asks for a part of this daemon's state; `None` for other requests.
+pub fn serve(mesh: &MeshState, parts: &Parts) -> Option<Response<AnswerBody>> {
+    let part = parts.headers.get(SYNC)?;
+    let body = if part == CONFIGURATION {
+        mesh.accepted().as_ref().map(|accepted| accepted.bytes.clone())
+    } else if part == HOSTS {
+        let directory = mesh.directory();
+        let records: Vec<&HostRecord> = directory.entries().map(|entry| &entry.record).collect();
+        match serde_json::to_vec(&records) {
+            Ok(text) => Some(Bytes::from(text)),
+            Err(error) => {
+                log::error!(error:% = error; "hosts not written");
+                None
+            }
+        }
+    } else {
+        None
+    };
+    Some(match body {
+        Some(body) => Response::new(AnswerBody::whole(body)),
+        None => forward::empty(StatusCode::NOT_FOUND),
+    })
+}
+
+/// Takes the configuration of the daemon at `address`, if it is newer than the one in force.
+pub async fn pull_configuration(control: &ControlState, address: SocketAddr) {
+    let Some(record) = pull(address, CONFIGURATION).await else {
+        return;
+    };
+    match configuration::apply(&control.mesh, &record) {
+        Ok(true) => log::info!(from:% = address; "configuration taken from another daemon"),
+        Ok(false) => {}
+        Err(error) => log::error!(from:% = address, error:% = error; "configuration refused"),
+    }
+}
+
+/// Takes over the hosts that the daemon at `address` knows.
+pub async fn pull_hosts(control: &ControlState, address: SocketAddr) {
+    let Some(text) = pull(address, HOSTS).await else {
+        return;
+    };
+    let records: Vec<HostRecord> = match serde_json::from_slice(&text) {
+        Ok(records) => records,
+        Err(error) => {
+            log::warn!(from:% = address, error:% = error; "hosts not understood");
+            return;
+        }
+    };
+    log::info!(from:% = address, hosts = records.len(); "hosts taken from another daemon");
+    let local = control.mesh.settings.host.address;
+    for record in records {
+        if record.address == local {
+            control.gossip.refute(&control.mesh, &record);
+        } else {
+            control.mesh.directory().merge(&record);
+        }
+    }
+    control.gossip.set_memory_checked(&control.mesh);
+    control.gossip.publish(&control.mesh).await;
+}
+
+async fn pull(address: SocketAddr, part: HeaderValue) -> Option<Bytes> {
+    let pool = ConnectionPool::new(pool::Options {
+        socket: SocketOptions {
+            connect_timeout: ANSWER_TIMEOUT,
+            unacknowledged_timeout: ANSWER_TIMEOUT,
+        },
+        max_idle: Duration::ZERO,
+        max_kept: 0,
+    });
+    let mut request = Request::new(Full::default());
+    request.headers_mut().insert(SYNC, part);
+    let host = HeaderValue::from_str(&address.to_string()).ok()?;
+    request.headers_mut().insert(hyper::header::HOST, host);
+    let exchange = async {
+        let answer = pool.send(address, request, Duration::ZERO).await;
+        let response = answer.map_err(|error| format!("{error:?}"))?.response;
+        if response.status() != StatusCode::OK {
+            return Err(format!("status {}", response.status()));
+        }
+        let body = response.into_body().collect_up_to(MAX_ANSWER_BYTES).await;
+        body.map_err(|error| format!("{error:?}"))
+    };
+    match tokio::time::timeout(ANSWER_TIMEOUT, exchange).await {
+        Ok(Ok(body)) => Some(body),
+        Ok(Err(error)) => {
+            log::warn!(from:% = address, error = error.as_str(); "state of another daemon not read");
+            None
+        }
+        Err(_) => {
+            log::warn!(from:% = address; "state of another daemon not read in time");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/logging.rs
@@ -0,0 +1,132 @@
+//! Logs as JSON lines on standard output, bounded in volume; writing them never blocks.
+use std::{
+    io::{self, Write},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Instant, SystemTime},
+};
+
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::Map;
+
+/// Lines that may be written within one second; a tenth of them is kept for warnings.
+const LINES_PER_SECOND: u64 = 60;
+/// Part of the lines that only warnings and errors may use, as a divisor.
+const RESERVED_PART: u64 = 10;
+
+static BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+#[derive(Debug)]
+struct LineBudget {
+    second: Instant,
+    written: u64,
+}
+
+/// Installs the logger; the level comes from the environment variable `RUST_LOG`, `info` by default.
+pub fn init() {
+    if let Err(error) = make_nonblocking() {
+        eprintln!("jayrack-meshd: standard output may block: {error}");
+    }
+    let env = env_logger::Env::default().default_filter_or("info");
+    let _ = env_logger::Builder::from_env(env)
+        .target(env_logger::Target::Pipe(Box::new(OutputPipe)))
+        .format(|out, record| {
+            if admit(record.level()) {
+                writeln!(out, "{}", line_of(record))
+            } else {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+                Ok(())
+            }
+        })
+        .try_init();
+}
+
+/// Lines that were dropped so far, by the budget or since the reader was slow.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+fn make_nonblocking() -> io::Result<()> {
+    let output = io::stdout();
+    let flags = rustix::fs::fcntl_getfl(&output)?;
+    rustix::fs::fcntl_setfl(&output, flags | rustix::fs::OFlags::NONBLOCK)?;
+    Ok(())
+}
+
+/// Standard output without the buffer of the standard library, whose lock could block.
+#[derive(Debug)]
+struct OutputPipe;
+
+impl Write for OutputPipe {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        match rustix::io::write(io::stdout(), line) {
+            Ok(count) if count == line.len() => {}
+            Ok(_) | Err(_) => {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whether a line of `level` is within the budget of this second.
+fn admit(level: log::Level) -> bool {
+    let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
+    let now = Instant::now();
+    let budget = budget.get_or_insert(LineBudget {
+        second: now,
+        written: 0,
+    });
+    if now.duration_since(budget.second).as_secs() >= 1 {
+        budget.second = now;
+        budget.written = 0;
+    }
+    let limit = match level {
+        log::Level::Error | log::Level::Warn => LINES_PER_SECOND,
+        _ => LINES_PER_SECOND - LINES_PER_SECOND / RESERVED_PART,
+    };
+    if budget.written >= limit {
+        return false;
+    }
+    budget.written += 1;
+    true
+}
+
+/// Writes `record` as one JSON object.
+fn line_of(record: &log::Record<'_>) -> serde_json::Value {
+    let mut fields = FieldMap(Map::new());
+    fields.0.insert("time_ms".into(), unix_ms().into());
+    fields
+        .0
+        .insert("level".into(), record.level().as_str().into());
+    fields
+        .0
+        .insert("event".into(), record.args().to_string().into());
+    if let Err(error) = record.key_values().visit(&mut fields) {
+        fields.0.insert("log_error".into(), error.to_string().into());
+    }
+    serde_json::Value::Object(fields.0)
+}
+
+struct FieldMap(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldMap {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.insert(key.as_str().to_string(), json);
+        Ok(())
+    }
+}
+
+/// Milliseconds since 1970, by the host's clock; for logs and record numbers only.
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/jayrack-meshd/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms, served on the metrics address.
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of the latency buckets, in seconds: from a local call to the longest route time-out.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2.0, 4.0];
+
+/// Labels of a counter of outcomes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// What happened, from a closed set.
+    pub outcome: &'static str,
+}
+
+/// Metrics of one daemon.
+#[derive(Debug, Clone)]
+pub struct MeshMetrics {
+    /// Requests of callers, by outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests that the gate decided about, by decision.
+    pub gate: Family<OutcomeLabels, Counter>,
+    /// Changes of belief: hosts, servers, configuration, store.
+    pub beliefs: Family<OutcomeLabels, Counter>,
+    /// Time from a request of a caller to the head of its answer.
+    pub latency: Histogram,
+    /// Connections opened to the backend server.
+    pub server_connections: Counter,
+    /// Log lines that were dropped.
+    pub dropped_lines: Counter,
+}
+
+impl Default for MeshMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            gate: Family::default(),
+            beliefs: Family::default(),
+            latency: Histogram::new(LATENCY_BOUNDS_S),
+            server_connections: Counter::default(),
+            dropped_lines: Counter::default(),
+        }
+    }
+}
+
+impl MeshMetrics {
+    /// Counts a request of a caller.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts a decision of the gate.
+    pub fn count_gate(&self, outcome: &'static str) {
+        self.gate.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts a change of belief.
+    pub fn count_belief(&self, outcome: &'static str) {
+        self.beliefs.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// All metrics in text form.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the text encoder.
+    pub fn render(&self) -> Result<String, std::fmt::Error> {
+        let mut registry = Registry::with_prefix("jayrack");
+        registry.register("requests", "Requests of callers", self.requests.clone());
+        registry.register("gate", "Decisions of the gate", self.gate.clone());
+        registry.register("beliefs", "Changes of belief", self.beliefs.clone());
+        registry.register("latency_seconds", "Time to the answer", self.latency.clone());
+        registry.register(
+            "server_connections",
+            "Connections opened to the backend server",
+            self.server_connections.clone(),
+        );
+        registry.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
+        let mut text = String::new();
+        encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/settings.rs
@@ -0,0 +1,168 @@
+//! Settings of the daemon: JSON with comments, checked strictly before anything is opened.
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
+
+use jsonc_parser::ParseOptions;
+use serde::Deserialize;
+
+/// Longest time that a setting may state, in seconds; a longer one is taken for a mistake in units.
+const MAX_SECONDS: f64 = 86_400.0;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MeshSettings {
+    /// The host that the daemon runs on.
+    pub host: HostSettings,
+    /// The backend server beside the daemon.
+    pub server: ServerSettings,
+    /// Listeners.
+    pub listen: ListenSettings,
+    /// First and last port for traffic between daemons.
+    pub ports: [u16; 2],
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds that the operators set.
+    pub bounds: BoundSettings,
+}
+
+/// The host that the daemon runs on.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostSettings {
+    /// Name, for logs.
+    pub name: String,
+    /// Address.
+    pub address: IpAddr,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// The backend server beside the daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerSettings {
+    /// Address of its HTTP listener.
+    pub address: SocketAddr,
+    /// Service that it works for.
+    pub service: String,
+}
+
+/// Listeners of the daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Requests of the callers on this host.
+    pub callers: SocketAddr,
+    /// Requests that other daemons forward.
+    pub forward: SocketAddr,
+    /// Questions whether the daemon takes callers.
+    pub ready: SocketAddr,
+    /// Status reports of the backend server.
+    pub reports: SocketAddr,
+}
+
+/// Bounds that the operators set for the whole fleet.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BoundSettings {
+    /// Time after the acknowledgement of a departure in which work may still arrive, in seconds.
+    pub departure_s: f64,
+    /// Time between the signal to stop and the forced end, in seconds.
+    pub stop_s: f64,
+    /// Repeats allowed for each request of a service.
+    pub repeat_ratio: f64,
+    /// Repeats allowed for each service besides.
+    pub repeat_slack: u64,
+    /// Length of the window for repeats, in seconds.
+    pub repeat_window_s: f64,
+}
+
+/// Why settings were refused.
+#[derive(Debug)]
+pub enum Error {
+    /// The file cannot be read.
+    Unreadable(std::io::Error),
+    /// The text is not JSON with comments.
+    Syntax(String),
+    /// A field is missing, unknown or of the wrong type.
+    Field {
+        /// Path of the field.
+        path: String,
+        /// What is wrong.
+        message: String,
+    },
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Unreadable(error) => write!(f, "100 SettingsUnreadable: {error}"),
+            Error::Syntax(message) => write!(f, "101 SettingsSyntax: {message}"),
+            Error::Field { path, message } => {
+                write!(f, "103 SettingsInvalidValue, {path}: {message}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads and checks the settings file at `path`.
+///
+/// # Errors
+///
+/// Returns why the file is refused.
+pub fn load(path: &Path) -> Result<MeshSettings, Error> {
+    let text = std::fs::read_to_string(path).map_err(Error::Unreadable)?;
+    parse(&text)
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+///
+/// Returns why the text is refused.
+pub fn parse(text: &str) -> Result<MeshSettings, Error> {
+    let value: serde_json::Value =
+        jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|error| Error::Syntax(error.to_string()))?;
+    let settings: MeshSettings =
+        serde_path_to_error::deserialize(value).map_err(|error| Error::Field {
+            path: error.path().to_string(),
+            message: error.inner().to_string(),
+        })?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &MeshSettings) -> Result<(), Error> {
+    let bounds = &settings.bounds;
+    let times = [
+        ("bounds.departure_s", bounds.departure_s),
+        ("bounds.stop_s", bounds.stop_s),
+        ("bounds.repeat_window_s", bounds.repeat_window_s),
+    ];
+    for (path, seconds) in times {
+        if !(seconds > 0.0 && seconds <= MAX_SECONDS) {
+            return Err(out_of_range(path));
+        }
+    }
+    if !(0.0..=1.0).contains(&bounds.repeat_ratio) {
+        return Err(out_of_range("bounds.repeat_ratio"));
+    }
+    let [first, last] = settings.ports;
+    if first == 0 || first >= last {
+        return Err(out_of_range("ports"));
+    }
+    Ok(())
+}
+
+fn out_of_range(path: &str) -> Error {
+    Error::Field {
+        path: path.to_string(),
+        message: "out of range".to_string(),
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/shared.rs
@@ -0,0 +1,151 @@
+//! What the control thread and the traffic thread share.
+use std::{
+    collections::BTreeMap,
+    net::IpAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwapOption;
+use jayrack_mesh::{HostDirectory, MeshRoutes, ServerTracker, gate::GateLoad};
+
+use crate::{
+    control::configuration::AcceptedRecord, metrics::MeshMetrics, settings::MeshSettings,
+    traffic::gate::OwnerGate,
+};
+
+/// State of one daemon.
+#[derive(Debug)]
+pub struct MeshState {
+    /// Settings at the start.
+    pub settings: MeshSettings,
+    /// The accepted configuration; `None` before the first one.
+    pub routes: ArcSwapOption<MeshRoutes>,
+    /// Counters and histograms.
+    pub metrics: MeshMetrics,
+    /// Slots of the backend server beside the daemon.
+    pub gate: OwnerGate,
+    directory: Mutex<HostDirectory>,
+    tracker: Mutex<ServerTracker>,
+    started: Instant,
+    leaving: AtomicBool,
+    closing: AtomicBool,
+    accepted: Mutex<Option<AcceptedRecord>>,
+    loads: Mutex<BTreeMap<IpAddr, GateLoad>>,
+    in_flight: AtomicUsize,
+    answered_ms: AtomicU64,
+}
+
+impl MeshState {
+    /// Creates the state of a daemon that has no configuration yet.
+    pub fn new(settings: MeshSettings) -> Self {
+        Self {
+            settings,
+            routes: ArcSwapOption::empty(),
+            metrics: MeshMetrics::default(),
+            gate: OwnerGate::new(),
+            directory: Mutex::default(),
+            tracker: Mutex::default(),
+            started: Instant::now(),
+            leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            accepted: Mutex::default(),
+            loads: Mutex::default(),
+            in_flight: AtomicUsize::new(0),
+            answered_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Milliseconds since the daemon started, by the monotonic clock.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Locks the hosts that are known.
+    pub fn directory(&self) -> MutexGuard<'_, HostDirectory> {
+        self.directory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks what is known of the backend server beside the daemon.
+    pub fn tracker(&self) -> MutexGuard<'_, ServerTracker> {
+        self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the configuration in force, in the form in which the operator wrote it.
+    pub fn accepted(&self) -> MutexGuard<'_, Option<AcceptedRecord>> {
+        self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Version of the configuration in force; 0 before the first one.
+    pub fn version(&self) -> u64 {
+        self.routes.load().as_ref().map_or(0, |routes| routes.version())
+    }
+
+    /// Notes the load that another daemon reported on its own.
+    pub fn note_load(&self, address: IpAddr, load: GateLoad) {
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        loads.insert(address, load);
+    }
+
+    /// Takes the loads that were noted since the last call.
+    pub fn take_loads(&self) -> BTreeMap<IpAddr, GateLoad> {
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut loads)
+    }
+
+    /// Whether the daemon was told to stop and takes no new callers.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Makes the daemon turn away new callers.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether the daemon takes no more forwarded requests either.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    /// Notes that the backend server answered a request.
+    pub fn note_answer(&self) {
+        self.answered_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// When the backend server last answered a request, in milliseconds since the daemon started.
+    pub fn answered_ms(&self) -> u64 {
+        self.answered_ms.load(Ordering::Relaxed)
+    }
+
+    /// Makes the daemon refuse forwarded requests.
+    pub fn set_closing(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
+    /// Counts a request for as long as the guard lives.
+    pub fn enter(self: &std::sync::Arc<Self>) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        FlightGuard(self.clone())
+    }
+
+    /// Requests taken and not answered yet.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
+
+/// Counts one request as in flight.
+#[derive(Debug)]
+pub struct FlightGuard(std::sync::Arc<MeshState>);
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/traffic/gate.rs
@@ -0,0 +1,233 @@
+//! The driver of the slots of the backend server beside the daemon.
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use jayrack_mesh::gate::{
+    AdmissionGate, GateDecision, GateLoad, GateRefusal, GateRequest, GateVerdict, RefusalReason,
+};
+use tokio::sync::oneshot;
+
+/// Most requests that wait; with the target times in use, more could not be served in time.
+const MAX_WAITING: usize = 64;
+
+type Verdict = Result<(), GateRefusal>;
+
+#[derive(Debug)]
+struct GateCore {
+    gate: AdmissionGate,
+    waiting: BTreeMap<u64, oneshot::Sender<Verdict>>,
+    next_id: u64,
+}
+
+#[derive(Debug)]
+struct GateInner {
+    core: Mutex<GateCore>,
+    started: Instant,
+}
+
+/// The gate in front of one backend server; clones share it.
+#[derive(Debug, Clone)]
+pub struct OwnerGate {
+    inner: Arc<GateInner>,
+}
+
+impl OwnerGate {
+    /// Creates a closed gate.
+    pub fn new() -> Self {
+        Self {
+            inner: Arc::new(GateInner {
+                core: Mutex::new(GateCore {
+                    gate: AdmissionGate::new(MAX_WAITING),
+                    waiting: BTreeMap::new(),
+                    next_id: 0,
+                }),
+                started: Instant::now(),
+            }),
+        }
+    }
+
+    /// Opens the gate for a server with `slots` slots.
+    pub fn open(&self, slots: u32) {
+        let now_ms = self.now_ms();
+        let mut core = self.lock();
+        let decisions = core.gate.open(now_ms, slots);
+        core.apply(now_ms, decisions);
+    }
+
+    /// Refuses what waits and what comes.
+    pub fn shut(&self) {
+        let now_ms = self.now_ms();
+        let mut core = self.lock();
+        let decisions = core.gate.shut();
+        core.apply(now_ms, decisions);
+    }
+
+    /// Refuses the requests that have waited for too long.
+    pub fn tick(&self) {
+        let now_ms = self.now_ms();
+        let mut core = self.lock();
+        let decisions = core.gate.tick(now_ms);
+        core.apply(now_ms, decisions);
+    }
+
+    /// Load at this moment.
+    pub fn load(&self) -> GateLoad {
+        self.lock().gate.load()
+    }
+
+    /// Milliseconds by the clock that the gate's requests are timed with.
+    pub fn now_ms(&self) -> u64 {
+        self.inner.started.elapsed().as_millis() as u64
+    }
+
+    /// Waits for a slot; dropping the future gives the place in the queue up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal; the request was not run.
+    pub async fn enter(&self, mut request: GateRequest) -> Result<SlotPermit, GateRefusal> {
+        let mut ticket = {
+            let now_ms = self.now_ms();
+            let mut core = self.lock();
+            core.next_id += 1;
+            request.id = core.next_id;
+            let id = request.id;
+            match core.gate.offer(now_ms, request) {
+                GateVerdict::Run => return Ok(SlotPermit::new(self, id)),
+                GateVerdict::Refuse(refusal) => return Err(refusal),
+                GateVerdict::Wait => {
+                    let (sender, receiver) = oneshot::channel();
+                    core.waiting.insert(id, sender);
+                    QueueTicket {
+                        gate: self.clone(),
+                        id,
+                        receiver: Some(receiver),
+                    }
+                }
+            }
+        };
+        ticket.verdict().await
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateCore> {
+        self.inner
+            .core
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn finish(&self, id: u64, service_ms: Option<u64>) {
+        let now_ms = self.now_ms();
+        let mut core = self.lock();
+        let decisions = core.gate.finished(now_ms, id, service_ms);
+        core.apply(now_ms, decisions);
+    }
+}
+
+impl Default for OwnerGate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GateCore {
+    /// Tells the waiting requests what was decided; a slot that nobody takes goes to the next one.
+    fn apply(&mut self, now_ms: u64, mut decisions: Vec<GateDecision>) {
+        while let Some(decision) = decisions.pop() {
+            match decision {
+                GateDecision::Run(id) => {
+                    let sender = self.waiting.remove(&id);
+                    if sender.is_none_or(|sender| sender.send(Ok(())).is_err()) {
+                        decisions.extend(self.gate.finished(now_ms, id, None));
+                    }
+                }
+                GateDecision::Refuse(id, refusal) => {
+                    if let Some(sender) = self.waiting.remove(&id) {
+                        // A request that was given up meanwhile needs no verdict.
+                        let _ = sender.send(Err(refusal));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A place in the queue; dropping it withdraws the request.
+struct QueueTicket {
+    gate: OwnerGate,
+    id: u64,
+    receiver: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl QueueTicket {
+    async fn verdict(&mut self) -> Result<SlotPermit, GateRefusal> {
+        let receiver = self.receiver.as_mut().expect("the verdict is taken once");
+        let verdict = receiver.await;
+        self.receiver = None;
+        match verdict {
+            Ok(Ok(())) => Ok(SlotPermit::new(&self.gate, self.id)),
+            Ok(Err(refusal)) => Err(refusal),
+            // The gate answers each ticket before it drops it; if it did not, nothing was run.
+            Err(_) => Err(GateRefusal {
+                reason: RefusalReason::Closed,
+                retry_after_ms: 0,
+            }),
+        }
+    }
+}
+
+impl Drop for QueueTicket {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        {
+            let mut core = self.gate.lock();
+            core.waiting.remove(&self.id);
+            core.gate.withdraw(self.id);
+        }
+        if let Ok(Ok(())) = receiver.try_recv() {
+            self.gate.finish(self.id, None);
+        }
+    }
+}
+
+/// A slot of the backend server; dropping it gives the slot back.
+#[derive(Debug)]
+pub struct SlotPermit {
+    gate: OwnerGate,
+    id: u64,
+    started: Instant,
+    is_sample: bool,
+}
+
+impl SlotPermit {
+    fn new(gate: &OwnerGate, id: u64) -> Self {
+        Self {
+            gate: gate.clone(),
+            id,
+            started: Instant::now(),
+            is_sample: false,
+        }
+    }
+
+    /// Lets the time that the slot is held count as a service time.
+    pub fn count_time(&mut self) {
+        self.is_sample = true;
+    }
+
+    /// Time since the slot was taken, in milliseconds.
+    pub fn elapsed_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        let service_ms = self.is_sample.then(|| self.elapsed_ms());
+        self.gate.finish(self.id, service_ms);
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -0,0 +1,642 @@
+//! The way of a caller's request to a backend server and back.
+use std::{net::IpAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+    http::request::Parts,
+};
+use jayrack_mesh::{
+    gate::Urgency,
+    pick::{HostCandidate, HostOutcome, PickRequest},
+    routes::MeshRoute,
+};
+use jayrack_platform::{headers, socket::SocketOptions};
+use jayrack_protocol::ResultCode;
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+use super::{
+    body::AnswerBody,
+    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
+    listener::ConnectionNotes,
+    owner::{self, OwnedRequest, WHOLE_ANSWER_BYTES},
+    pool::{self, ConnectionPool},
+    router::IngressRouter,
+};
+use crate::shared::MeshState;
+
+/// Largest body of a request that is taken, in bytes; bodies are kept whole until the answer is there.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Hosts that a request is offered to before it is refused.
+const MAX_OFFERS: usize = 6;
+/// Time-out of connections to other daemons; the farthest is milliseconds away.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time-out of a connection to the backend server on the same host.
+const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that sent bytes may stay without acknowledgement.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time after which connections to other daemons are not used again.
+const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
+/// Idle time after which connections to the backend server are not used again.
+const SERVER_MAX_IDLE: Duration = Duration::from_secs(8);
+/// Idle connections kept for each address.
+const MAX_KEPT: usize = 16;
+/// Shortest pause that a refused caller is told, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 50;
+/// Part of the time left that a caller waits at most before it comes back.
+const RETRY_AFTER_PART: u64 = 3;
+/// Pause told while the daemon does not know a configuration or a server, in milliseconds.
+const NOT_READY_PAUSE_MS: u64 = 400;
+/// Time kept for the way back of an answer, in milliseconds.
+const RETURN_MS: u64 = 5;
+
+/// State of the traffic thread.
+#[derive(Debug)]
+pub struct TrafficState {
+    /// What is shared with the control thread.
+    pub mesh: Arc<MeshState>,
+    /// Decisions of the ingress.
+    pub router: IngressRouter,
+    /// Connections to other daemons.
+    pub peer_pool: ConnectionPool,
+    /// Connections to the backend server beside the daemon.
+    pub server_pool: ConnectionPool,
+    /// Wakes all connections when the daemon closes them.
+    pub closing: Notify,
+}
+
+impl TrafficState {
+    /// Creates the state; `seed` determines random choices.
+    pub fn new(mesh: Arc<MeshState>, seed: u64) -> Self {
+        let options = |connect_timeout, max_idle| pool::Options {
+            socket: SocketOptions {
+                connect_timeout,
+                unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
+            },
+            max_idle,
+            max_kept: MAX_KEPT,
+        };
+        Self {
+            router: IngressRouter::new(mesh.clone(), seed),
+            mesh,
+            peer_pool: ConnectionPool::new(options(PEER_CONNECT_TIMEOUT, PEER_MAX_IDLE)),
+            server_pool: ConnectionPool::new(options(SERVER_CONNECT_TIMEOUT, SERVER_MAX_IDLE)),
+            closing: Notify::new(),
+        }
+    }
+}
+
+/// Serves a request that another daemon forwards.
+pub async fn serve_daemon(
+    state: &Arc<TrafficState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    if let Some(response) = crate::control::sync::serve(&state.mesh, &parts) {
+        return response;
+    }
+    let Some(head) = ForwardHead::decode(&parts.headers) else {
+        log::warn!(path = parts.uri.path(); "forwarded request without a head");
+        return forward::empty(StatusCode::BAD_REQUEST);
+    };
+    match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => {
+            let body = body.to_bytes();
+            let request = OwnedRequest { head, parts, body };
+            owner::serve(state, request).await.encode()
+        }
+        Err(error) => {
+            log::info!(error:% = error; "forwarded request broke off");
+            forward::empty(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+/// A request of a caller that was read whole.
+struct CallerRequest {
+    route: Arc<MeshRoute>,
+    service: String,
+    urgency: Urgency,
+    parts: Parts,
+    body: Bytes,
+    /// Time until which an answer is worth most.
+    target_at: Instant,
+    /// Time of the final answer.
+    expires_at: Instant,
+    /// Time that the caller has left when the request arrives, in milliseconds.
+    time_left_ms: u64,
+}
+
+/// What the caller is told.
+enum CallerAnswer {
+    /// The backend server's answer.
+    Answer(Response<AnswerBody>),
+    /// An answer of the daemon's own.
+    Code(ResultCode),
+    /// The request did not run; it may come back after so many milliseconds.
+    Refusal(ResultCode, u64),
+}
+
+/// Answers a request of a caller.
+pub async fn serve(
+    state: &Arc<TrafficState>,
+    notes: &ConnectionNotes,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let started = Instant::now();
+    let id = request.headers().get(headers::REQUEST_ID).cloned();
+    let answer = match read(state, notes, request, started).await {
+        Ok(request) => forward_request(state, request).await,
+        Err(answer) => answer,
+    };
+    state
+        .mesh
+        .metrics
+        .latency
+        .observe(started.elapsed().as_secs_f64());
+    let mut response = to_response(state, answer, id);
+    if state.mesh.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Checks a request and reads its body.
+async fn read(
+    state: &Arc<TrafficState>,
+    notes: &ConnectionNotes,
+    request: Request<Incoming>,
+    started: Instant,
+) -> Result<CallerRequest, CallerAnswer> {
+    let (mut parts, body) = request.into_parts();
+    let routes = state.mesh.routes.load_full().ok_or(CallerAnswer::Refusal(
+        ResultCode::NotReady,
+        NOT_READY_PAUSE_MS,
+    ))?;
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    let route = routes
+        .find(host, parts.uri.path())
+        .ok_or(CallerAnswer::Code(ResultCode::RouteUnknown))?
+        .clone();
+    let limits = routes.limits();
+    let max_bytes = MAX_BODY_BYTES.min(usize::try_from(limits.body_bytes).unwrap_or(usize::MAX));
+    if forward::number(&parts.headers, header::CONTENT_LENGTH)
+        .is_some_and(|length| length > max_bytes as u64)
+    {
+        return Err(CallerAnswer::Code(ResultCode::RequestTooLarge));
+    }
+    let body = Limited::new(body, max_bytes)
+        .collect()
+        .await
+        .map_err(|_| CallerAnswer::Code(ResultCode::RequestTooLarge))?
+        .to_bytes();
+    let time_left_ms = forward::number(&parts.headers, headers::TIME_LEFT_MS)
+        .unwrap_or(route.timeout_ms)
+        .saturating_sub(started.elapsed().as_millis() as u64);
+    let is_call = notes.address == state.mesh.settings.server.address.ip();
+    let elapsed_ms = if is_call {
+        0
+    } else {
+        state.router.elapsed_before_ms(&route.name, time_left_ms)
+    };
+    let urgency = Urgency {
+        stage: u8::from(!is_call),
+        rank: route.rank,
+        turn: u8::from(elapsed_ms == 0),
+    };
+    let service = state.router.choose_service(&route);
+    let service = service
+        .ok_or(CallerAnswer::Code(ResultCode::RouteInactive))?
+        .to_string();
+    log::info!(
+        id:? = parts.headers.get(headers::REQUEST_ID),
+        from:% = notes.address,
+        route = route.name.as_str(),
+        version = routes.version(),
+        service = service.as_str(),
+        urgency:? = urgency,
+        time_left_ms = time_left_ms;
+        "received"
+    );
+    set_caller(&mut parts, &state.mesh);
+    let target_left = Duration::from_millis(route.target_ms.saturating_sub(elapsed_ms));
+    let time_left = Duration::from_millis(time_left_ms.min(route.timeout_ms));
+    Ok(CallerRequest {
+        service,
+        urgency,
+        parts,
+        body,
+        target_at: started + target_left,
+        expires_at: started + time_left,
+        time_left_ms,
+        route,
+    })
+}
+
+/// Replaces what concerns the connection and what only daemons may state.
+fn set_caller(parts: &mut Parts, mesh: &MeshState) {
+    forward::strip_hop_by_hop(&mut parts.headers);
+    forward::strip_own(&mut parts.headers);
+    forward::put_text(
+        &mut parts.headers,
+        headers::CALLER_SERVICE,
+        &mesh.settings.server.service,
+    );
+}
+
+/// The hosts that a request was sent to, and what came of it.
+#[derive(Default)]
+struct RequestTrail {
+    tried: Vec<IpAddr>,
+    /// Servers that the request reached.
+    runs: u32,
+    refusals: usize,
+    retry_after_ms: Option<u64>,
+    /// A failure of a backend server, returned unless a further attempt does better.
+    failure: Option<Response<AnswerBody>>,
+    /// Whether the request may have run without an answer.
+    is_lost: bool,
+}
+
+async fn forward_request(state: &Arc<TrafficState>, request: CallerRequest) -> CallerAnswer {
+    if request.time_left_ms == 0 {
+        return CallerAnswer::Refusal(ResultCode::DeadlinePassed, MIN_RETRY_AFTER_MS);
+    }
+    state.router.record_request(&request.service);
+    let mut trail = RequestTrail::default();
+    let mut is_sent = false;
+    let expires_at = request.expires_at;
+    let forwarding = try_hosts(state, &request, &mut trail, &mut is_sent);
+    if let Ok(answer) = timeout_at(expires_at, forwarding).await {
+        return answer;
+    }
+    log::warn!(
+        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        route = request.route.name.as_str(),
+        hosts:? = trail.tried,
+        sent = is_sent;
+        "time-out"
+    );
+    if let Some(failure) = trail.failure {
+        return CallerAnswer::Answer(failure);
+    }
+    if is_sent || trail.is_lost {
+        CallerAnswer::Code(ResultCode::DeadlineExceeded)
+    } else {
+        CallerAnswer::Refusal(ResultCode::DeadlinePassed, MIN_RETRY_AFTER_MS)
+    }
+}
+
+/// Offers the request to hosts until one answers or none is left.
+///
+/// `is_sent` is true while the request is at a host that has not told what became of it.
+async fn try_hosts(
+    state: &Arc<TrafficState>,
+    request: &CallerRequest,
+    trail: &mut RequestTrail,
+    is_sent: &mut bool,
+) -> CallerAnswer {
+    let pick = PickRequest {
+        route: &request.route.name,
+        urgency: request.urgency,
+    };
+    loop {
+        let candidates = state.router.candidates(&request.service, &trail.tried);
+        let Some(index) = state.router.pick(&candidates, &pick) else {
+            return give_up(state, request, trail, &candidates);
+        };
+        let candidate = &candidates[index];
+        trail.tried.push(candidate.address);
+        *is_sent = true;
+        let mut watch = AttemptWatch::start(state, candidate, &pick);
+        let attempt = send(state, request, candidate).await;
+        *is_sent = false;
+        watch.end(&attempt);
+        drop(watch);
+        if let Some(answer) = judge(state, request, trail, attempt) {
+            return answer;
+        }
+    }
+}
+
+/// How one attempt ended.
+enum Attempt {
+    Replied(OwnerReply),
+    /// The host was not reached; nothing ran.
+    Unreachable,
+    /// The connection was lost after the request was sent.
+    Lost,
+}
+
+/// Decides what follows from an attempt; `None` to go on with another host.
+fn judge(
+    state: &Arc<TrafficState>,
+    request: &CallerRequest,
+    trail: &mut RequestTrail,
+    attempt: Attempt,
+) -> Option<CallerAnswer> {
+    let outcome = match attempt {
+        Attempt::Unreachable => {
+            return is_exhausted(trail).then(|| give_up(state, request, trail, &[]));
+        }
+        Attempt::Lost => OwnerOutcome::Lost,
+        Attempt::Replied(reply) => reply.outcome,
+    };
+    match outcome {
+        OwnerOutcome::Answered { response, .. } => {
+            trail.runs += 1;
+            if !response.status().is_server_error() {
+                return Some(CallerAnswer::Answer(response));
+            }
+            if may_repeat(state, request, trail) {
+                log_repeat(request, trail, response.status().as_str());
+                trail.failure = Some(response);
+                return None;
+            }
+            Some(CallerAnswer::Answer(response))
+        }
+        OwnerOutcome::NotRun {
+            reason,
+            retry_after_ms,
+        } => {
+            let known = trail.retry_after_ms.unwrap_or(u64::MAX);
+            trail.retry_after_ms = Some(known.min(retry_after_ms));
+            trail.refusals += 1;
+            let is_reached = reason == NotRunReason::ServerRefused;
+            let is_out_of_budget = is_reached && !state.router.try_repeat(&request.service);
+            let is_over = is_exhausted(trail) || is_out_of_budget;
+            is_over.then(|| give_up(state, request, trail, &[]))
+        }
+        OwnerOutcome::Lost => {
+            trail.runs += 1;
+            trail.is_lost = true;
+            if may_repeat(state, request, trail) {
+                log_repeat(request, trail, "lost");
+                return None;
+            }
+            Some(match trail.failure.take() {
+                Some(failure) => CallerAnswer::Answer(failure),
+                None => CallerAnswer::Code(ResultCode::OutcomeUnknown),
+            })
+        }
+    }
+}
+
+fn is_exhausted(trail: &RequestTrail) -> bool {
+    trail.tried.len() >= MAX_OFFERS
+}
+
+/// Whether a request that ran may be sent to another server.
+fn may_repeat(state: &TrafficState, request: &CallerRequest, trail: &RequestTrail) -> bool {
+    let route = &request.route;
+    if !route.kind.is_idempotent() || trail.runs >= route.attempts || is_exhausted(trail) {
+        return false;
+    }
+    let left = request.expires_at.saturating_duration_since(Instant::now());
+    let needed = Duration::from_millis(state.router.service_ms(&route.name) as u64);
+    left > needed && state.router.try_repeat(&request.service)
+}
+
+/// The answer to a request that no further host is tried for.
+fn give_up(
+    state: &TrafficState,
+    request: &CallerRequest,
+    trail: &mut RequestTrail,
+    candidates: &[HostCandidate],
+) -> CallerAnswer {
+    if let Some(failure) = trail.failure.take() {
+        return CallerAnswer::Answer(failure);
+    }
+    if trail.is_lost {
+        return CallerAnswer::Code(ResultCode::OutcomeUnknown);
+    }
+    let room_ms = state.router.room_after_ms(candidates);
+    let pause_ms = match (trail.retry_after_ms, room_ms) {
+        (Some(told), Some(room)) => told.min(room),
+        (told, room) => told.or(room).unwrap_or(NOT_READY_PAUSE_MS),
+    };
+    let code = if trail.tried.is_empty() && room_ms.is_none() {
+        ResultCode::RouteInactive
+    } else {
+        ResultCode::Shed
+    };
+    log::info!(
+        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        route = request.route.name.as_str(),
+        service = request.service.as_str(),
+        urgency:? = request.urgency,
+        hosts:? = trail.tried,
+        pause_ms = pause_ms,
+        code = code.name();
+        "refused"
+    );
+    let most_ms = request.time_left_ms / RETRY_AFTER_PART;
+    CallerAnswer::Refusal(code, pause_ms.clamp(MIN_RETRY_AFTER_MS, most_ms.max(MIN_RETRY_AFTER_MS)))
+}
+
+fn log_repeat(request: &CallerRequest, trail: &RequestTrail, reason: &str) {
+    log::info!(
+        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        route = request.route.name.as_str(),
+        hosts:? = trail.tried,
+        reason = reason;
+        "repeated at another server"
+    );
+}
+
+/// Sends the request to the daemon beside `candidate`, or to the server on this host.
+async fn send(
+    state: &Arc<TrafficState>,
+    request: &CallerRequest,
+    candidate: &HostCandidate,
+) -> Attempt {
+    let now = Instant::now();
+    let left_ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+    let head = ForwardHead {
+        route: request.route.name.clone(),
+        service: request.service.clone(),
+        instance: candidate.instance.clone(),
+        urgency: request.urgency,
+        target_left_ms: left_ms(request.target_at),
+        time_left_ms: left_ms(request.expires_at).saturating_sub(RETURN_MS),
+        is_idempotent: request.route.kind.is_idempotent(),
+    };
+    let mut parts = request.parts.clone();
+    let body = request.body.clone();
+    if candidate.address == state.mesh.settings.host.address {
+        let request = OwnedRequest { head, parts, body };
+        return Attempt::Replied(owner::serve(state, request).await);
+    }
+    let forward = {
+        let directory = state.mesh.directory();
+        directory
+            .get(candidate.address)
+            .map(|entry| entry.record.forward)
+    };
+    let Some(forward) = forward else {
+        return Attempt::Unreachable;
+    };
+    head.encode(&mut parts.headers);
+    let message = Request::from_parts(parts, Full::new(body));
+    let sent = state.peer_pool.send(forward, message, PEER_MAX_IDLE).await;
+    let response = match sent {
+        Ok(answer) => answer.response,
+        Err(pool::Error::NotSent(error)) => {
+            let now_ms = state.mesh.now_ms();
+            let pause_ms = state.mesh.directory().unreachable(now_ms, candidate.address);
+            log::warn!(host:% = candidate.address, pause_ms = pause_ms, error = error.as_str(); "host not reached");
+            state.peer_pool.forget(forward);
+            return Attempt::Unreachable;
+        }
+        Err(pool::Error::Lost(error)) => {
+            log::warn!(host:% = candidate.address, error = error.as_str(); "connection to host lost");
+            return Attempt::Lost;
+        }
+    };
+    let Some(mut reply) = OwnerReply::decode(response) else {
+        log::warn!(host:% = candidate.address; "answer of host not understood");
+        return Attempt::Lost;
+    };
+    if let OwnerOutcome::Answered { response, service_ms } = reply.outcome {
+        reply.outcome = collect_small(response, service_ms).await;
+    }
+    Attempt::Replied(reply)
+}
+
+/// Reads a small answer whole, so that a broken one can be replaced.
+async fn collect_small(response: Response<AnswerBody>, service_ms: u64) -> OwnerOutcome {
+    let length = forward::number(response.headers(), header::CONTENT_LENGTH);
+    if length.is_none_or(|length| length > WHOLE_ANSWER_BYTES as u64) {
+        return OwnerOutcome::Answered {
+            response,
+            service_ms,
+        };
+    }
+    let (parts, body) = response.into_parts();
+    match body.collect_up_to(WHOLE_ANSWER_BYTES).await {
+        Ok(bytes) => OwnerOutcome::Answered {
+            response: Response::from_parts(parts, AnswerBody::whole(bytes)),
+            service_ms,
+        },
+        Err(error) => {
+            log::warn!(error:? = error; "answer of host broke off");
+            OwnerOutcome::Lost
+        }
+    }
+}
+
+/// Counts an attempt as in flight until its end, also when the caller leaves.
+struct AttemptWatch<'a> {
+    state: &'a TrafficState,
+    candidate: &'a HostCandidate,
+    pick: &'a PickRequest<'a>,
+    is_ended: bool,
+}
+
+impl<'a> AttemptWatch<'a> {
+    fn start(
+        state: &'a TrafficState,
+        candidate: &'a HostCandidate,
+        pick: &'a PickRequest<'a>,
+    ) -> Self {
+        state.router.started(candidate);
+        Self {
+            state,
+            candidate,
+            pick,
+            is_ended: false,
+        }
+    }
+
+    fn end(&mut self, attempt: &Attempt) {
+        self.is_ended = true;
+        let (outcome, load) = match attempt {
+            Attempt::Unreachable => (HostOutcome::Unreachable, None),
+            Attempt::Lost => (HostOutcome::Failed, None),
+            Attempt::Replied(reply) => (outcome_of(&reply.outcome), Some(reply.load)),
+        };
+        self.state
+            .router
+            .finished(self.candidate, self.pick, outcome, load);
+    }
+}
+
+impl Drop for AttemptWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            let outcome = HostOutcome::Abandoned;
+            self.state
+                .router
+                .finished(self.candidate, self.pick, outcome, None);
+        }
+    }
+}
+
+fn outcome_of(outcome: &OwnerOutcome) -> HostOutcome {
+    match outcome {
+        OwnerOutcome::Answered { response, .. } if response.status().is_server_error() => {
+            HostOutcome::Failed
+        }
+        OwnerOutcome::Answered {
+            response,
+            service_ms,
+        } => HostOutcome::Answered {
+            service_ms: *service_ms,
+            answer_bytes: forward::number(response.headers(), header::CONTENT_LENGTH).unwrap_or(0),
+        },
+        OwnerOutcome::NotRun {
+            reason: NotRunReason::ServerDown | NotRunReason::Closed,
+            ..
+        } => HostOutcome::Unreachable,
+        OwnerOutcome::NotRun { retry_after_ms, .. } => HostOutcome::Refused {
+            retry_after_ms: *retry_after_ms,
+        },
+        OwnerOutcome::Lost => HostOutcome::Failed,
+    }
+}
+
+fn to_response(
+    state: &TrafficState,
+    answer: CallerAnswer,
+    id: Option<HeaderValue>,
+) -> Response<AnswerBody> {
+    let (code, pause_ms) = match answer {
+        CallerAnswer::Answer(response) => {
+            state.mesh.metrics.count_request("answered");
+            return response;
+        }
+        CallerAnswer::Code(code) => (code, None),
+        CallerAnswer::Refusal(code, pause_ms) => (code, Some(pause_ms)),
+    };
+    state.mesh.metrics.count_request(code.name());
+    let mut response = forward::empty(status_of(code));
+    let fields = response.headers_mut();
+    fields.insert("jayrack-code", HeaderValue::from(code.number()));
+    if let Some(id) = id {
+        fields.insert(headers::REQUEST_ID, id);
+    }
+    if let Some(pause_ms) = pause_ms {
+        let seconds = format!("{:.3}", pause_ms as f64 / 1_000.0);
+        forward::put_text(fields, header::RETRY_AFTER, &seconds);
+    }
+    response
+}
+
+/// HTTP status of an answer of the daemon's own; 503 says that the request did not run.
+fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::RouteUnknown => StatusCode::NOT_FOUND,
+        ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -0,0 +1,262 @@
+//! Requests for the backend server beside the daemon, from its own ingress and from other daemons.
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    header::{self, HeaderValue},
+    http::request,
+};
+use jayrack_mesh::gate::{GateRefusal, GateRequest, RefusalReason};
+use jayrack_platform::headers;
+
+use super::{
+    body::AnswerBody,
+    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
+    gate::SlotPermit,
+    ingress::TrafficState,
+    pool,
+};
+
+/// Largest answer that is read whole before it is passed on, so that a broken one can be replaced.
+pub const WHOLE_ANSWER_BYTES: usize = 48 << 10;
+/// Longest idle time of a connection for a request that must not run twice: the server may close it
+/// at any time later on, and the loss could not be told from a run.
+const UNSAFE_MAX_IDLE: Duration = Duration::from_secs(2);
+/// Longest idle time of a connection for other requests.
+const SAFE_MAX_IDLE: Duration = Duration::from_secs(8);
+/// Time after the end of a request's time in which the server's own answer may still arrive.
+const ANSWER_GRACE: Duration = Duration::from_millis(150);
+/// Pause that other daemons are told when the server cannot be reached.
+const SERVER_DOWN_PAUSE_MS: u64 = 300;
+
+/// A forwarded request with its head and whole body.
+#[derive(Debug)]
+pub struct OwnedRequest {
+    /// What the ingress decided.
+    pub head: ForwardHead,
+    /// Method, address and headers as the caller sent them.
+    pub parts: request::Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Takes a request to the backend server when its turn comes.
+pub async fn serve(state: &Arc<TrafficState>, request: OwnedRequest) -> OwnerReply {
+    let received = Instant::now();
+    let outcome = match admit(state, &request.head).await {
+        Ok(permit) => run(state, request, permit, received).await,
+        Err(refusal) => {
+            log_refusal(&request, &refusal);
+            not_run(refusal)
+        }
+    };
+    OwnerReply {
+        outcome,
+        load: state.mesh.gate.load(),
+    }
+}
+
+async fn admit(
+    state: &Arc<TrafficState>,
+    head: &ForwardHead,
+) -> Result<SlotPermit, GateRefusal> {
+    let closed = GateRefusal {
+        reason: RefusalReason::Closed,
+        retry_after_ms: SERVER_DOWN_PAUSE_MS,
+    };
+    if !is_expected(state, head) {
+        return Err(closed);
+    }
+    let now_ms = state.mesh.gate.now_ms();
+    let request = GateRequest {
+        id: 0,
+        route: head.route.clone(),
+        urgency: head.urgency,
+        target_at_ms: now_ms + head.target_left_ms,
+        expires_at_ms: now_ms + head.time_left_ms,
+    };
+    let entered = state.mesh.gate.enter(request).await;
+    let name = match &entered {
+        Ok(_) => "run",
+        Err(refusal) => reason_of(refusal.reason).name(),
+    };
+    state.mesh.metrics.count_gate(name);
+    let permit = entered?;
+    // The server may have changed while the request waited.
+    if is_expected(state, head) {
+        Ok(permit)
+    } else {
+        Err(closed)
+    }
+}
+
+/// Whether the server that the ingress chose is here and takes work.
+fn is_expected(state: &TrafficState, head: &ForwardHead) -> bool {
+    if state.mesh.is_closing() {
+        return false;
+    }
+    let tracker = state.mesh.tracker();
+    tracker
+        .serving()
+        .is_some_and(|server| server.instance == head.instance && server.service == head.service)
+}
+
+async fn run(
+    state: &Arc<TrafficState>,
+    request: OwnedRequest,
+    mut permit: SlotPermit,
+    received: Instant,
+) -> OwnerOutcome {
+    let OwnedRequest { head, parts, body } = request;
+    let id = parts.headers.get(headers::REQUEST_ID).cloned();
+    let time_left = Duration::from_millis(head.time_left_ms).saturating_sub(received.elapsed());
+    if time_left.is_zero() {
+        return OwnerOutcome::NotRun {
+            reason: NotRunReason::Expired,
+            retry_after_ms: 0,
+        };
+    }
+    let outgoing = to_server(parts, body, &head, time_left);
+    let max_idle = if head.is_idempotent {
+        SAFE_MAX_IDLE
+    } else {
+        // Lets the connections' tasks notice what the server has closed.
+        tokio::task::yield_now().await;
+        UNSAFE_MAX_IDLE
+    };
+    let address = state.mesh.settings.server.address;
+    let sending = state.server_pool.send(address, outgoing, max_idle);
+    let sent = match tokio::time::timeout(time_left + ANSWER_GRACE, sending).await {
+        Ok(sent) => sent,
+        Err(_) => {
+            permit.count_time();
+            log_lost(&id, "no answer in time");
+            return OwnerOutcome::Lost;
+        }
+    };
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(pool::Error::NotSent(error)) => {
+            log::warn!(id:? = id, error = error.as_str(); "server not reached");
+            return OwnerOutcome::NotRun {
+                reason: NotRunReason::ServerDown,
+                retry_after_ms: SERVER_DOWN_PAUSE_MS,
+            };
+        }
+        Err(pool::Error::Lost(error)) => {
+            log_lost(&id, &error);
+            return OwnerOutcome::Lost;
+        }
+    };
+    if answer.is_new {
+        state.mesh.metrics.server_connections.inc();
+    }
+    state.mesh.note_answer();
+    check_answer(answer.response, id, permit).await
+}
+
+/// Tells what a backend server's answer means; the connection is dropped unless the answer is sound.
+async fn check_answer(
+    response: Response<AnswerBody>,
+    id: Option<HeaderValue>,
+    mut permit: SlotPermit,
+) -> OwnerOutcome {
+    let is_refusal = response.headers().contains_key(headers::NOT_RUN)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let (mut parts, body) = response.into_parts();
+    if is_refusal {
+        // Read to the end, so that the connection can be used again.
+        if let Err(error) = body.collect_up_to(WHOLE_ANSWER_BYTES).await {
+            log::info!(id:? = id; "refusal of the server broke off: {error:?}");
+        }
+        return OwnerOutcome::NotRun {
+            reason: NotRunReason::ServerRefused,
+            retry_after_ms: 0,
+        };
+    }
+    if parts.headers.get(headers::REQUEST_ID) != id.as_ref() {
+        log_lost(&id, "the answer belongs to another request");
+        return OwnerOutcome::Lost;
+    }
+    let is_signed = parts.headers.contains_key(headers::ANSWER_SIGNATURE);
+    if parts.status.is_success() && !is_signed {
+        log_lost(&id, "the answer is not signed");
+        return OwnerOutcome::Lost;
+    }
+    let service_ms = permit.elapsed_ms();
+    permit.count_time();
+    forward::strip_hop_by_hop(&mut parts.headers);
+    forward::strip_own(&mut parts.headers);
+    let length = forward::number(&parts.headers, header::CONTENT_LENGTH);
+    let is_small = length.is_some_and(|length| length <= WHOLE_ANSWER_BYTES as u64);
+    let body = if is_small {
+        match body.collect_up_to(WHOLE_ANSWER_BYTES).await {
+            Ok(bytes) => AnswerBody::whole(bytes),
+            Err(error) => {
+                log_lost(&id, &format!("the answer broke off: {error:?}"));
+                return OwnerOutcome::Lost;
+            }
+        }
+    } else {
+        body.holding(Box::new(permit))
+    };
+    OwnerOutcome::Answered {
+        response: Response::from_parts(parts, body),
+        service_ms,
+    }
+}
+
+/// Makes the message to the backend server.
+fn to_server(
+    parts: request::Parts,
+    body: Bytes,
+    head: &ForwardHead,
+    time_left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::from_parts(parts, Full::new(body));
+    let fields = request.headers_mut();
+    forward::strip_own(fields);
+    forward::strip_hop_by_hop(fields);
+    fields.insert(
+        headers::TIME_LEFT_MS,
+        HeaderValue::from(time_left.as_millis() as u64),
+    );
+    forward::put_text(fields, headers::EXPECTED_INSTANCE, &head.instance);
+    request
+}
+
+fn not_run(refusal: GateRefusal) -> OwnerOutcome {
+    OwnerOutcome::NotRun {
+        reason: reason_of(refusal.reason),
+        retry_after_ms: refusal.retry_after_ms,
+    }
+}
+
+fn reason_of(reason: RefusalReason) -> NotRunReason {
+    match reason {
+        RefusalReason::Busy => NotRunReason::Busy,
+        RefusalReason::Closed => NotRunReason::Closed,
+        RefusalReason::Expired => NotRunReason::Expired,
+    }
+}
+
+fn log_refusal(request: &OwnedRequest, refusal: &GateRefusal) {
+    let id = request.parts.headers.get(headers::REQUEST_ID);
+    log::debug!(
+        id:? = id,
+        route = request.head.route.as_str(),
+        urgency:? = request.head.urgency,
+        reason = reason_of(refusal.reason).name(),
+        retry_after_ms = refusal.retry_after_ms;
+        "refused by the owner"
+    );
+}
+
+fn log_lost(id: &Option<HeaderValue>, reason: &str) {
+    log::warn!(id:? = id, reason = reason; "answer of the server lost");
+}
--- /dev/null
+++ b/jayrack-meshd/src/traffic/pool.rs
@@ -0,0 +1,231 @@
+//! Outgoing connections, kept for reuse.
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    client::conn::http1::{self, SendRequest},
+    header::{HeaderMap, HeaderName},
+};
+use hyper_util::rt::TokioIo;
+use jayrack_platform::socket::{self, SocketOptions};
+
+use super::body::AnswerBody;
+
+/// Buffer of a connection, in bytes: holds the largest head that the platform allows.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Header with the time after which the other side closes an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Margin to that time, since the other side counts from an earlier moment.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(800);
+
+/// How a request failed.
+#[derive(Debug)]
+pub enum Error {
+    /// Nothing of the request was sent.
+    NotSent(String),
+    /// The request may have been received.
+    Lost(String),
+}
+
+/// Limits of a pool.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// How connections are opened.
+    pub socket: SocketOptions,
+    /// Time after which an idle connection is not used again.
+    pub max_idle: Duration,
+    /// Most idle connections kept for each address.
+    pub max_kept: usize,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct IdleSender {
+    sender: Sender,
+    since: Instant,
+    max_idle: Duration,
+}
+
+#[derive(Debug)]
+struct PoolCore {
+    options: Options,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<IdleSender>>>,
+}
+
+/// Idle connections by address; clones share them.
+#[derive(Debug, Clone)]
+pub struct ConnectionPool {
+    core: Arc<PoolCore>,
+}
+
+/// An answer, and whether a new connection was opened for it.
+#[derive(Debug)]
+pub struct PoolAnswer {
+    /// The answer; its body keeps the connection until its end.
+    pub response: Response<AnswerBody>,
+    /// Whether the request needed a new connection.
+    pub is_new: bool,
+}
+
+impl ConnectionPool {
+    /// Creates an empty pool.
+    pub fn new(options: Options) -> Self {
+        Self {
+            core: Arc::new(PoolCore {
+                options,
+                idle: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Sends `request` to `address` over a connection that was idle for `max_idle` at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotSent`] only if no byte of the request has left.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        max_idle: Duration,
+    ) -> Result<PoolAnswer, Error> {
+        while let Some(mut sender) = self.take(address, max_idle) {
+            if sender.ready().await.is_err() {
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, sender, response, false)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(Error::Lost(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = self.connect(address).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(address, sender, response, true)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(Error::NotSent(error.into_error().to_string())),
+                None => Err(Error::Lost(error.into_error().to_string())),
+            },
+        }
+    }
+
+    /// Drops the idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    /// Drops the connections that were idle for too long.
+    pub fn expire(&self) {
+        self.lock().retain(|_, senders| {
+            senders.retain(|idle| idle.sender.is_ready() && idle.since.elapsed() < idle.max_idle);
+            !senders.is_empty()
+        });
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, Error> {
+        let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
+        let stream = socket::dial(address, self.core.options.socket)
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(&error))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
+    /// The connection used last, unless it was idle for too long.
+    fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<Sender> {
+        let mut idle = self.lock();
+        let senders = idle.get_mut(&address)?;
+        loop {
+            let newest = senders.pop()?;
+            if newest.since.elapsed() < newest.max_idle.min(max_idle) && !newest.sender.is_closed() {
+                return Some(newest.sender);
+            }
+        }
+    }
+
+    fn answer(
+        &self,
+        address: SocketAddr,
+        sender: Sender,
+        response: Response<hyper::body::Incoming>,
+        is_new: bool,
+    ) -> PoolAnswer {
+        let max_idle = stated_idle(response.headers())
+            .unwrap_or(self.core.options.max_idle)
+            .min(self.core.options.max_idle);
+        let guard = ReturnGuard {
+            pool: self.clone(),
+            address,
+            max_idle,
+            sender: Some(sender),
+        };
+        let response =
+            response.map(|body| AnswerBody::streamed(body).holding(Box::new(guard)));
+        PoolAnswer { response, is_new }
+    }
+
+    fn put(&self, address: SocketAddr, sender: Sender, max_idle: Duration) {
+        if sender.is_closed() || max_idle.is_zero() {
+            return;
+        }
+        let mut idle = self.lock();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < self.core.options.max_kept {
+            senders.push(IdleSender {
+                sender,
+                since: Instant::now(),
+                max_idle,
+            });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<IdleSender>>> {
+        self.core.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Idle time that the other side states, less a margin.
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds = timeout.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
+}
+
+/// Returns a connection to the pool when the answer's body has ended.
+#[derive(Debug)]
+struct ReturnGuard {
+    pool: ConnectionPool,
+    address: SocketAddr,
+    max_idle: Duration,
+    sender: Option<Sender>,
+}
+
+impl Drop for ReturnGuard {
+    fn drop(&mut self) {
+        if let Some(sender) = self.sender.take() {
+            self.pool.put(self.address, sender, self.max_idle);
+        }
+    }
+}
--- /dev/null
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -0,0 +1,190 @@
+//! Choice of hosts, shares of split routes and the budget of repeats.
+use std::{
+    collections::BTreeMap,
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use jayrack_mesh::{
+    HostPicker, MeshRoutes, RepeatBudget, SplitChooser,
+    budget::{self},
+    gate::GateLoad,
+    hosts::HostDirectory,
+    pick::{HostCandidate, HostOutcome, PickRequest},
+    routes::MeshRoute,
+};
+
+use crate::shared::MeshState;
+
+/// Difference between the times that callers state above which a request counts as a repeat, in
+/// milliseconds; the way to the daemon takes less.
+const REPEAT_MARGIN_MS: u64 = 40;
+/// Silence after which a host is used only if there is no other, in milliseconds: three status
+/// datagrams.
+const SILENCE_MS: u64 = 3_500;
+
+/// Decisions of the ingress that need memory.
+#[derive(Debug)]
+pub struct IngressRouter {
+    core: Mutex<RouterCore>,
+    mesh: Arc<MeshState>,
+}
+
+#[derive(Debug)]
+struct RouterCore {
+    picker: HostPicker,
+    budget: RepeatBudget,
+    splits: SplitChooser,
+    /// Longest time that callers of a route have stated, in milliseconds.
+    usual_times: BTreeMap<String, u64>,
+}
+
+impl IngressRouter {
+    /// Creates a router without observations.
+    pub fn new(mesh: Arc<MeshState>, seed: u64) -> Self {
+        let bounds = &mesh.settings.bounds;
+        let options = budget::Options {
+            window_ms: (bounds.repeat_window_s * 1_000.0) as u64,
+            per_mille: (bounds.repeat_ratio * 1_000.0) as u64,
+            slack: bounds.repeat_slack,
+        };
+        let core = RouterCore {
+            picker: HostPicker::new(seed),
+            budget: RepeatBudget::new(options),
+            splits: SplitChooser::default(),
+            usual_times: BTreeMap::new(),
+        };
+        Self {
+            core: Mutex::new(core),
+            mesh,
+        }
+    }
+
+    /// The service that takes the next request of `route`.
+    pub fn choose_service<'a>(&self, route: &'a MeshRoute) -> Option<&'a str> {
+        self.lock().splits.choose(route)
+    }
+
+    /// Time since a caller's first attempt, in milliseconds, from the time that it still waits.
+    pub fn elapsed_before_ms(&self, route: &str, time_left_ms: u64) -> u64 {
+        let mut core = self.lock();
+        let usual_ms = match core.usual_times.get_mut(route) {
+            Some(usual_ms) => usual_ms,
+            None => core.usual_times.entry(route.to_string()).or_default(),
+        };
+        *usual_ms = (*usual_ms).max(time_left_ms);
+        let elapsed_ms = *usual_ms - time_left_ms;
+        if elapsed_ms > REPEAT_MARGIN_MS {
+            elapsed_ms
+        } else {
+            0
+        }
+    }
+
+    /// Hosts with a server of `service`, less the `excluded` ones.
+    pub fn candidates(&self, service: &str, excluded: &[IpAddr]) -> Vec<HostCandidate> {
+        let now_ms = self.mesh.now_ms();
+        let directory = self.mesh.directory();
+        candidates_of(&directory, &self.mesh, now_ms, service, excluded)
+    }
+
+    /// Index of the best of `candidates`.
+    pub fn pick(&self, candidates: &[HostCandidate], request: &PickRequest<'_>) -> Option<usize> {
+        let now_ms = self.mesh.now_ms();
+        let mut core = self.lock();
+        for (address, load) in self.mesh.take_loads() {
+            core.picker.reported(now_ms, address, load);
+        }
+        core.picker.pick(now_ms, candidates, request)
+    }
+
+    /// When one of `candidates` may have room, in milliseconds.
+    pub fn room_after_ms(&self, candidates: &[HostCandidate]) -> Option<u64> {
+        let now_ms = self.mesh.now_ms();
+        self.lock().picker.room_after_ms(now_ms, candidates)
+    }
+
+    /// Notes that a request goes to `candidate`.
+    pub fn started(&self, candidate: &HostCandidate) {
+        self.lock().picker.started(candidate);
+    }
+
+    /// Notes how a request ended.
+    pub fn finished(
+        &self,
+        candidate: &HostCandidate,
+        request: &PickRequest<'_>,
+        outcome: HostOutcome,
+        load: Option<GateLoad>,
+    ) {
+        let now_ms = self.mesh.now_ms();
+        self.lock()
+            .picker
+            .finished(now_ms, candidate, request, (outcome, load));
+    }
+
+    /// Counts a request for `service`.
+    pub fn record_request(&self, service: &str) {
+        let now_ms = self.mesh.now_ms();
+        self.lock().budget.record_request(now_ms, service);
+    }
+
+    /// Takes one repeat at `service` from the budget.
+    pub fn try_repeat(&self, service: &str) -> bool {
+        let now_ms = self.mesh.now_ms();
+        let hosts = self.mesh.directory().len();
+        self.lock().budget.try_repeat(now_ms, service, hosts)
+    }
+
+    /// Average time that requests of `route` take, in milliseconds.
+    pub fn service_ms(&self, route: &str) -> f64 {
+        self.lock().picker.service_ms(route)
+    }
+
+    /// Forgets the routes that are not in `routes` and the hosts that are not known any more.
+    pub fn retain(&self, routes: &MeshRoutes) {
+        let hosts: Vec<IpAddr> = {
+            let directory = self.mesh.directory();
+            directory.entries().map(|entry| entry.record.address).collect()
+        };
+        let mut core = self.lock();
+        let is_kept = |name: &str| routes.contains(name);
+        core.picker
+            .retain(|address| hosts.contains(address), is_kept);
+        core.splits.retain(is_kept);
+        core.usual_times.retain(|name, _| is_kept(name));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RouterCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn candidates_of(
+    directory: &HostDirectory,
+    mesh: &MeshState,
+    now_ms: u64,
+    service: &str,
+    excluded: &[IpAddr],
+) -> Vec<HostCandidate> {
+    let local = mesh.settings.host.address;
+    let usable = directory.entries().filter_map(|entry| {
+        let record = &entry.record;
+        let server = record.serving(service)?;
+        if excluded.contains(&record.address) {
+            return None;
+        }
+        let is_silent = entry
+            .heard_ms
+            .is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) > SILENCE_MS);
+        let is_local = record.address == local;
+        Some(HostCandidate {
+            address: record.address,
+            instance: server.instance.clone(),
+            slots: server.slots,
+            is_near: record.data_centre == mesh.settings.host.data_centre,
+            is_paused: !is_local && (is_silent || now_ms < entry.paused_until_ms),
+        })
+    });
+    usable.collect()
+}
