--- a/jayrack-mesh/src/gate.rs
+++ b/jayrack-mesh/src/gate.rs
@@ -11,8 +11,16 @@
 /// Part of the expected service time that a running request is assumed to need at least, since long
 /// runs outlast the average.
 const RESIDUAL_PART: f64 = 0.25;
-/// Room kept between the expected end and the time limit, as a part of the service time.
-const SERVICE_MARGIN: f64 = 0.3;
+/// Part of the expected service time that is kept as room for runs longer than the average.
+const SERVICE_MARGIN: f64 = 1.0;
+/// Part of the expected service time without which a request cannot be answered in time any more.
+const LATE_PART: f64 = 0.7;
+/// Weight of a new observation in the ratio of waits to their estimates.
+const WAIT_WEIGHT: f64 = 0.1;
+/// Bounds of that ratio: more urgent requests that come later at most so much prolong a wait.
+const WAIT_RATIO: (f64, f64) = (0.5, 4.0);
+/// Shortest estimate that is compared with the wait that followed, in milliseconds.
+const MIN_ESTIMATE_MS: f64 = 5.0;
 /// Shortest pause that a refused caller is told, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 40;
 /// One of so many dispatches goes to the least urgent request that waits, so that none starves.
@@ -100,6 +108,8 @@
     request: GateRequest,
     expected_ms: f64,
     arrival: u64,
+    arrived_ms: u64,
+    estimate_ms: f64,
 }
 
 #[derive(Debug)]
@@ -118,6 +128,8 @@
     waiting: Vec<WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
     service_ms: BTreeMap<String, f64>,
+    /// Ratio of waits to their estimates, by stage and rank.
+    wait_ratios: BTreeMap<(u8, u8), f64>,
     arrivals: u64,
     dispatches: u32,
 }
@@ -132,6 +144,7 @@
             waiting: Vec::new(),
             running: BTreeMap::new(),
             service_ms: BTreeMap::new(),
+            wait_ratios: BTreeMap::new(),
             arrivals: 0,
             dispatches: 0,
         }
@@ -154,8 +167,18 @@
             .collect()
     }
 
-    /// Decides about a request that arrives.
-    pub fn offer(&mut self, now_ms: u64, request: GateRequest) -> GateVerdict {
+    /// Decides about a request that arrives, and about one that has to make room for it.
+    pub fn offer(
+        &mut self,
+        now_ms: u64,
+        request: GateRequest,
+    ) -> (GateVerdict, Option<GateDecision>) {
+        let verdict = self.judge(now_ms, request);
+        let evicted = (self.waiting.len() > self.max_waiting).then(|| self.evict(now_ms));
+        (verdict, evicted.flatten())
+    }
+
+    fn judge(&mut self, now_ms: u64, request: GateRequest) -> GateVerdict {
         if !self.is_open {
             return GateVerdict::Refuse(closed());
         }
@@ -171,9 +194,10 @@
             self.start(now_ms, &request, expected_ms);
             return GateVerdict::Run;
         }
-        let wait_ms = self.wait_ms(now_ms, &request);
+        let estimate_ms = self.wait_ms(now_ms, &request);
+        let wait_ms = estimate_ms * self.wait_ratio(request.urgency);
         let limit_ms = wait_limit_ms(now_ms, &request, expected_ms);
-        if wait_ms > limit_ms || self.waiting.len() >= self.max_waiting {
+        if wait_ms > limit_ms || self.is_full_for(now_ms, &request, expected_ms) {
             return GateVerdict::Refuse(GateRefusal {
                 reason: RefusalReason::Busy,
                 retry_after_ms: ((wait_ms - limit_ms) as u64).max(MIN_RETRY_AFTER_MS),
@@ -184,18 +208,39 @@
             request,
             expected_ms,
             arrival: self.arrivals,
+            arrived_ms: now_ms,
+            estimate_ms,
         });
         GateVerdict::Wait
     }
 
+    /// Whether the queue is full of requests that come before `request`.
+    fn is_full_for(&self, now_ms: u64, request: &GateRequest, expected_ms: f64) -> bool {
+        let own = (is_late(now_ms, request, expected_ms), request.urgency);
+        let is_behind = |waiting: &WaitingRequest| {
+            let late = is_late(now_ms, &waiting.request, waiting.expected_ms);
+            (late, waiting.request.urgency) > own
+        };
+        self.waiting.len() >= self.max_waiting && !self.waiting.iter().any(is_behind)
+    }
+
+    /// Refuses the request that would be served last.
+    fn evict(&mut self, now_ms: u64) -> Option<GateDecision> {
+        let key = |index: &usize| order(now_ms, &self.waiting[*index]);
+        let last = (0..self.waiting.len()).max_by_key(key)?;
+        let evicted = self.waiting.swap_remove(last);
+        Some(GateDecision::Refuse(
+            evicted.request.id,
+            GateRefusal {
+                reason: RefusalReason::Busy,
+                retry_after_ms: (evicted.estimate_ms as u64).max(MIN_RETRY_AFTER_MS),
+            },
+        ))
+    }
+
     /// Notes that a request has ended; `service_ms` is the time that it took, if that tells how long
     /// others of its route take.
-    pub fn finished(
-        &mut self,
-        now_ms: u64,
-        id: u64,
-        service_ms: Option<u64>,
-    ) -> Vec<GateDecision> {
+    pub fn finished(&mut self, now_ms: u64, id: u64, service_ms: Option<u64>) -> Vec<GateDecision> {
         if let Some(running) = self.running.remove(&id)
             && let Some(service_ms) = service_ms
         {
@@ -253,6 +298,23 @@
         }
     }
 
+    fn wait_ratio(&self, urgency: Urgency) -> f64 {
+        let key = (urgency.stage, urgency.rank);
+        self.wait_ratios.get(&key).copied().unwrap_or(1.0)
+    }
+
+    /// Compares a wait with its estimate.
+    fn observe_wait(&mut self, now_ms: u64, waiting: &WaitingRequest) {
+        if waiting.estimate_ms < MIN_ESTIMATE_MS {
+            return;
+        }
+        let waited_ms = now_ms.saturating_sub(waiting.arrived_ms) as f64;
+        let Urgency { stage, rank, .. } = waiting.request.urgency;
+        let ratio = self.wait_ratios.entry((stage, rank)).or_insert(1.0);
+        *ratio += (waited_ms / waiting.estimate_ms - *ratio) * WAIT_WEIGHT;
+        *ratio = ratio.clamp(WAIT_RATIO.0, WAIT_RATIO.1);
+    }
+
     fn free_slots(&self) -> u32 {
         self.slots.saturating_sub(self.running.len() as u32)
     }
@@ -273,6 +335,7 @@
                 break;
             };
             let waiting = self.waiting.swap_remove(index);
+            self.observe_wait(now_ms, &waiting);
             self.start(now_ms, &waiting.request, waiting.expected_ms);
             decisions.push(GateDecision::Run(waiting.request.id));
         }
@@ -294,7 +357,10 @@
 
     /// How long `request` would wait for a slot.
     fn wait_ms(&self, now_ms: u64, request: &GateRequest) -> f64 {
-        let own = (is_late(now_ms, request, self.expected_ms(&request.route)), request.urgency);
+        let own = (
+            is_late(now_ms, request, self.expected_ms(&request.route)),
+            request.urgency,
+        );
         let is_ahead = |waiting: &&WaitingRequest| {
             let late = is_late(now_ms, &waiting.request, waiting.expected_ms);
             (late, waiting.request.urgency) <= own
@@ -332,7 +398,7 @@
 
 /// Whether the time in which an answer is worth most has passed before the request could end.
 fn is_late(now_ms: u64, request: &GateRequest, expected_ms: f64) -> bool {
-    (request.target_at_ms as f64) < now_ms as f64 + expected_ms * (1.0 - SERVICE_MARGIN)
+    (request.target_at_ms as f64) < now_ms as f64 + expected_ms * LATE_PART
 }
 
 /// How long a request may wait: until its target, or until its caller leaves where that is missed anyway.
--- a/jayrack-mesh/src/pick.rs
+++ b/jayrack-mesh/src/pick.rs
@@ -259,11 +259,15 @@
         candidate.is_paused || is_server_paused
     }
 
-    fn is_refused(&self, now_ms: u64, candidate: &HostCandidate, request: &PickRequest<'_>) -> bool {
+    fn is_refused(
+        &self,
+        now_ms: u64,
+        candidate: &HostCandidate,
+        request: &PickRequest<'_>,
+    ) -> bool {
         let refusal = self.stats(candidate).and_then(|stats| stats.refusal);
-        refusal.is_some_and(|refusal| {
-            now_ms < refusal.until_ms && refusal.urgency <= request.urgency
-        })
+        refusal
+            .is_some_and(|refusal| now_ms < refusal.until_ms && refusal.urgency <= request.urgency)
     }
 
     fn cost_ms(&self, now_ms: u64, candidate: &HostCandidate, request: &PickRequest<'_>) -> f64 {
@@ -310,9 +314,10 @@
     /// Requests believed to be at the host.
     fn busy(&self, now_ms: u64) -> u32 {
         match self.load {
-            Some(load) if now_ms.saturating_sub(load.at_ms) < LOAD_AGE_MS => {
-                (load.busy + self.in_flight).saturating_sub(load.own).max(self.in_flight)
-            }
+            Some(load) if now_ms.saturating_sub(load.at_ms) < LOAD_AGE_MS => (load.busy
+                + self.in_flight)
+                .saturating_sub(load.own)
+                .max(self.in_flight),
             _ => self.in_flight,
         }
     }
--- a/jayrack-mesh/src/split.rs
+++ b/jayrack-mesh/src/split.rs
@@ -25,7 +25,10 @@
         }
         let dealt = self.dealt_mut(route);
         let index = dealt.next()?;
-        route.targets.get(index).map(|target| target.service.as_str())
+        route
+            .targets
+            .get(index)
+            .map(|target| target.service.as_str())
     }
 
     /// Forgets the routes for which `is_kept` does not hold.
@@ -38,10 +41,7 @@
             dealt: vec![0; route.targets.len()],
             targets: route.targets.clone(),
         };
-        let dealt = self
-            .routes
-            .entry(route.name.clone())
-            .or_insert_with(fresh);
+        let dealt = self.routes.entry(route.name.clone()).or_insert_with(fresh);
         if dealt.targets != route.targets {
             *dealt = fresh();
         }
@@ -58,7 +58,8 @@
             let owed = i128::from(self.targets[index].weight) * i128::from(total);
             owed - i128::from(self.dealt[index]) * i128::from(total_weight)
         };
-        let index = (0..self.targets.len()).max_by_key(|index| (lag(*index), usize::MAX - index))?;
+        let index =
+            (0..self.targets.len()).max_by_key(|index| (lag(*index), usize::MAX - index))?;
         self.dealt[index] += 1;
         Some(index)
     }
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -42,13 +42,11 @@
 const TICKS_PER_SWEEP: u32 = 100;
 /// Pause between two looks at the settings file.
 const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
-/// Time after the signal to stop in which forwarded requests are still taken.
-const CLOSING_DELAY: Duration = Duration::from_millis(400);
 /// Time after the signal to stop in which callers are still served: the platform notices after two
 /// questions, one a second.
-const MIN_STOP_TIME: Duration = Duration::from_millis(2_300);
+const SERVING_TIME: Duration = Duration::from_millis(2_300);
 /// Time kept between the end of the process and its forced end.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+const STOP_MARGIN: Duration = Duration::from_millis(800);
 /// Time for the connections to end after the last answer.
 const CLOSE_TIME: Duration = Duration::from_millis(60);
 /// Silence of the backend server, in reports and answers, after which it gets no more work: two reports
@@ -220,7 +218,8 @@
     }
 }
 
-/// Stops without cutting requests: callers turn away first, then other daemons.
+/// Stops without cutting requests: the platform turns callers away first, then whoever still comes is
+/// refused, and the process ends with the last answer.
 async fn stop(control: &ControlState, traffic: &TrafficState) {
     let mesh = &control.mesh;
     let grace = Duration::from_secs_f64(mesh.settings.bounds.stop_s).saturating_sub(STOP_MARGIN);
@@ -228,13 +227,10 @@
     log::info!(in_flight = mesh.in_flight(); "stopping");
     mesh.set_leaving();
     control.gossip.publish(mesh).await;
-    sleep(CLOSING_DELAY).await;
+    sleep(SERVING_TIME.min(grace)).await;
     mesh.set_closing();
     mesh.gate.shut();
-    while started.elapsed() < grace {
-        if mesh.in_flight() == 0 && started.elapsed() >= MIN_STOP_TIME {
-            break;
-        }
+    while mesh.in_flight() > 0 && started.elapsed() < grace {
         sleep(TICK).await;
     }
     log::info!(in_flight = mesh.in_flight(), store_calls = control.store.calls(); "stopped");
--- a/jayrack-meshd/src/control/configuration.rs
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -55,7 +55,10 @@
             }
             Err(error) => {
                 log::warn!(error:% = error, pause_ms = pause_ms; "configuration not read");
-                sleep(Duration::from_millis(pause_ms + control.gossip.jitter_ms(pause_ms))).await;
+                sleep(Duration::from_millis(
+                    pause_ms + control.gossip.jitter_ms(pause_ms),
+                ))
+                .await;
                 pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
             }
         }
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -12,11 +12,7 @@
     time::Duration,
 };
 
-use jayrack_mesh::{
-    gate::GateLoad,
-    hosts::HostRecord,
-    server::ServerPhase,
-};
+use jayrack_mesh::{gate::GateLoad, hosts::HostRecord, server::ServerPhase};
 use rand_pcg::{
     Pcg32,
     rand_core::{Rng, SeedableRng},
@@ -153,7 +149,9 @@
             None => mesh.gate.shut(),
         }
         let is_known = slots.is_some()
-            || record.as_ref().is_some_and(|record| record.phase != ServerPhase::Ready);
+            || record
+                .as_ref()
+                .is_some_and(|record| record.phase != ServerPhase::Ready);
         let mut core = self.lock();
         core.own.server = record.filter(|_| is_known);
         core.own.revision += 1;
@@ -255,7 +253,10 @@
                 (true, false) if is_near => NEAR_INTERVAL_MS * spread,
                 (true, false) => FAR_INTERVAL_MS * spread,
             };
-            if notes.sent_ms.is_none_or(|sent_ms| now_ms.saturating_sub(sent_ms) >= interval_ms) {
+            if notes
+                .sent_ms
+                .is_none_or(|sent_ms| now_ms.saturating_sub(sent_ms) >= interval_ms)
+            {
                 due.push(address);
             }
         }
@@ -311,8 +312,10 @@
     }
     let (is_changed, is_new, newer) = {
         let mut directory = mesh.directory();
-        let is_new = directory.get(address).is_none();
-        let is_changed = directory.merge(&message.record);
+        let known = directory.get(address).map(|entry| belief_of(&entry.record));
+        let is_new = known.is_none();
+        directory.merge(&message.record);
+        let is_changed = known != directory.get(address).map(|entry| belief_of(&entry.record));
         directory.heard(now_ms, address);
         let newer = directory
             .get(address)
@@ -325,13 +328,22 @@
         mesh.metrics.count_belief("host-changed");
     }
     let [running, waiting, slots] = message.load;
-    mesh.note_load(address, GateLoad { running, waiting, slots });
+    mesh.note_load(
+        address,
+        GateLoad {
+            running,
+            waiting,
+            slots,
+        },
+    );
     let is_outdated = {
         let mut core = gossip.lock();
         let own_order = core.own.order();
         let notes = core.peers.entry(address).or_default();
         notes.confirmed = message.known;
-        let is_recent = notes.sent_ms.is_some_and(|sent_ms| now_ms.saturating_sub(sent_ms) < 20);
+        let is_recent = notes
+            .sent_ms
+            .is_some_and(|sent_ms| now_ms.saturating_sub(sent_ms) < 20);
         message.known != Some(own_order) && !is_recent
     };
     if is_new || is_outdated || newer.is_some() {
@@ -363,6 +375,13 @@
     });
 }
 
+/// What is believed of a host, without the numbers of its records and reports.
+fn belief_of(record: &HostRecord) -> (u64, bool, Option<(String, ServerPhase, u32)>) {
+    let server = record.server.as_ref();
+    let server = server.map(|server| (server.instance.clone(), server.phase, server.slots));
+    (record.epoch, record.is_leaving, server)
+}
+
 fn log_change(record: &HostRecord, is_new: bool) {
     let server = record.server.as_ref();
     log::info!(
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -31,7 +31,10 @@
             Ok(()) => return,
             Err(error) => {
                 log::warn!(error:% = error, written = is_written, pause_ms = pause_ms; "hosts not read");
-                sleep(Duration::from_millis(pause_ms + control.gossip.jitter_ms(pause_ms))).await;
+                sleep(Duration::from_millis(
+                    pause_ms + control.gossip.jitter_ms(pause_ms),
+                ))
+                .await;
                 pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
             }
         }
--- a/jayrack-meshd/src/control/sync.rs
+++ b/jayrack-meshd/src/control/sync.rs
@@ -35,7 +35,9 @@
 pub fn serve(mesh: &MeshState, parts: &Parts) -> Option<Response<AnswerBody>> {
     let part = parts.headers.get(SYNC)?;
     let body = if part == CONFIGURATION {
-        mesh.accepted().as_ref().map(|accepted| accepted.bytes.clone())
+        mesh.accepted()
+            .as_ref()
+            .map(|accepted| accepted.bytes.clone())
     } else if part == HOSTS {
         let directory = mesh.directory();
         let records: Vec<&HostRecord> = directory.entries().map(|entry| &entry.record).collect();
--- a/jayrack-meshd/src/logging.rs
+++ b/jayrack-meshd/src/logging.rs
@@ -110,7 +110,9 @@
         .0
         .insert("event".into(), record.args().to_string().into());
     if let Err(error) = record.key_values().visit(&mut fields) {
-        fields.0.insert("log_error".into(), error.to_string().into());
+        fields
+            .0
+            .insert("log_error".into(), error.to_string().into());
     }
     serde_json::Value::Object(fields.0)
 }
--- a/jayrack-meshd/src/main.rs
+++ b/jayrack-meshd/src/main.rs
@@ -17,7 +17,10 @@
         Err(error) => return usage_error(&error.to_string()),
     };
     if matches.opt_present("help") {
-        println!("{}", options.usage("usage: jayrack-meshd [--settings FILE] [--check]"));
+        println!(
+            "{}",
+            options.usage("usage: jayrack-meshd [--settings FILE] [--check]")
+        );
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("version") {
--- a/jayrack-meshd/src/metrics.rs
+++ b/jayrack-meshd/src/metrics.rs
@@ -48,7 +48,9 @@
 impl MeshMetrics {
     /// Counts a request of a caller.
     pub fn count_request(&self, outcome: &'static str) {
-        self.requests.get_or_create(&OutcomeLabels { outcome }).inc();
+        self.requests
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
     }
 
     /// Counts a decision of the gate.
@@ -71,13 +73,21 @@
         registry.register("requests", "Requests of callers", self.requests.clone());
         registry.register("gate", "Decisions of the gate", self.gate.clone());
         registry.register("beliefs", "Changes of belief", self.beliefs.clone());
-        registry.register("latency_seconds", "Time to the answer", self.latency.clone());
+        registry.register(
+            "latency_seconds",
+            "Time to the answer",
+            self.latency.clone(),
+        );
         registry.register(
             "server_connections",
             "Connections opened to the backend server",
             self.server_connections.clone(),
         );
-        registry.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
+        registry.register(
+            "dropped_lines",
+            "Log lines dropped",
+            self.dropped_lines.clone(),
+        );
         let mut text = String::new();
         encode(&mut text, &registry)?;
         Ok(text)
--- a/jayrack-meshd/src/shared.rs
+++ b/jayrack-meshd/src/shared.rs
@@ -1,9 +1,9 @@
 //! What the control thread and the traffic thread share.
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::IpAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Instant,
@@ -35,6 +35,7 @@
     closing: AtomicBool,
     accepted: Mutex<Option<AcceptedRecord>>,
     loads: Mutex<BTreeMap<IpAddr, GateLoad>>,
+    running: Mutex<BTreeSet<String>>,
     in_flight: AtomicUsize,
     answered_ms: AtomicU64,
 }
@@ -54,6 +55,7 @@
             closing: AtomicBool::new(false),
             accepted: Mutex::default(),
             loads: Mutex::default(),
+            running: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             answered_ms: AtomicU64::new(0),
         }
@@ -83,7 +85,10 @@
 
     /// Version of the configuration in force; 0 before the first one.
     pub fn version(&self) -> u64 {
-        self.routes.load().as_ref().map_or(0, |routes| routes.version())
+        self.routes
+            .load()
+            .as_ref()
+            .map_or(0, |routes| routes.version())
     }
 
     /// Notes the load that another daemon reported on its own.
@@ -113,6 +118,27 @@
         self.closing.load(Ordering::Acquire)
     }
 
+    /// Notes that the backend server runs the request `id`, for as long as the guard lives.
+    pub fn note_running(self: &Arc<Self>, id: &str) -> RunningGuard {
+        self.running().insert(id.to_string());
+        RunningGuard {
+            mesh: self.clone(),
+            id: id.to_string(),
+        }
+    }
+
+    /// Whether `id` names a call of a request that the backend server is running.
+    ///
+    /// Servers name a call after its request, with a dot in between.
+    pub fn is_call(&self, id: &str) -> bool {
+        id.rsplit_once('.')
+            .is_some_and(|(parent, _)| self.running().contains(parent))
+    }
+
+    fn running(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that the backend server answered a request.
     pub fn note_answer(&self) {
         self.answered_ms.store(self.now_ms(), Ordering::Relaxed);
@@ -129,7 +155,7 @@
     }
 
     /// Counts a request for as long as the guard lives.
-    pub fn enter(self: &std::sync::Arc<Self>) -> FlightGuard {
+    pub fn enter(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         FlightGuard(self.clone())
     }
@@ -142,10 +168,23 @@
 
 /// Counts one request as in flight.
 #[derive(Debug)]
-pub struct FlightGuard(std::sync::Arc<MeshState>);
+pub struct FlightGuard(Arc<MeshState>);
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+/// Marks a request as running at the backend server.
+#[derive(Debug)]
+pub struct RunningGuard {
+    mesh: Arc<MeshState>,
+    id: String,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.mesh.running().remove(&self.id);
+    }
+}
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -125,7 +125,8 @@
             NotRunReason::ServerDown,
             NotRunReason::ServerRefused,
         ];
-        all.into_iter().find(|reason| reason.name().as_bytes() == name)
+        all.into_iter()
+            .find(|reason| reason.name().as_bytes() == name)
     }
 }
 
--- a/jayrack-meshd/src/traffic/gate.rs
+++ b/jayrack-meshd/src/traffic/gate.rs
@@ -95,7 +95,9 @@
             core.next_id += 1;
             request.id = core.next_id;
             let id = request.id;
-            match core.gate.offer(now_ms, request) {
+            let (verdict, evicted) = core.gate.offer(now_ms, request);
+            core.apply(now_ms, evicted.into_iter().collect());
+            match verdict {
                 GateVerdict::Run => return Ok(SlotPermit::new(self, id)),
                 GateVerdict::Refuse(refusal) => return Err(refusal),
                 GateVerdict::Wait => {
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -24,7 +24,6 @@
 use super::{
     body::AnswerBody,
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
-    listener::ConnectionNotes,
     owner::{self, OwnedRequest, WHOLE_ANSWER_BYTES},
     pool::{self, ConnectionPool},
     router::IngressRouter,
@@ -53,6 +52,8 @@
 const RETRY_AFTER_PART: u64 = 3;
 /// Pause told while the daemon does not know a configuration or a server, in milliseconds.
 const NOT_READY_PAUSE_MS: u64 = 400;
+/// Pause told while the daemon stops, in milliseconds: it is back after about a second.
+const RESTART_PAUSE_MS: u64 = 700;
 /// Time kept for the way back of an answer, in milliseconds.
 const RETURN_MS: u64 = 5;
 
@@ -144,14 +145,10 @@
 }
 
 /// Answers a request of a caller.
-pub async fn serve(
-    state: &Arc<TrafficState>,
-    notes: &ConnectionNotes,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub async fn serve(state: &Arc<TrafficState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = Instant::now();
     let id = request.headers().get(headers::REQUEST_ID).cloned();
-    let answer = match read(state, notes, request, started).await {
+    let answer = match read(state, request, started).await {
         Ok(request) => forward_request(state, request).await,
         Err(answer) => answer,
     };
@@ -162,6 +159,7 @@
         .observe(started.elapsed().as_secs_f64());
     let mut response = to_response(state, answer, id);
     if state.mesh.is_leaving() {
+        // The caller learns not to send anything else on this connection.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -171,11 +169,16 @@
 /// Checks a request and reads its body.
 async fn read(
     state: &Arc<TrafficState>,
-    notes: &ConnectionNotes,
     request: Request<Incoming>,
     started: Instant,
 ) -> Result<CallerRequest, CallerAnswer> {
     let (mut parts, body) = request.into_parts();
+    if state.mesh.is_closing() {
+        return Err(CallerAnswer::Refusal(
+            ResultCode::Draining,
+            RESTART_PAUSE_MS,
+        ));
+    }
     let routes = state.mesh.routes.load_full().ok_or(CallerAnswer::Refusal(
         ResultCode::NotReady,
         NOT_READY_PAUSE_MS,
@@ -201,7 +204,10 @@
     let time_left_ms = forward::number(&parts.headers, headers::TIME_LEFT_MS)
         .unwrap_or(route.timeout_ms)
         .saturating_sub(started.elapsed().as_millis() as u64);
-    let is_call = notes.address == state.mesh.settings.server.address.ip();
+    let id = parts.headers.get(headers::REQUEST_ID);
+    let is_call = id
+        .and_then(|id| id.to_str().ok())
+        .is_some_and(|id| state.mesh.is_call(id));
     let elapsed_ms = if is_call {
         0
     } else {
@@ -218,7 +224,6 @@
         .to_string();
     log::info!(
         id:? = parts.headers.get(headers::REQUEST_ID),
-        from:% = notes.address,
         route = route.name.as_str(),
         version = routes.version(),
         service = service.as_str(),
@@ -439,7 +444,10 @@
         "refused"
     );
     let most_ms = request.time_left_ms / RETRY_AFTER_PART;
-    CallerAnswer::Refusal(code, pause_ms.clamp(MIN_RETRY_AFTER_MS, most_ms.max(MIN_RETRY_AFTER_MS)))
+    CallerAnswer::Refusal(
+        code,
+        pause_ms.clamp(MIN_RETRY_AFTER_MS, most_ms.max(MIN_RETRY_AFTER_MS)),
+    )
 }
 
 fn log_repeat(request: &CallerRequest, trail: &RequestTrail, reason: &str) {
@@ -491,7 +499,10 @@
         Ok(answer) => answer.response,
         Err(pool::Error::NotSent(error)) => {
             let now_ms = state.mesh.now_ms();
-            let pause_ms = state.mesh.directory().unreachable(now_ms, candidate.address);
+            let pause_ms = state
+                .mesh
+                .directory()
+                .unreachable(now_ms, candidate.address);
             log::warn!(host:% = candidate.address, pause_ms = pause_ms, error = error.as_str(); "host not reached");
             state.peer_pool.forget(forward);
             return Attempt::Unreachable;
@@ -505,7 +516,11 @@
         log::warn!(host:% = candidate.address; "answer of host not understood");
         return Attempt::Lost;
     };
-    if let OwnerOutcome::Answered { response, service_ms } = reply.outcome {
+    if let OwnerOutcome::Answered {
+        response,
+        service_ms,
+    } = reply.outcome
+    {
         reply.outcome = collect_small(response, service_ms).await;
     }
     Attempt::Replied(reply)
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -1,7 +1,6 @@
 //! Connections of callers and of other daemons.
 use std::{
     convert::Infallible,
-    net::IpAddr,
     pin::pin,
     sync::{
         Arc, Mutex, PoisonError,
@@ -44,15 +43,16 @@
 pub struct ConnectionNotes {
     /// Who connected.
     pub kind: PeerKind,
-    /// Where from.
-    pub address: IpAddr,
     busy: AtomicUsize,
     idle_since: Mutex<Instant>,
 }
 
 impl ConnectionNotes {
     fn idle_for(&self) -> Option<Duration> {
-        let since = self.idle_since.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = self
+            .idle_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         (self.busy.load(Ordering::Relaxed) == 0).then(|| since.elapsed())
     }
 }
@@ -70,7 +70,11 @@
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.0.busy.fetch_sub(1, Ordering::Relaxed);
-        *self.0.idle_since.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        *self
+            .0
+            .idle_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Instant::now();
     }
 }
 
@@ -78,8 +82,8 @@
 pub async fn accept(listener: TcpListener, kind: PeerKind, state: Arc<TrafficState>) {
     loop {
         match listener.accept().await {
-            Ok((stream, address)) => {
-                tokio::spawn(serve_connection(stream, address.ip(), kind, state.clone()));
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, kind, state.clone()));
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -89,19 +93,13 @@
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    address: IpAddr,
-    kind: PeerKind,
-    state: Arc<TrafficState>,
-) {
+async fn serve_connection(stream: TcpStream, kind: PeerKind, state: Arc<TrafficState>) {
     if let Err(error) = socket::guard(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "connection closed before it was used");
         return;
     }
     let notes = Arc::new(ConnectionNotes {
         kind,
-        address,
         busy: AtomicUsize::new(0),
         idle_since: Mutex::new(Instant::now()),
     });
@@ -113,7 +111,7 @@
             let busy = BusyGuard::new(&notes);
             let flight = state.mesh.enter();
             let response: Response<AnswerBody> = match notes.kind {
-                PeerKind::Caller => ingress::serve(&state, &notes, request).await,
+                PeerKind::Caller => ingress::serve(&state, request).await,
                 PeerKind::Daemon => ingress::serve_daemon(&state, request).await,
             };
             let guards = Box::new((busy, flight));
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -61,10 +61,7 @@
     }
 }
 
-async fn admit(
-    state: &Arc<TrafficState>,
-    head: &ForwardHead,
-) -> Result<SlotPermit, GateRefusal> {
+async fn admit(state: &Arc<TrafficState>, head: &ForwardHead) -> Result<SlotPermit, GateRefusal> {
     let closed = GateRefusal {
         reason: RefusalReason::Closed,
         retry_after_ms: SERVER_DOWN_PAUSE_MS,
@@ -114,6 +111,8 @@
 ) -> OwnerOutcome {
     let OwnedRequest { head, parts, body } = request;
     let id = parts.headers.get(headers::REQUEST_ID).cloned();
+    let running = id.as_ref().and_then(|id| id.to_str().ok());
+    let _running = running.map(|id| state.mesh.note_running(id));
     let time_left = Duration::from_millis(head.time_left_ms).saturating_sub(received.elapsed());
     if time_left.is_zero() {
         return OwnerOutcome::NotRun {
--- a/jayrack-meshd/src/traffic/pool.rs
+++ b/jayrack-meshd/src/traffic/pool.rs
@@ -156,7 +156,8 @@
         let senders = idle.get_mut(&address)?;
         loop {
             let newest = senders.pop()?;
-            if newest.since.elapsed() < newest.max_idle.min(max_idle) && !newest.sender.is_closed() {
+            if newest.since.elapsed() < newest.max_idle.min(max_idle) && !newest.sender.is_closed()
+            {
                 return Some(newest.sender);
             }
         }
@@ -178,8 +179,7 @@
             max_idle,
             sender: Some(sender),
         };
-        let response =
-            response.map(|body| AnswerBody::streamed(body).holding(Box::new(guard)));
+        let response = response.map(|body| AnswerBody::streamed(body).holding(Box::new(guard)));
         PoolAnswer { response, is_new }
     }
 
@@ -199,7 +199,10 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<IdleSender>>> {
-        self.core.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        self.core
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -145,7 +145,10 @@
     pub fn retain(&self, routes: &MeshRoutes) {
         let hosts: Vec<IpAddr> = {
             let directory = self.mesh.directory();
-            directory.entries().map(|entry| entry.record.address).collect()
+            directory
+                .entries()
+                .map(|entry| entry.record.address)
+                .collect()
         };
         let mut core = self.lock();
         let is_kept = |name: &str| routes.contains(name);
