--- /dev/null
+++ b/jayrack-mesh/tests/hosts.rs
@@ -0,0 +1,85 @@
+//! The directory of hosts.
+use std::net::{IpAddr, Ipv4Addr};
+
+use jayrack_mesh::{
+    HostDirectory, HostRecord,
+    server::{ServerPhase, ServerRecord},
+};
+
+const ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+
+fn record(epoch: u64, revision: u64) -> HostRecord {
+    HostRecord {
+        address: ADDRESS,
+        epoch,
+        revision,
+        data_centre: "wrecsam".to_string(),
+        forward: (ADDRESS, 1).into(),
+        gossip: (ADDRESS, 2).into(),
+        server: Some(ServerRecord {
+            instance: "i-1".to_string(),
+            born_ms: 1,
+            sequence: 1,
+            service: "slots".to_string(),
+            slots: 12,
+            phase: ServerPhase::Ready,
+        }),
+        is_leaving: false,
+    }
+}
+
+fn directory_with(record: &HostRecord) -> HostDirectory {
+    let mut directory = HostDirectory::default();
+    directory.merge(record);
+    directory
+}
+
+#[test]
+fn only_newer_records_are_taken() {
+    let mut directory = directory_with(&record(2, 5));
+
+    assert!(!directory.merge(&record(2, 5)));
+    assert!(!directory.merge(&record(1, 9)));
+    assert!(directory.merge(&record(2, 6)));
+    assert!(directory.merge(&record(3, 0)));
+}
+
+#[test]
+fn a_server_serves_its_own_service_only() {
+    let record = record(1, 1);
+
+    assert!(record.serving("slots").is_some());
+    assert!(record.serving("ledger").is_none());
+}
+
+#[test]
+fn a_leaving_host_serves_nothing() {
+    let mut record = record(1, 1);
+    record.is_leaving = true;
+
+    assert!(record.serving("slots").is_none());
+}
+
+#[test]
+fn pauses_grow_until_the_host_is_heard() {
+    let mut directory = directory_with(&record(1, 1));
+
+    let first = directory.unreachable(0, ADDRESS);
+    let second = directory.unreachable(0, ADDRESS);
+    directory.heard(10, ADDRESS);
+    let third = directory.unreachable(10, ADDRESS);
+
+    assert!(second > first);
+    assert_eq!(third, first);
+}
+
+#[test]
+fn a_restarted_host_is_tried_at_once() {
+    let mut directory = directory_with(&record(1, 1));
+    directory.unreachable(0, ADDRESS);
+
+    directory.merge(&record(2, 0));
+
+    let entry = directory.get(ADDRESS).expect("known");
+    assert_eq!(entry.paused_until_ms, 0);
+}
--- /dev/null
+++ b/jayrack-mesh/tests/pick.rs
@@ -0,0 +1,161 @@
+//! The choice of a host.
+use std::net::{IpAddr, Ipv4Addr};
+
+use jayrack_mesh::{
+    HostPicker,
+    gate::{GateLoad, Urgency},
+    pick::{HostCandidate, HostOutcome, PickRequest},
+};
+
+const NEW: Urgency = Urgency {
+    stage: 1,
+    rank: 1,
+    turn: 1,
+};
+
+fn candidate(number: u8, is_near: bool) -> HostCandidate {
+    HostCandidate {
+        address: IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)),
+        instance: format!("i-{number}"),
+        slots: 12,
+        is_near,
+        is_paused: false,
+    }
+}
+
+fn request(urgency: Urgency) -> PickRequest<'static> {
+    PickRequest {
+        route: "browse",
+        urgency,
+    }
+}
+
+fn answered(service_ms: u64, answer_bytes: u64) -> HostOutcome {
+    HostOutcome::Answered {
+        service_ms,
+        answer_bytes,
+    }
+}
+
+fn load(running: u32) -> Option<GateLoad> {
+    Some(GateLoad {
+        running,
+        waiting: 0,
+        slots: 12,
+    })
+}
+
+/// Shares of `count` choices, without any being in flight.
+fn shares(picker: &mut HostPicker, candidates: &[HostCandidate], count: usize) -> Vec<usize> {
+    let mut shares = vec![0; candidates.len()];
+    for _ in 0..count {
+        let index = picker.pick(0, candidates, &request(NEW)).expect("a host");
+        shares[index] += 1;
+    }
+    shares
+}
+
+#[test]
+fn the_own_data_centre_comes_first() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, false), candidate(2, true)];
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+#[test]
+fn work_spills_over_when_the_own_data_centre_is_full() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, false), candidate(2, true)];
+    let full = (answered(150, 4_000), load(12));
+    picker.finished(0, &candidates[1], &request(NEW), full);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [20, 0]);
+}
+
+#[test]
+fn large_answers_stay_in_the_own_data_centre_longer() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, false), candidate(2, true)];
+    let full = (answered(150, 90_000), load(12));
+    picker.finished(0, &candidates[1], &request(NEW), full);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+#[test]
+fn a_slow_server_gets_less() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true), candidate(2, true)];
+    for _ in 0..30 {
+        picker.finished(
+            0,
+            &candidates[0],
+            &request(NEW),
+            (answered(1_000, 100), None),
+        );
+        picker.finished(0, &candidates[1], &request(NEW), (answered(200, 100), None));
+    }
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+#[test]
+fn a_failing_server_gets_less() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true), candidate(2, true)];
+    for _ in 0..10 {
+        picker.finished(
+            0,
+            &candidates[0],
+            &request(NEW),
+            (HostOutcome::Failed, None),
+        );
+    }
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+#[test]
+fn a_refusal_keeps_the_less_urgent_away_for_a_moment() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true)];
+    let refused = HostOutcome::Refused {
+        retry_after_ms: 500,
+    };
+    picker.finished(0, &candidates[0], &request(NEW), (refused, None));
+    let call = Urgency {
+        stage: 0,
+        rank: 1,
+        turn: 1,
+    };
+
+    assert_eq!(picker.pick(1, &candidates, &request(NEW)), None);
+    assert_eq!(picker.pick(1, &candidates, &request(call)), Some(0));
+    assert_eq!(picker.pick(600, &candidates, &request(NEW)), Some(0));
+}
+
+#[test]
+fn an_unreachable_host_is_used_only_if_there_is_no_other() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true), candidate(2, false)];
+    let unreachable = (HostOutcome::Unreachable, None);
+    picker.finished(0, &candidates[0], &request(NEW), unreachable);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+    assert_eq!(picker.pick(0, &candidates[..1], &request(NEW)), Some(0));
+}
+
+#[test]
+fn a_new_server_at_an_old_address_starts_without_a_record() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true)];
+    let refused = HostOutcome::Refused {
+        retry_after_ms: 500,
+    };
+    picker.finished(0, &candidates[0], &request(NEW), (refused, None));
+    let mut successor = candidate(1, true);
+    successor.instance = "i-9".to_string();
+
+    assert_eq!(picker.pick(1, &[successor], &request(NEW)), Some(0));
+}
--- /dev/null
+++ b/jayrack-mesh/tests/routes.rs
@@ -0,0 +1,153 @@
+//! Routes, shares of split routes and the budget of repeats.
+use jayrack_mesh::{
+    MeshRoutes, RepeatBudget, SplitChooser, budget,
+    routes::{Error, MAX_TIMEOUT_MS, MeshRoute, RequestLimits, RouteKind, RouteTarget},
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn limits() -> RequestLimits {
+    RequestLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    }
+}
+
+fn route(name: &str, prefix: &str) -> MeshRoute {
+    MeshRoute {
+        name: name.to_string(),
+        host: "a.example".to_string(),
+        prefix: prefix.to_string(),
+        targets: vec![target("slots", 1)],
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_ms: 500,
+        rank: 0,
+        attempts: 2,
+    }
+}
+
+fn target(service: &str, weight: u64) -> RouteTarget {
+    RouteTarget {
+        service: service.to_string(),
+        weight,
+    }
+}
+
+fn build(routes: Vec<MeshRoute>) -> Result<MeshRoutes, Error> {
+    let services = ["slots".to_string(), "ledger".to_string()];
+    MeshRoutes::build(7, &services, limits(), routes)
+}
+
+#[rstest]
+#[case::exact("/a/b/c", Some("deep"))]
+#[case::shorter("/a/x", Some("flat"))]
+#[case::not_a_whole_segment("/a/bc", Some("flat"))]
+#[case::unknown("/z/", None)]
+fn the_longest_prefix_wins(#[case] path: &str, #[case] expected: Option<&str>) {
+    let routes = build(vec![route("flat", "/a/"), route("deep", "/a/b/")]).expect("valid");
+
+    let found = routes.find("A.example:80", path);
+
+    assert_eq!(found.map(|route| route.name.as_str()), expected);
+}
+
+proptest! {
+    /// The search by path segments finds the same as a comparison with each prefix.
+    #[test]
+    fn the_search_equals_a_naive_one(
+        prefixes in proptest::collection::btree_set("(/[ab]){0,4}/", 1..8),
+        path in "(/[abc]){0,6}/?",
+    ) {
+        let table = prefixes.iter().map(|prefix| route(prefix, prefix)).collect();
+        let routes = build(table).expect("valid");
+        let naive = prefixes.iter().filter(|prefix| path.starts_with(*prefix)).max_by_key(|prefix| prefix.len());
+
+        let found = routes.find("a.example", &path).map(|route| &route.prefix);
+
+        prop_assert_eq!(found, naive);
+    }
+
+    /// Each service keeps its share, also over short spans.
+    #[test]
+    fn shares_follow_the_weights(weights in proptest::collection::vec(1_u64..100, 2..4), count in 50_u64..400) {
+        let mut split = route("split", "/s/");
+        split.targets = weights.iter().enumerate().map(|(index, weight)| target(&format!("s{index}"), *weight)).collect();
+        let mut chooser = SplitChooser::default();
+        let mut dealt = vec![0_u64; weights.len()];
+        for _ in 0..count {
+            let service = chooser.choose(&split).expect("a service");
+            let index: usize = service[1..].parse().expect("a number");
+            dealt[index] += 1;
+        }
+        let total: u64 = weights.iter().sum();
+        for (dealt, weight) in dealt.iter().zip(&weights) {
+            let owed = weight * count / total;
+            prop_assert!(dealt.abs_diff(owed) <= 2, "{dealt} of {owed}");
+        }
+    }
+}
+
+#[rstest]
+#[case::service(|route: &mut MeshRoute| route.targets = vec![target("unknown", 1)])]
+#[case::weight(|route: &mut MeshRoute| route.targets = vec![target("slots", 0)])]
+#[case::no_target(|route: &mut MeshRoute| route.targets.clear())]
+#[case::no_timeout(|route: &mut MeshRoute| route.timeout_ms = 0)]
+#[case::long_timeout(|route: &mut MeshRoute| route.timeout_ms = MAX_TIMEOUT_MS + 1)]
+#[case::attempts(|route: &mut MeshRoute| route.attempts = 0)]
+#[case::prefix(|route: &mut MeshRoute| route.prefix = "/a".to_string())]
+fn a_configuration_with_a_bad_route_is_refused_whole(#[case] spoil: fn(&mut MeshRoute)) {
+    let mut bad = route("bad", "/b/");
+    spoil(&mut bad);
+
+    let built = build(vec![route("good", "/a/"), bad]);
+
+    assert!(built.is_err());
+}
+
+#[test]
+fn a_prefix_may_not_be_used_twice() {
+    let built = build(vec![route("one", "/a/"), route("two", "/a/")]);
+
+    assert_eq!(built.err(), Some(Error::Duplicate("two".to_string())));
+}
+
+const HOSTS: usize = 14;
+
+fn fleet_options() -> budget::Options {
+    budget::Options {
+        window_ms: 10_000,
+        per_mille: 200,
+        slack: 64,
+    }
+}
+
+/// All daemons of a fleet want to repeat each request at once, as when all answers are lost.
+#[test]
+fn the_daemons_together_keep_the_budget_in_every_window() {
+    let mut budgets: Vec<RepeatBudget> = (0..HOSTS)
+        .map(|_| RepeatBudget::new(fleet_options()))
+        .collect();
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+
+    for now_ms in (0..30_000).step_by(50) {
+        let budget = &mut budgets[(now_ms / 50) as usize % HOSTS];
+        budget.record_request(now_ms, "slots");
+        requests.push(now_ms);
+        if budget.try_repeat(now_ms, "slots", HOSTS) {
+            repeats.push(now_ms);
+        }
+    }
+
+    for start_ms in (0..20_000).step_by(500) {
+        let within = |times: &[u64]| {
+            let window = start_ms..start_ms + 10_000;
+            times.iter().filter(|time| window.contains(*time)).count() as u64
+        };
+        assert!(within(&repeats) <= within(&requests) / 5 + 64);
+    }
+    assert!(!repeats.is_empty());
+}
