feat(mesh): calls wait as long as their caller, no guess at repeats, room for long runs

Callers state times that vary by a tenth at their first attempt already, so that nearly all requests were taken for repeats; that order is removed.

--- a/jayrack-mesh/src/gate.rs
+++ b/jayrack-mesh/src/gate.rs
@@ -12,7 +12,10 @@
 /// runs outlast the average.
 const RESIDUAL_PART: f64 = 0.25;
 /// Part of the expected service time that is kept as room for runs longer than the average.
-const SERVICE_MARGIN: f64 = 1.0;
+const SERVICE_MARGIN: f64 = 1.5;
+/// Part of the expected service time that any request may wait, so that a slot that becomes free is
+/// taken at once.
+const SHORT_WAIT_PART: f64 = 0.2;
 /// Part of the expected service time without which a request cannot be answered in time any more.
 const LATE_PART: f64 = 0.7;
 /// Weight of a new observation in the ratio of waits to their estimates.
@@ -33,8 +36,6 @@
     pub stage: u8,
     /// Rank; 0 is the most urgent.
     pub rank: u8,
-    /// 0 for a request that was refused before, 1 for one that comes for the first time.
-    pub turn: u8,
 }
 
 /// A request that asks for a slot.
@@ -309,7 +310,7 @@
             return;
         }
         let waited_ms = now_ms.saturating_sub(waiting.arrived_ms) as f64;
-        let Urgency { stage, rank, .. } = waiting.request.urgency;
+        let Urgency { stage, rank } = waiting.request.urgency;
         let ratio = self.wait_ratios.entry((stage, rank)).or_insert(1.0);
         *ratio += (waited_ms / waiting.estimate_ms - *ratio) * WAIT_WEIGHT;
         *ratio = ratio.clamp(WAIT_RATIO.0, WAIT_RATIO.1);
@@ -402,13 +403,18 @@
 }
 
 /// How long a request may wait: until its target, or until its caller leaves where that is missed anyway.
+///
+/// A call may always wait until then, since the work of its request is lost without it.
 fn wait_limit_ms(now_ms: u64, request: &GateRequest, expected_ms: f64) -> f64 {
-    let end_ms = if is_late(now_ms, request, expected_ms) {
+    let is_call = request.urgency.stage == 0;
+    let end_ms = if is_call || is_late(now_ms, request, expected_ms) {
         request.expires_at_ms
     } else {
         request.target_at_ms.min(request.expires_at_ms)
     };
-    end_ms.saturating_sub(now_ms) as f64 - expected_ms * (1.0 + SERVICE_MARGIN)
+    let left_ms = end_ms.saturating_sub(now_ms) as f64;
+    let limit_ms = left_ms - expected_ms * (1.0 + SERVICE_MARGIN);
+    limit_ms.max((left_ms - expected_ms).min(expected_ms * SHORT_WAIT_PART))
 }
 
 /// Requests that can be answered in time come before those that cannot.
--- a/jayrack-mesh/src/pick.rs
+++ b/jayrack-mesh/src/pick.rs
@@ -22,7 +22,7 @@
 /// only if their own data centre is full.
 const BORDER_MS_PER_KB: f64 = 5.0;
 /// Cost of a border between data centres whatever the answer, in milliseconds.
-const BORDER_MS: f64 = 6.0;
+const BORDER_MS: f64 = 15.0;
 /// Most that a border may cost, in milliseconds.
 const MAX_BORDER_MS: f64 = 400.0;
 /// Cost of a failure that is certain, in milliseconds; scaled by the share of failures.
@@ -180,6 +180,11 @@
             .min()
     }
 
+    /// A random time between three and five quarters of `pause_ms`.
+    pub fn spread_ms(&mut self, pause_ms: u64) -> u64 {
+        pause_ms * 3 / 4 + u64::from(self.random.next_u32()) % (pause_ms / 2 + 1)
+    }
+
     /// Notes that a request goes to `candidate`.
     pub fn started(&mut self, candidate: &HostCandidate) {
         self.stats_mut(candidate).in_flight += 1;
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -10,20 +10,13 @@
 
 /// Start of the names of all headers between daemons.
 const OWN_PREFIX: &str = "jayrack-";
-const ROUTE: HeaderName = HeaderName::from_static("jayrack-route");
-const SERVICE: HeaderName = HeaderName::from_static("jayrack-service");
-const INSTANCE: HeaderName = HeaderName::from_static("jayrack-instance");
-const URGENCY: HeaderName = HeaderName::from_static("jayrack-urgency");
-const TARGET_LEFT_MS: HeaderName = HeaderName::from_static("jayrack-target-left-ms");
-const TIME_LEFT_MS: HeaderName = HeaderName::from_static("jayrack-time-left-ms");
-const IDEMPOTENT: HeaderName = HeaderName::from_static("jayrack-idempotent");
-const OUTCOME: HeaderName = HeaderName::from_static("jayrack-outcome");
-const LOAD: HeaderName = HeaderName::from_static("jayrack-load");
-const SERVICE_MS: HeaderName = HeaderName::from_static("jayrack-service-ms");
-const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("jayrack-retry-after-ms");
+/// Head of a forwarded request; one header, since each byte between data centres is charged.
+const REQUEST: HeaderName = HeaderName::from_static("jayrack-request");
+/// Outcome and load in the answer of an owner.
+const REPLY: HeaderName = HeaderName::from_static("jayrack-reply");
 
-const ANSWERED: HeaderValue = HeaderValue::from_static("answered");
-const LOST: HeaderValue = HeaderValue::from_static("lost");
+const ANSWERED: &str = "answered";
+const LOST: &str = "lost";
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -42,8 +35,6 @@
 pub struct ForwardHead {
     /// Route.
     pub route: String,
-    /// Service that the ingress chose.
-    pub service: String,
     /// Life of the backend server that the ingress chose.
     pub instance: String,
     /// How urgent it is.
@@ -57,35 +48,35 @@
 }
 
 impl ForwardHead {
-    /// Writes the head into `headers`.
+    /// Writes the head into `headers`; the route comes last, since its name may contain spaces.
     pub fn encode(&self, headers: &mut HeaderMap) {
-        let Urgency { stage, rank, turn } = self.urgency;
-        put_text(headers, ROUTE, &self.route);
-        put_text(headers, SERVICE, &self.service);
-        put_text(headers, INSTANCE, &self.instance);
-        put_text(headers, URGENCY, &format!("{stage} {rank} {turn}"));
-        headers.insert(TARGET_LEFT_MS, HeaderValue::from(self.target_left_ms));
-        headers.insert(TIME_LEFT_MS, HeaderValue::from(self.time_left_ms));
-        headers.insert(IDEMPOTENT, HeaderValue::from(u16::from(self.is_idempotent)));
+        let Urgency { stage, rank } = self.urgency;
+        let text = format!(
+            "{} {stage} {rank} {} {} {} {}",
+            self.instance,
+            self.target_left_ms,
+            self.time_left_ms,
+            u8::from(self.is_idempotent),
+            self.route,
+        );
+        put_text(headers, REQUEST, &text);
     }
 
     /// Reads the head; `None` if a part is missing or malformed.
     pub fn decode(headers: &HeaderMap) -> Option<Self> {
-        let text = |name: HeaderName| headers.get(name)?.to_str().ok().map(str::to_string);
-        let mut urgency = headers.get(URGENCY)?.to_str().ok()?.split(' ');
-        let mut next = || urgency.next()?.parse().ok();
+        let mut parts = headers.get(REQUEST)?.to_str().ok()?.splitn(7, ' ');
+        let instance = parts.next()?.to_string();
+        let urgency = Urgency {
+            stage: parts.next()?.parse().ok()?,
+            rank: parts.next()?.parse().ok()?,
+        };
         Some(Self {
-            route: text(ROUTE)?,
-            service: text(SERVICE)?,
-            instance: text(INSTANCE)?,
-            urgency: Urgency {
-                stage: next()?,
-                rank: next()?,
-                turn: next()?,
-            },
-            target_left_ms: number(headers, TARGET_LEFT_MS)?,
-            time_left_ms: number(headers, TIME_LEFT_MS)?,
-            is_idempotent: number(headers, IDEMPOTENT)? == 1,
+            instance,
+            urgency,
+            target_left_ms: parts.next()?.parse().ok()?,
+            time_left_ms: parts.next()?.parse().ok()?,
+            is_idempotent: parts.next()? == "1",
+            route: parts.next()?.to_string(),
         })
     }
 }
@@ -117,7 +108,7 @@
         }
     }
 
-    fn decode(name: &[u8]) -> Option<Self> {
+    fn decode(name: &str) -> Option<Self> {
         let all = [
             NotRunReason::Busy,
             NotRunReason::Closed,
@@ -125,8 +116,7 @@
             NotRunReason::ServerDown,
             NotRunReason::ServerRefused,
         ];
-        all.into_iter()
-            .find(|reason| reason.name().as_bytes() == name)
+        all.into_iter().find(|reason| reason.name() == name)
     }
 }
 
@@ -163,78 +153,57 @@
 impl OwnerReply {
     /// Makes the answer to the daemon that forwarded the request.
     pub fn encode(self) -> Response<AnswerBody> {
-        let mut response = match self.outcome {
+        let (mut response, outcome, time_ms) = match self.outcome {
             OwnerOutcome::Answered {
-                mut response,
+                response,
                 service_ms,
-            } => {
-                let headers = response.headers_mut();
-                headers.insert(OUTCOME, ANSWERED);
-                headers.insert(SERVICE_MS, HeaderValue::from(service_ms));
-                response
-            }
+            } => (response, ANSWERED, service_ms),
             OwnerOutcome::NotRun {
                 reason,
                 retry_after_ms,
             } => {
-                let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-                let headers = response.headers_mut();
-                headers.insert(OUTCOME, HeaderValue::from_static(reason.name()));
-                headers.insert(RETRY_AFTER_MS, HeaderValue::from(retry_after_ms));
-                response
-            }
-            OwnerOutcome::Lost => {
-                let mut response = empty(StatusCode::BAD_GATEWAY);
-                response.headers_mut().insert(OUTCOME, LOST);
-                response
+                let response = empty(StatusCode::SERVICE_UNAVAILABLE);
+                (response, reason.name(), retry_after_ms)
             }
+            OwnerOutcome::Lost => (empty(StatusCode::BAD_GATEWAY), LOST, 0),
         };
         let GateLoad {
             running,
             waiting,
             slots,
         } = self.load;
-        put_text(
-            response.headers_mut(),
-            LOAD,
-            &format!("{running} {waiting} {slots}"),
-        );
+        let text = format!("{outcome} {time_ms} {running} {waiting} {slots}");
+        put_text(response.headers_mut(), REPLY, &text);
         response
     }
 
     /// Reads the answer of an owner; `None` if it is not one.
     pub fn decode(mut response: Response<AnswerBody>) -> Option<Self> {
-        let load = decode_load(response.headers())?;
-        let outcome = response.headers().get(OUTCOME)?.clone();
-        let outcome = if outcome == ANSWERED {
-            let service_ms = number(response.headers(), SERVICE_MS)?;
-            strip_own(response.headers_mut());
-            OwnerOutcome::Answered {
+        let reply = response.headers_mut().remove(REPLY)?;
+        let mut parts = reply.to_str().ok()?.split(' ');
+        let outcome = parts.next()?;
+        let time_ms = parts.next()?.parse().ok()?;
+        let mut number = || parts.next()?.parse().ok();
+        let load = GateLoad {
+            running: number()?,
+            waiting: number()?,
+            slots: number()?,
+        };
+        let outcome = match outcome {
+            ANSWERED => OwnerOutcome::Answered {
                 response,
-                service_ms,
-            }
-        } else if outcome == LOST {
-            OwnerOutcome::Lost
-        } else {
-            OwnerOutcome::NotRun {
-                reason: NotRunReason::decode(outcome.as_bytes())?,
-                retry_after_ms: number(response.headers(), RETRY_AFTER_MS)?,
-            }
+                service_ms: time_ms,
+            },
+            LOST => OwnerOutcome::Lost,
+            reason => OwnerOutcome::NotRun {
+                reason: NotRunReason::decode(reason)?,
+                retry_after_ms: time_ms,
+            },
         };
         Some(Self { outcome, load })
     }
 }
 
-fn decode_load(headers: &HeaderMap) -> Option<GateLoad> {
-    let mut parts = headers.get(LOAD)?.to_str().ok()?.split(' ');
-    let mut next = || parts.next()?.parse().ok();
-    Some(GateLoad {
-        running: next()?,
-        waiting: next()?,
-        slots: next()?,
-    })
-}
-
 /// Removes the headers that concern one connection only, with those that `Connection` names.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -34,12 +34,13 @@
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// Hosts that a request is offered to before it is refused.
 const MAX_OFFERS: usize = 6;
-/// Time-out of connections to other daemons; the farthest is milliseconds away.
-const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time-out of connections to other daemons; the farthest is milliseconds away, and an opening packet
+/// that was lost is sent again after a second only.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time-out of a connection to the backend server on the same host.
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time that sent bytes may stay without acknowledgement.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time that sent bytes may stay without acknowledgement: two packets lost in a row.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which connections to other daemons are not used again.
 const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
 /// Idle time after which connections to the backend server are not used again.
@@ -50,6 +51,9 @@
 const MIN_RETRY_AFTER_MS: u64 = 50;
 /// Part of the time left that a caller waits at most before it comes back.
 const RETRY_AFTER_PART: u64 = 3;
+/// Part of a route's target time, in percent, after which a refused caller comes back at the earliest:
+/// late enough for others to have finished, early enough for an answer in time.
+const RETRY_TARGET_PERCENT: u64 = 8;
 /// Pause told while the daemon does not know a configuration or a server, in milliseconds.
 const NOT_READY_PAUSE_MS: u64 = 400;
 /// Pause told while the daemon stops, in milliseconds: it is back after about a second.
@@ -208,21 +212,15 @@
     let is_call = id
         .and_then(|id| id.to_str().ok())
         .is_some_and(|id| state.mesh.is_call(id));
-    let elapsed_ms = if is_call {
-        0
-    } else {
-        state.router.elapsed_before_ms(&route.name, time_left_ms)
-    };
     let urgency = Urgency {
         stage: u8::from(!is_call),
         rank: route.rank,
-        turn: u8::from(elapsed_ms == 0),
     };
     let service = state.router.choose_service(&route);
     let service = service
         .ok_or(CallerAnswer::Code(ResultCode::RouteInactive))?
         .to_string();
-    log::info!(
+    log::debug!(
         id:? = parts.headers.get(headers::REQUEST_ID),
         route = route.name.as_str(),
         version = routes.version(),
@@ -232,7 +230,7 @@
         "received"
     );
     set_caller(&mut parts, &state.mesh);
-    let target_left = Duration::from_millis(route.target_ms.saturating_sub(elapsed_ms));
+    let target_left = Duration::from_millis(route.target_ms);
     let time_left = Duration::from_millis(time_left_ms.min(route.timeout_ms));
     Ok(CallerRequest {
         service,
@@ -443,11 +441,10 @@
         code = code.name();
         "refused"
     );
+    let least_ms = request.route.target_ms * RETRY_TARGET_PERCENT / 100;
+    let pause_ms = state.router.spread_ms(pause_ms.max(least_ms));
     let most_ms = request.time_left_ms / RETRY_AFTER_PART;
-    CallerAnswer::Refusal(
-        code,
-        pause_ms.clamp(MIN_RETRY_AFTER_MS, most_ms.max(MIN_RETRY_AFTER_MS)),
-    )
+    CallerAnswer::Refusal(code, pause_ms.min(most_ms).max(MIN_RETRY_AFTER_MS))
 }
 
 fn log_repeat(request: &CallerRequest, trail: &RequestTrail, reason: &str) {
@@ -470,7 +467,6 @@
     let left_ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
     let head = ForwardHead {
         route: request.route.name.clone(),
-        service: request.service.clone(),
         instance: candidate.instance.clone(),
         urgency: request.urgency,
         target_left_ms: left_ms(request.target_at),
@@ -508,7 +504,13 @@
             return Attempt::Unreachable;
         }
         Err(pool::Error::Lost(error)) => {
+            let now_ms = state.mesh.now_ms();
+            state
+                .mesh
+                .directory()
+                .unreachable(now_ms, candidate.address);
             log::warn!(host:% = candidate.address, error = error.as_str(); "connection to host lost");
+            state.peer_pool.forget(forward);
             return Attempt::Lost;
         }
     };
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -121,6 +121,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        .auto_date_header(false)
         .header_read_timeout(None)
         .max_buf_size(BUFFER_BYTES);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -100,7 +100,7 @@
     let tracker = state.mesh.tracker();
     tracker
         .serving()
-        .is_some_and(|server| server.instance == head.instance && server.service == head.service)
+        .is_some_and(|server| server.instance == head.instance)
 }
 
 async fn run(
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -1,6 +1,5 @@
 //! Choice of hosts, shares of split routes and the budget of repeats.
 use std::{
-    collections::BTreeMap,
     net::IpAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -16,9 +15,6 @@
 
 use crate::shared::MeshState;
 
-/// Difference between the times that callers state above which a request counts as a repeat, in
-/// milliseconds; the way to the daemon takes less.
-const REPEAT_MARGIN_MS: u64 = 40;
 /// Silence after which a host is used only if there is no other, in milliseconds: three status
 /// datagrams.
 const SILENCE_MS: u64 = 3_500;
@@ -35,8 +31,6 @@
     picker: HostPicker,
     budget: RepeatBudget,
     splits: SplitChooser,
-    /// Longest time that callers of a route have stated, in milliseconds.
-    usual_times: BTreeMap<String, u64>,
 }
 
 impl IngressRouter {
@@ -52,7 +46,6 @@
             picker: HostPicker::new(seed),
             budget: RepeatBudget::new(options),
             splits: SplitChooser::default(),
-            usual_times: BTreeMap::new(),
         };
         Self {
             core: Mutex::new(core),
@@ -65,22 +58,6 @@
         self.lock().splits.choose(route)
     }
 
-    /// Time since a caller's first attempt, in milliseconds, from the time that it still waits.
-    pub fn elapsed_before_ms(&self, route: &str, time_left_ms: u64) -> u64 {
-        let mut core = self.lock();
-        let usual_ms = match core.usual_times.get_mut(route) {
-            Some(usual_ms) => usual_ms,
-            None => core.usual_times.entry(route.to_string()).or_default(),
-        };
-        *usual_ms = (*usual_ms).max(time_left_ms);
-        let elapsed_ms = *usual_ms - time_left_ms;
-        if elapsed_ms > REPEAT_MARGIN_MS {
-            elapsed_ms
-        } else {
-            0
-        }
-    }
-
     /// Hosts with a server of `service`, less the `excluded` ones.
     pub fn candidates(&self, service: &str, excluded: &[IpAddr]) -> Vec<HostCandidate> {
         let now_ms = self.mesh.now_ms();
@@ -104,6 +81,11 @@
         self.lock().picker.room_after_ms(now_ms, candidates)
     }
 
+    /// A time around `pause_ms`, so that refused callers do not come back together.
+    pub fn spread_ms(&self, pause_ms: u64) -> u64 {
+        self.lock().picker.spread_ms(pause_ms)
+    }
+
     /// Notes that a request goes to `candidate`.
     pub fn started(&self, candidate: &HostCandidate) {
         self.lock().picker.started(candidate);
@@ -155,7 +137,6 @@
         core.picker
             .retain(|address| hosts.contains(address), is_kept);
         core.splits.retain(is_kept);
-        core.usual_times.retain(|name, _| is_kept(name));
     }
 
     fn lock(&self) -> MutexGuard<'_, RouterCore> {
