feat: two readers a data centre follow the store, one client for it, smaller daemons

Readers: of each data centre the two live hosts with the highest rendezvous weight that the store serves follow the configuration and announce it; the others take it from a reader of their data centre, from any other, at last from the store. The long poll is bounded to 3 s, so that a silent store is noticed. Ruled out: notices on periodic datagrams alone (2 to 4 s at 80 hosts). The log of the stand-alone deployment and its stand-in speak the platform's protocol now; the old form is gone.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -59,8 +59,8 @@
     pub heard_ms: Option<u64>,
     /// Time before which it is used only if there is no other.
     pub paused_until_ms: u64,
-    /// Whether it was told about this daemon and answered.
-    pub is_acquainted: bool,
+    /// Whether the store served it when it last tried, as far as it says.
+    pub reaches_store: bool,
     failures: u32,
 }
 
@@ -77,7 +77,7 @@
             Some(entry) if entry.record.order() >= record.order() => false,
             Some(entry) => {
                 if entry.record.epoch != record.epoch {
-                    entry.is_acquainted = false;
+                    entry.reaches_store = true;
                     entry.failures = 0;
                     entry.paused_until_ms = 0;
                 }
@@ -89,7 +89,7 @@
                     record: record.clone(),
                     heard_ms: None,
                     paused_until_ms: 0,
-                    is_acquainted: false,
+                    reaches_store: true,
                     failures: 0,
                 };
                 self.hosts.insert(record.address, entry);
@@ -107,10 +107,10 @@
         }
     }
 
-    /// Notes that the daemon at `address` knows this daemon.
-    pub fn acquainted(&mut self, address: IpAddr) {
+    /// Notes what the daemon at `address` says of the store.
+    pub fn store_seen(&mut self, address: IpAddr, reaches_store: bool) {
         if let Some(entry) = self.hosts.get_mut(&address) {
-            entry.is_acquainted = true;
+            entry.reaches_store = reaches_store;
         }
     }
 
--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`gate`]: who gets a slot of that backend server, who waits and who is refused.
 //! * [`pick`]: the choice of a host for a request.
 //! * [`budget`]: how many requests may be sent a second time.
+//! * [`readers`]: which hosts follow the store on behalf of the others.
 //! * [`split`]: the choice among the weighted services of a route.
 #![deny(missing_docs, unsafe_code)]
 
@@ -16,6 +17,7 @@
 pub mod gate;
 pub mod hosts;
 pub mod pick;
+pub mod readers;
 pub mod routes;
 pub mod server;
 pub mod split;
--- /dev/null
+++ b/jayrack-mesh/tests/readers.rs
@@ -0,0 +1,61 @@
+//! Which hosts follow the store.
+use std::net::{IpAddr, Ipv4Addr};
+
+use jayrack_mesh::readers::{READERS, ReaderCandidate, is_reader};
+
+fn fleet(size: u8) -> Vec<ReaderCandidate> {
+    let candidate = |number| ReaderCandidate {
+        address: IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)),
+        reaches_store: true,
+    };
+    (0..size).map(candidate).collect()
+}
+
+fn readers(candidates: &[ReaderCandidate]) -> Vec<IpAddr> {
+    let addresses = candidates.iter().map(|candidate| candidate.address);
+    addresses
+        .filter(|address| is_reader(*address, candidates))
+        .collect()
+}
+
+#[test]
+fn their_number_does_not_grow_with_the_fleet() {
+    for size in [2, 14, 80, 250] {
+        assert_eq!(readers(&fleet(size)).len(), READERS);
+    }
+}
+
+#[test]
+fn a_host_that_the_store_turns_away_is_replaced() {
+    let mut candidates = fleet(14);
+    let turned_away = readers(&candidates);
+    for candidate in &mut candidates {
+        candidate.reaches_store = !turned_away.contains(&candidate.address);
+    }
+
+    let replaced = readers(&candidates);
+
+    assert_eq!(replaced.len(), READERS);
+    assert!(
+        replaced
+            .iter()
+            .all(|address| !turned_away.contains(address))
+    );
+}
+
+#[test]
+fn some_go_on_trying_when_the_store_serves_nobody() {
+    let mut candidates = fleet(14);
+    for candidate in &mut candidates {
+        candidate.reaches_store = false;
+    }
+
+    assert_eq!(readers(&candidates).len(), READERS);
+}
+
+#[test]
+fn a_host_that_hears_nobody_reads_for_itself() {
+    let alone = &fleet(1)[..];
+
+    assert_eq!(readers(alone).len(), 1);
+}
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -16,7 +16,10 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
-use jayrack_platform::store::{self, StoreClient};
+use jayrack_platform::{
+    pool,
+    store::{self, StoreClient},
+};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -32,10 +35,12 @@
     },
 };
 
-/// Longest time for a connection to the store.
-const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for a connection to the store, in milliseconds.
+const STORE_CONNECT_TIMEOUT_MS: u64 = 800;
 /// Longest time for an answer of the store; it usually takes 4 ms, and much longer when it is slow.
 const STORE_ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest time for an answer after the time that the store was asked to wait.
+const STORE_WAIT_GRACE: Duration = Duration::from_secs(1);
 /// Pause between two looks at the settings file, the gate's queue and idle connections.
 const TICK: Duration = Duration::from_millis(20);
 /// Ticks between two looks at idle connections and forgotten routes.
@@ -98,8 +103,12 @@
 async fn start_control(mesh: Arc<MeshState>) -> eyre::Result<Arc<ControlState>> {
     let settings = &mesh.settings;
     let options = store::Options {
-        connect_timeout: STORE_CONNECT_TIMEOUT,
+        pool: pool::Options {
+            connect_timeout_ms: STORE_CONNECT_TIMEOUT_MS,
+            ..pool::Options::default()
+        },
         answer_timeout: STORE_ANSWER_TIMEOUT,
+        wait_grace: STORE_WAIT_GRACE,
     };
     let [gossip_port, metrics_port] = settings.ports;
     let address = settings.host.address;
--- a/jayrack-meshd/src/control/configuration.rs
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -11,10 +11,12 @@
 use super::ControlState;
 use crate::shared::MeshState;
 
-/// How long the store is asked to wait for a change.
-const POLL_WAIT: Duration = Duration::from_secs(25);
+/// How long the store is asked to wait for a change; a store that is silent is noticed after this time.
+const POLL_WAIT: Duration = Duration::from_secs(3);
+/// Pause between two looks whether this host is a reader.
+const READER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a change, so that changes in quick succession are read together.
-const POLL_PAUSE: Duration = Duration::from_millis(350);
+const POLL_PAUSE: Duration = Duration::from_millis(500);
 /// First pause after a failed call, in milliseconds; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds.
@@ -29,23 +31,39 @@
     pub bytes: Bytes,
 }
 
-/// Follows the configuration for as long as the process runs.
+/// Follows the configuration for as long as the process runs: the first one from the store, later ones
+/// while this host is a reader.
 pub async fn follow(control: Arc<ControlState>) {
     let mut next: Option<u64> = None;
     let mut pause_ms = FIRST_PAUSE_MS;
     loop {
+        let is_needed = control.mesh.version() == 0 || control.gossip.is_reader(&control.mesh);
+        if !is_needed {
+            // What comes in the meantime is told by the readers.
+            next = None;
+            sleep(READER_PAUSE).await;
+            continue;
+        }
         let read = match next {
             None => control.store.newest(TOPIC).await,
             Some(from) => control.store.changes(TOPIC, from, POLL_WAIT).await,
         };
+        let reaches_store = matches!(read, Ok(_) | Err(Error::Expired(_)));
+        if control.gossip.set_reaches_store(reaches_store) {
+            log::info!(reached = reaches_store; "store");
+            control.mesh.metrics.count_belief(if reaches_store {
+                "store-regained"
+            } else {
+                "store-lost"
+            });
+            control.gossip.announce(&control.mesh).await;
+        }
         match read {
             Ok(records) => {
-                if pause_ms > FIRST_PAUSE_MS {
-                    log::info!("configuration is followed again");
-                }
                 pause_ms = FIRST_PAUSE_MS;
                 next = Some(records.end);
                 if apply_newest(&control.mesh, &records) {
+                    control.gossip.announce(&control.mesh).await;
                     sleep(POLL_PAUSE).await;
                 }
             }
@@ -65,6 +83,16 @@
     }
 }
 
+/// Reads the newest configuration from the store, for a daemon whom the others told of one in vain.
+pub async fn read_newest(control: &ControlState) {
+    match control.store.newest(TOPIC).await {
+        Ok(records) => {
+            apply_newest(&control.mesh, &records);
+        }
+        Err(error) => log::warn!(error:% = error; "configuration not read"),
+    }
+}
+
 /// Applies the newest of `records` that is a configuration; whether there was any record.
 fn apply_newest(mesh: &MeshState, records: &NewestRecords) -> bool {
     let is_configuration = |record: &&_| -> bool {
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -12,7 +12,12 @@
     time::Duration,
 };
 
-use jayrack_mesh::{gate::GateLoad, hosts::HostRecord, server::ServerPhase};
+use jayrack_mesh::{
+    gate::GateLoad,
+    hosts::{HostEntry, HostRecord},
+    readers::{ReaderCandidate, is_reader},
+    server::ServerPhase,
+};
 use rand_pcg::{
     Pcg32,
     rand_core::{Rng, SeedableRng},
@@ -20,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{ControlState, sync};
+use super::{ControlState, configuration, sync};
 use crate::{logging, shared::MeshState};
 
 /// Pause between two looks at which hosts are due.
@@ -39,8 +44,15 @@
 const LONG_SILENCE_MS: u64 = 5_000;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
-/// Time that the store has to deliver a configuration before it is taken from another daemon.
-const CONFIGURATION_GRACE: Duration = Duration::from_millis(500);
+/// Silence after which a host is not counted on to follow the store, in milliseconds: two datagrams.
+const READER_SILENCE_MS: u64 = 2_500;
+/// Random time before a configuration is taken from another daemon, in milliseconds, so that its link is
+/// not asked for all at once; a reader of the same data centre may announce itself meanwhile.
+const PULL_SPREAD_MS: u64 = 80;
+/// Time in which a reader of the same data centre follows one of another: its pause between two reads.
+const NEAR_READER_TIME: Duration = Duration::from_millis(600);
+/// Other daemons that are asked for a configuration before the store is.
+const PULL_SOURCES: usize = 2;
 /// Time after the start after which a server is trusted although no memory of an earlier process could
 /// be read, in milliseconds: two reports and their delay.
 const MEMORY_TIMEOUT_MS: u64 = 4_000;
@@ -52,6 +64,8 @@
     load: [u32; 3],
     /// Version of the configuration in force; 0 before the first one.
     configuration: u64,
+    /// Whether the store served the sender when it last tried.
+    reaches_store: bool,
     /// Epoch and revision of the receiver's record that the sender knows.
     known: Option<(u64, u64)>,
     /// The receiver's record, if it claims to be older than what the sender knows.
@@ -69,9 +83,43 @@
 struct GossipCore {
     own: HostRecord,
     peers: BTreeMap<IpAddr, PeerNotes>,
+    reaches_store: bool,
+    notice: ConfigurationNotice,
     random: Pcg32,
 }
 
+/// The newest configuration that other daemons told of, and who has it.
+#[derive(Debug, Default)]
+struct ConfigurationNotice {
+    version: u64,
+    near: Option<SocketAddr>,
+    far: Option<SocketAddr>,
+}
+
+impl ConfigurationNotice {
+    fn take(&mut self, version: u64, address: SocketAddr, is_near: bool) {
+        if version < self.version {
+            return;
+        }
+        if version > self.version {
+            *self = Self {
+                version,
+                ..Self::default()
+            };
+        }
+        if is_near {
+            self.near = Some(address);
+        } else {
+            self.far = Some(address);
+        }
+    }
+
+    /// The daemon to ask, one of the same data centre if possible; it is not asked again.
+    fn next_source(&mut self) -> Option<SocketAddr> {
+        self.near.take().or_else(|| self.far.take())
+    }
+}
+
 /// This host's record and the datagrams about it.
 #[derive(Debug)]
 pub struct GossipState {
@@ -102,6 +150,8 @@
             core: Mutex::new(GossipCore {
                 own,
                 peers: BTreeMap::new(),
+                reaches_store: true,
+                notice: ConfigurationNotice::default(),
                 random: Pcg32::seed_from_u64(epoch),
             }),
             memory_checked: AtomicBool::new(false),
@@ -171,23 +221,66 @@
         }
     }
 
+    /// Notes whether the store served this daemon; whether that is a change.
+    pub fn set_reaches_store(&self, reaches_store: bool) -> bool {
+        let mut core = self.lock();
+        std::mem::replace(&mut core.reaches_store, reaches_store) != reaches_store
+    }
+
+    /// Whether this host follows the store on behalf of its data centre.
+    pub fn is_reader(&self, mesh: &MeshState) -> bool {
+        let now_ms = mesh.now_ms();
+        let directory = mesh.directory();
+        let core = self.lock();
+        let own = &core.own;
+        let is_live = |entry: &&HostEntry| {
+            let heard_ms = entry.heard_ms.unwrap_or(0);
+            entry.record.data_centre == own.data_centre
+                && !entry.record.is_leaving
+                && entry.heard_ms.is_some()
+                && now_ms >= entry.paused_until_ms
+                && now_ms.saturating_sub(heard_ms) < READER_SILENCE_MS
+        };
+        let others = directory
+            .entries()
+            .filter(is_live)
+            .map(|entry| ReaderCandidate {
+                address: entry.record.address,
+                reaches_store: entry.reaches_store,
+            });
+        let mut candidates: Vec<ReaderCandidate> = others
+            .filter(|candidate| candidate.address != own.address)
+            .collect();
+        candidates.push(ReaderCandidate {
+            address: own.address,
+            reaches_store: core.reaches_store,
+        });
+        is_reader(own.address, &candidates)
+    }
+
+    /// Tells all others the version of the configuration and the state of the store.
+    pub async fn announce(&self, mesh: &MeshState) {
+        for address in self.others(mesh) {
+            self.send_to(mesh, address, None).await;
+        }
+    }
+
+    fn others(&self, mesh: &MeshState) -> Vec<IpAddr> {
+        let local = mesh.settings.host.address;
+        let directory = mesh.directory();
+        let addresses = directory.entries().map(|entry| entry.record.address);
+        addresses.filter(|address| *address != local).collect()
+    }
+
     /// Sends this host's record to all others at once.
     pub async fn publish(&self, mesh: &MeshState) {
-        let addresses: Vec<IpAddr> = {
+        {
             let mut core = self.lock();
             core.own.is_leaving = mesh.is_leaving();
             core.own.revision += 1;
-            let directory = &mut mesh.directory();
-            directory.merge(&core.own);
-            directory
-                .entries()
-                .map(|entry| entry.record.address)
-                .filter(|address| *address != core.own.address)
-                .collect()
-        };
-        for address in addresses {
-            self.send_to(mesh, address, None).await;
+            mesh.directory().merge(&core.own);
         }
+        self.announce(mesh).await;
     }
 
     async fn send_to(&self, mesh: &MeshState, address: IpAddr, correction: Option<HostRecord>) {
@@ -204,15 +297,16 @@
             waiting,
             slots,
         } = mesh.gate.load();
-        let record = {
+        let (record, reaches_store) = {
             let mut core = self.lock();
             core.peers.entry(address).or_default().sent_ms = Some(mesh.now_ms());
-            core.own.clone()
+            (core.own.clone(), core.reaches_store)
         };
         let message = StatusMessage {
             record,
             load: [running, waiting, slots],
             configuration: mesh.version(),
+            reaches_store,
             known: Some(known),
             correction,
         };
@@ -317,6 +411,7 @@
         directory.merge(&message.record);
         let is_changed = known != directory.get(address).map(|entry| belief_of(&entry.record));
         directory.heard(now_ms, address);
+        directory.store_seen(address, message.reaches_store);
         let newer = directory
             .get(address)
             .filter(|entry| entry.record.order() > message.record.order())
@@ -352,29 +447,55 @@
     pull_missing(control, &message).await;
 }
 
-/// Takes from another daemon what the store did not deliver.
+/// Takes from other daemons the configuration that they told of and, after a start, the hosts that the
+/// store did not name.
 async fn pull_missing(control: &Arc<ControlState>, message: &StatusMessage) {
-    let mesh = &control.mesh;
+    let (mesh, gossip) = (&control.mesh, &control.gossip);
+    let source = message.record.forward;
+    let is_near = message.record.data_centre == mesh.settings.host.data_centre;
+    gossip
+        .lock()
+        .notice
+        .take(message.configuration, source, is_near);
     let is_behind = message.configuration > mesh.version();
-    let is_fresh = !control.gossip.is_memory_checked();
-    if !is_behind && !is_fresh || control.gossip.pulling.swap(true, Ordering::AcqRel) {
+    let is_fresh = !gossip.is_memory_checked();
+    if !is_behind && !is_fresh || gossip.pulling.swap(true, Ordering::AcqRel) {
         return;
     }
     let control = control.clone();
-    let address = message.record.forward;
-    let version = message.configuration;
     tokio::spawn(async move {
-        sleep(CONFIGURATION_GRACE).await;
-        if !control.gossip.is_memory_checked() {
-            sync::pull_hosts(&control, address).await;
+        let gossip = &control.gossip;
+        sleep(Duration::from_millis(gossip.jitter_ms(PULL_SPREAD_MS))).await;
+        if !gossip.is_memory_checked() {
+            sync::pull_hosts(&control, source).await;
         }
-        if control.mesh.version() < version {
-            sync::pull_configuration(&control, address).await;
+        if gossip.lock().notice.near.is_none() {
+            sleep(NEAR_READER_TIME).await;
         }
-        control.gossip.pulling.store(false, Ordering::Release);
+        pull_configuration(&control).await;
+        gossip.pulling.store(false, Ordering::Release);
     });
 }
 
+/// Takes the newest configuration that was told of from whoever has it, at last from the store.
+async fn pull_configuration(control: &ControlState) {
+    let gossip = &control.gossip;
+    for _ in 0..PULL_SOURCES {
+        let source = {
+            let mut core = gossip.lock();
+            if core.notice.version <= control.mesh.version() {
+                return;
+            }
+            core.notice.next_source()
+        };
+        let Some(source) = source else { break };
+        sync::pull_configuration(control, source).await;
+    }
+    if gossip.lock().notice.version > control.mesh.version() {
+        configuration::read_newest(control).await;
+    }
+}
+
 /// What is believed of a host, without the numbers of its records and reports.
 fn belief_of(record: &HostRecord) -> (u64, bool, Option<(String, ServerPhase, u32)>) {
     let server = record.server.as_ref();
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -42,7 +42,7 @@
 /// Longest time that sent bytes may stay without acknowledgement: two packets lost in a row.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which connections to other daemons are not used again.
-const PEER_MAX_IDLE: Duration = Duration::from_secs(20);
+const PEER_MAX_IDLE: Duration = Duration::from_secs(2);
 /// Idle time after which connections to the backend server are not used again.
 const SERVER_MAX_IDLE: Duration = Duration::from_secs(8);
 /// Idle connections kept for each address.
--- a/jayrack-testkit/src/log_standin/server.rs
+++ b/jayrack-testkit/src/log_standin/server.rs
@@ -1,12 +1,14 @@
-//! The HTTP form of the log.
+//! The platform's protocol in front of the topics: append, read, newest of each key.
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use jayrack_platform::log::ReadBatch;
 use serde::Serialize;
 use tokio::{
     net::TcpListener,
@@ -17,7 +19,7 @@
 
 use super::{
     behaviour::{LogBehaviour, LogCounts, LostAnswer, Outage},
-    store::{LogStore, ReadOutcome},
+    store::{LogStore, ReadOutcome, TopicBatch},
 };
 use crate::http_server::{self, Answer, Cut, empty_answer, json_answer, read_body, read_json};
 
@@ -50,22 +52,40 @@
 
 /// What becomes of an append.
 enum AppendPlan {
-    Refuse { retry_after_ms: u64 },
+    Refuse,
     Answer { delay_ms: u64 },
     Lose { answer: LostAnswer, late_ms: u64 },
 }
 
 #[derive(Serialize)]
 struct ExpiredBody {
-    first: u64,
-    next: u64,
-    now_ms: u64,
+    first_offset: u64,
 }
 
-#[derive(Debug, PartialEq, Eq)]
-struct ReadParameters {
+#[derive(Serialize)]
+struct AppendedBody {
+    offset: u64,
+    end_offset: u64,
+}
+
+#[derive(Serialize)]
+struct NewestBody {
+    items: Vec<NewestItem>,
+    has_more: bool,
+    end_offset: u64,
+}
+
+#[derive(Serialize)]
+struct NewestItem {
+    key: String,
+    value: String,
+    offset: u64,
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+struct TopicQuery {
+    topic: String,
     from: u64,
-    max: usize,
     wait_ms: u64,
 }
 
@@ -131,27 +151,30 @@
     fn counts(&self) -> LogCounts {
         let state = self.lock();
         let mut counts = state.counts.clone();
-        counts.records = state.store.record_counts();
+        let records = state.store.record_counts();
+        let named = |(topic, count): (String, u64)| (stream_name(&topic).to_string(), count);
+        counts.records = records.into_iter().map(named).collect();
         counts
     }
 
-    fn append(&self, stream: &str, data: String) -> jayrack_platform::log::Appended {
-        let appended = self.lock().store.append(stream, data, now_ms());
+    /// Appends records and returns the offset of the first.
+    fn append(&self, topic: &str, records: &[Bytes]) -> u64 {
+        let mut state = self.lock();
+        let append = |record: &Bytes| state.store.append(topic, record.clone(), now_ms());
+        let offsets: Vec<u64> = records.iter().map(append).collect();
+        drop(state);
         self.changed.send_modify(|count| *count += 1);
-        appended
+        offsets.first().copied().unwrap_or_default()
     }
 
-    fn read(&self, stream: &str, parameters: &ReadParameters) -> ReadOutcome {
-        let now_ms = now_ms();
+    fn read(&self, query: &TopicQuery) -> ReadOutcome {
         let mut state = self.lock();
         let retention_ms = state.behaviour.retention_ms;
         if retention_ms > 0 {
-            let oldest_ms = now_ms.saturating_sub(retention_ms);
+            let oldest_ms = now_ms().saturating_sub(retention_ms);
             state.store.expire_before(oldest_ms);
         }
-        state
-            .store
-            .read(stream, parameters.from, parameters.max, now_ms)
+        state.store.read(&query.topic, query.from)
     }
 }
 
@@ -165,18 +188,29 @@
             shared.lock().store.expire_all();
             empty_answer(StatusCode::OK)
         }
-        (method, path) => match stream_name(path) {
-            Some(stream) if method == Method::POST => append(shared, stream, request).await,
-            Some(stream) if method == Method::GET => read(shared, stream, &request).await,
-            _ => empty_answer(StatusCode::NOT_FOUND),
-        },
+        (Method::POST, "/jayrack/log-append") => append(shared, request).await,
+        (Method::GET, "/jayrack/log-read") => read(shared, &request).await,
+        (Method::GET, "/jayrack/log-newest") => newest(shared, &request).await,
+        _ => empty_answer(StatusCode::NOT_FOUND),
     }
 }
 
-fn stream_name(path: &str) -> Option<&str> {
-    path.strip_prefix("/v1/streams/")?
-        .strip_suffix("/records")
-        .filter(|name| !name.is_empty() && !name.contains('/'))
+/// Name of a topic in the counters and the behaviour: without the prefix of the daemons' own topics.
+fn stream_name(topic: &str) -> &str {
+    topic.strip_prefix("jayrack-").unwrap_or(topic)
+}
+
+/// Splits a body into records, each after its length; `None` if it is cut short.
+fn split_records(mut body: Bytes) -> Option<Vec<Bytes>> {
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        let length = body.try_get_u32().ok()? as usize;
+        if body.len() < length {
+            return None;
+        }
+        records.push(body.split_to(length));
+    }
+    Some(records)
 }
 
 async fn set_behaviour(shared: &SharedLog, request: Request<Incoming>) -> Answer {
@@ -203,32 +237,36 @@
     }
 }
 
-async fn append(shared: Arc<SharedLog>, stream: &str, request: Request<Incoming>) -> Answer {
+async fn append(shared: Arc<SharedLog>, request: Request<Incoming>) -> Answer {
+    let Some(query) = parse_query(&request) else {
+        return empty_answer(StatusCode::BAD_REQUEST);
+    };
+    let stream = stream_name(&query.topic).to_string();
     {
         let mut state = shared.lock();
         state.counts.appends += 1;
         let counts = &mut state.counts.appends_by_stream;
-        *counts.entry(stream.to_string()).or_default() += 1;
+        *counts.entry(stream.clone()).or_default() += 1;
     }
     let body = read_body(request.into_body()).await?;
-    let Ok(data) = String::from_utf8(body.to_vec()) else {
+    let Some(records) = split_records(body) else {
         return empty_answer(StatusCode::BAD_REQUEST);
     };
     if let Some(answer) = check_outage(&shared).await {
         return answer;
     }
-    match plan_append(&shared, stream) {
-        AppendPlan::Refuse { retry_after_ms } => throttled_answer(retry_after_ms),
+    match plan_append(&shared, &stream) {
+        AppendPlan::Refuse => empty_answer(StatusCode::TOO_MANY_REQUESTS),
         AppendPlan::Answer { delay_ms } => {
-            let appended = shared.append(stream, data);
+            let offset = shared.append(&query.topic, &records);
             sleep(Duration::from_millis(delay_ms)).await;
-            json_answer(StatusCode::OK, &appended)
+            let end_offset = offset + records.len() as u64;
+            json_answer(StatusCode::OK, &AppendedBody { offset, end_offset })
         }
         AppendPlan::Lose { answer, late_ms } => {
-            let stream = stream.to_string();
             tokio::spawn(async move {
                 sleep(Duration::from_millis(late_ms)).await;
-                shared.append(&stream, data);
+                shared.append(&query.topic, &records);
             });
             match answer {
                 LostAnswer::Cut => Err(Cut),
@@ -241,13 +279,9 @@
 fn plan_append(shared: &SharedLog, stream: &str) -> AppendPlan {
     let mut state = shared.lock();
     let quota = state.behaviour.quota_per_second;
-    if quota > 0
-        && let Err(throttled) = state.store.take_token(quota, now_ms())
-    {
+    if quota > 0 && state.store.take_token(quota, now_ms()).is_err() {
         state.counts.throttled += 1;
-        return AppendPlan::Refuse {
-            retry_after_ms: throttled.retry_after_ms,
-        };
+        return AppendPlan::Refuse;
     }
     let behaviour = &mut state.behaviour;
     let is_chosen = behaviour.lose_stream.is_empty() || behaviour.lose_stream == stream;
@@ -265,68 +299,86 @@
     plan
 }
 
-fn throttled_answer(retry_after_ms: u64) -> Answer {
-    Response::builder()
-        .status(StatusCode::TOO_MANY_REQUESTS)
-        .header("retry-after-ms", retry_after_ms)
-        .body(Default::default())
-        .map_err(|_| Cut)
-}
-
-async fn read(shared: Arc<SharedLog>, stream: &str, request: &Request<Incoming>) -> Answer {
+async fn read(shared: Arc<SharedLog>, request: &Request<Incoming>) -> Answer {
     let delay_ms = {
         let mut state = shared.lock();
         state.counts.reads += 1;
         state.behaviour.delay_ms
     };
-    let Some(parameters) = read_parameters(request.uri().query().unwrap_or_default()) else {
+    let Some(query) = parse_query(request) else {
         return empty_answer(StatusCode::BAD_REQUEST);
     };
-    let deadline = Instant::now() + Duration::from_millis(parameters.wait_ms.min(MAX_WAIT_MS));
+    let deadline = Instant::now() + Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS));
     let mut changed = shared.changed.subscribe();
     sleep(Duration::from_millis(delay_ms)).await;
     loop {
         if let Some(answer) = check_outage(&shared).await {
             return answer;
         }
-        match shared.read(stream, &parameters) {
-            ReadOutcome::Expired(batch) => {
+        match shared.read(&query) {
+            ReadOutcome::Expired(first_offset) => {
                 shared.lock().counts.expired += 1;
-                return json_answer(StatusCode::GONE, &expired_body(&batch));
+                return json_answer(StatusCode::GONE, &ExpiredBody { first_offset });
             }
             ReadOutcome::Batch(batch) if batch.records.is_empty() && Instant::now() < deadline => {
                 // A time-out ends the wait; the next turn answers with no records.
                 timeout_at(deadline, changed.changed()).await.ok();
             }
-            ReadOutcome::Batch(batch) => return json_answer(StatusCode::OK, &batch),
+            ReadOutcome::Batch(batch) => return batch_answer(&batch),
         }
     }
 }
 
-fn expired_body(batch: &ReadBatch) -> ExpiredBody {
-    ExpiredBody {
-        first: batch.first,
-        next: batch.next,
-        now_ms: batch.now_ms,
+/// Writes end and first offset, then each record after its length.
+fn batch_answer(batch: &TopicBatch) -> Answer {
+    let mut body = BytesMut::new();
+    body.put_u64(batch.end);
+    body.put_u64(batch.first);
+    for record in &batch.records {
+        body.put_u32(record.len() as u32);
+        body.put_slice(record);
     }
+    Response::builder()
+        .body(Full::from(body.freeze()))
+        .map_err(|_| Cut)
 }
 
-fn read_parameters(query: &str) -> Option<ReadParameters> {
-    let mut parameters = ReadParameters {
-        from: 1,
-        max: 1_000,
-        wait_ms: 0,
+async fn newest(shared: Arc<SharedLog>, request: &Request<Incoming>) -> Answer {
+    shared.lock().counts.reads += 1;
+    let Some(query) = parse_query(request) else {
+        return empty_answer(StatusCode::BAD_REQUEST);
     };
-    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+    if let Some(answer) = check_outage(&shared).await {
+        return answer;
+    }
+    let (newest, end_offset) = shared.lock().store.newest(&query.topic);
+    let items = newest.into_iter().map(|(key, newest)| NewestItem {
+        key,
+        value: STANDARD.encode(&newest.value),
+        offset: newest.offset,
+    });
+    let body = NewestBody {
+        items: items.collect(),
+        has_more: false,
+        end_offset,
+    };
+    json_answer(StatusCode::OK, &body)
+}
+
+/// Reads what the calls have in common; other parameters are ignored, as the platform does.
+fn parse_query(request: &Request<Incoming>) -> Option<TopicQuery> {
+    let mut query = TopicQuery::default();
+    let text = request.uri().query().unwrap_or_default();
+    for pair in text.split('&').filter(|pair| !pair.is_empty()) {
         let (name, value) = pair.split_once('=')?;
         match name {
-            "from" => parameters.from = value.parse().ok()?,
-            "max" => parameters.max = value.parse().ok()?,
-            "wait_ms" => parameters.wait_ms = value.parse().ok()?,
-            _ => return None,
+            "topic" => query.topic = value.to_string(),
+            "from" => query.from = value.parse().ok()?,
+            "wait_ms" => query.wait_ms = value.parse().ok()?,
+            _ => {}
         }
     }
-    Some(parameters)
+    (!query.topic.is_empty()).then_some(query)
 }
 
 fn now_ms() -> u64 {
--- a/jayrack-testkit/src/log_standin/store.rs
+++ b/jayrack-testkit/src/log_standin/store.rs
@@ -1,7 +1,7 @@
-//! The streams of the log, their expiry and the append quota.
+//! The topics of the log, their expiry and the append quota.
 use std::collections::{BTreeMap, VecDeque};
 
-use jayrack_platform::log::{Appended, LogEntry, ReadBatch};
+use bytes::Bytes;
 
 /// One token of the append quota, in thousandths.
 const TOKEN_MILLIS: u64 = 1_000;
@@ -13,32 +13,50 @@
     pub retry_after_ms: u64,
 }
 
+/// Consecutive records of a topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TopicBatch {
+    /// Offset of the oldest retained record.
+    pub first: u64,
+    /// Offset that the next record will get.
+    pub end: u64,
+    /// The records.
+    pub records: Vec<Bytes>,
+}
+
 /// What a read finds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadOutcome {
     /// The offset is kept or is the next one.
-    Batch(ReadBatch),
-    /// The offset was expired; the batch has no records.
-    Expired(ReadBatch),
+    Batch(TopicBatch),
+    /// The offset was expired; the oldest retained one is named.
+    Expired(u64),
+}
+
+/// The newest record of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedValue {
+    /// The value.
+    pub value: Bytes,
+    /// Offset of the record.
+    pub offset: u64,
 }
 
 #[derive(Debug)]
-struct RecordStream {
-    first: u64,
-    records: VecDeque<LogEntry>,
+struct TopicRecord {
+    time_ms: u64,
+    data: Bytes,
 }
 
-impl Default for RecordStream {
-    fn default() -> Self {
-        Self {
-            first: 1,
-            records: VecDeque::new(),
-        }
-    }
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: VecDeque<TopicRecord>,
+    newest: BTreeMap<String, KeyedValue>,
 }
 
-impl RecordStream {
-    fn next(&self) -> u64 {
+impl Topic {
+    fn end(&self) -> u64 {
         self.first + self.records.len() as u64
     }
 
@@ -52,58 +70,80 @@
             self.first += 1;
         }
     }
+
+    /// Keeps the newest value of the key at the start of a record; without a value the key is dropped.
+    fn note_key(&mut self, record: &Bytes, offset: u64) {
+        let Some((length, rest)) = record.split_first() else {
+            return;
+        };
+        let Some((key, _)) = rest.split_at_checked(usize::from(*length)) else {
+            return;
+        };
+        let key = String::from_utf8_lossy(key).into_owned();
+        let value = record.slice(1 + usize::from(*length)..);
+        if value.is_empty() {
+            self.newest.remove(&key);
+        } else {
+            self.newest.insert(key, KeyedValue { value, offset });
+        }
+    }
 }
 
-/// All streams in memory.
+/// All topics in memory.
 #[derive(Debug, Default)]
 pub struct LogStore {
-    streams: BTreeMap<String, RecordStream>,
-    last_time_ms: u64,
+    topics: BTreeMap<String, Topic>,
     token_millis: u64,
     refilled_ms: u64,
 }
 
 impl LogStore {
-    /// Appends a record; times never go back.
-    pub fn append(&mut self, stream: &str, data: String, now_ms: u64) -> Appended {
-        self.last_time_ms = self.last_time_ms.max(now_ms);
-        let time_ms = self.last_time_ms;
-        let stream = self.streams.entry(stream.to_string()).or_default();
-        let offset = stream.next();
-        stream.records.push_back(LogEntry {
-            offset,
-            time_ms,
+    /// Appends a record and returns its offset.
+    pub fn append(&mut self, name: &str, data: Bytes, now_ms: u64) -> u64 {
+        let topic = self.topics.entry(name.to_string()).or_default();
+        let offset = topic.end();
+        if name.starts_with("keyed.") {
+            topic.note_key(&data, offset);
+        }
+        topic.records.push_back(TopicRecord {
+            time_ms: now_ms,
             data,
         });
-        Appended { offset, time_ms }
+        offset
     }
 
-    /// Reads at most `max` records from offset `from` on.
-    pub fn read(&self, stream: &str, from: u64, max: usize, now_ms: u64) -> ReadOutcome {
-        let empty = RecordStream::default();
-        let stream = self.streams.get(stream).unwrap_or(&empty);
-        let mut batch = ReadBatch {
-            first: stream.first,
-            next: stream.next(),
-            now_ms: now_ms.max(self.last_time_ms),
-            records: Vec::new(),
-        };
-        let Some(skipped) = from.checked_sub(stream.first) else {
-            return ReadOutcome::Expired(batch);
+    /// Reads the records from offset `from` on.
+    pub fn read(&self, name: &str, from: u64) -> ReadOutcome {
+        let empty = Topic::default();
+        let topic = self.topics.get(name).unwrap_or(&empty);
+        let Some(skipped) = from.checked_sub(topic.first) else {
+            return ReadOutcome::Expired(topic.first);
         };
-        let records = stream.records.iter().skip(skipped as usize).take(max);
-        batch.records = records.cloned().collect();
-        ReadOutcome::Batch(batch)
+        let records = topic.records.iter().skip(skipped as usize);
+        ReadOutcome::Batch(TopicBatch {
+            first: topic.first,
+            end: topic.end(),
+            records: records.map(|record| record.data.clone()).collect(),
+        })
+    }
+
+    /// The newest value of each key of a topic, and the offset of the next record.
+    pub fn newest(&self, name: &str) -> (BTreeMap<String, KeyedValue>, u64) {
+        self.topics
+            .get(name)
+            .map_or_else(Default::default, |topic| {
+                (topic.newest.clone(), topic.end())
+            })
     }
 
-    /// Drops the records that were appended before `time_ms`.
+    /// Drops the records that were appended before `time_ms`; the newest value of each key stays.
     pub fn expire_before(&mut self, time_ms: u64) {
-        for stream in self.streams.values_mut() {
-            stream.expire_before(time_ms);
+        for topic in self.topics.values_mut() {
+            topic.expire_before(time_ms);
         }
     }
 
-    /// Drops all records and keeps the offsets.
+    /// Drops all records; offsets and the newest value of each key stay.
     pub fn expire_all(&mut self) {
         self.expire_before(u64::MAX);
     }
@@ -125,11 +165,11 @@
         })
     }
 
-    /// The number of records kept per stream.
+    /// The number of records kept per topic.
     pub fn record_counts(&self) -> BTreeMap<String, u64> {
-        self.streams
+        self.topics
             .iter()
-            .map(|(name, stream)| (name.clone(), stream.records.len() as u64))
+            .map(|(name, topic)| (name.clone(), topic.records.len() as u64))
             .collect()
     }
 }
