--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -26,6 +26,8 @@
     pub revision: u64,
     /// Data centre.
     pub data_centre: String,
+    /// Rate of the host's link, in megabits a second.
+    pub link_mbps: u32,
     /// Listener for requests that other daemons forward.
     pub forward: SocketAddr,
     /// Listener for datagrams of other daemons.
--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`hosts`]: the hosts of the fleet, and which record of a host is newer.
 //! * [`server`]: the backend server beside the daemon, from its status reports.
 //! * [`gate`]: who gets a slot of that backend server, who waits and who is refused.
+//! * [`link`]: how many large answers a narrow link carries.
 //! * [`pick`]: the choice of a host for a request.
 //! * [`budget`]: how many requests may be sent a second time.
 //! * [`readers`]: which hosts follow the store on behalf of the others.
@@ -16,6 +17,7 @@
 pub mod budget;
 pub mod gate;
 pub mod hosts;
+pub mod link;
 pub mod pick;
 pub mod readers;
 pub mod routes;
--- a/jayrack-mesh/src/readers.rs
+++ b/jayrack-mesh/src/readers.rs
@@ -1,5 +1,5 @@
 //! Which hosts follow the store on behalf of the others.
-use std::net::IpAddr;
+use std::{cmp::Reverse, net::IpAddr};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -11,6 +11,8 @@
 pub struct ReaderCandidate {
     /// Address of the host.
     pub address: IpAddr,
+    /// Rate of the host's link, in megabits a second: the others take the configuration over it.
+    pub link_mbps: u32,
     /// Whether the store served it when it last tried; true if it has not tried.
     pub reaches_store: bool,
 }
@@ -33,10 +35,14 @@
 }
 
 /// Order in which candidates are taken.
-fn place(candidate: &ReaderCandidate) -> (bool, u64) {
+fn place(candidate: &ReaderCandidate) -> (bool, Reverse<u32>, u64) {
     let weight = match candidate.address {
         IpAddr::V4(address) => xxh3_64(&address.octets()),
         IpAddr::V6(address) => xxh3_64(&address.octets()),
     };
-    (!candidate.reaches_store, weight)
+    (
+        !candidate.reaches_store,
+        Reverse(candidate.link_mbps),
+        weight,
+    )
 }
--- a/jayrack-mesh/tests/hosts.rs
+++ b/jayrack-mesh/tests/hosts.rs
@@ -14,6 +14,7 @@
         epoch,
         revision,
         data_centre: "wrecsam".to_string(),
+        link_mbps: 1_000,
         forward: (ADDRESS, 1).into(),
         gossip: (ADDRESS, 2).into(),
         server: Some(ServerRecord {
--- /dev/null
+++ b/jayrack-mesh/tests/link_flood.rs
@@ -0,0 +1,83 @@
+//! Pattern: more large answers are asked of a host than its narrow link carries, besides small lookups.
+//!
+//! Lookups need the link's free part; downloads that cannot be sent in time are refused at once.
+use jayrack_mesh::link::LinkMeter;
+
+/// A link of the narrowest hosts, in megabits a second.
+const LINK_MBPS: f64 = 10.5;
+/// Size of a download, in bytes.
+const DOWNLOAD_BYTES: u64 = 90_000;
+/// Time between two downloads, in milliseconds: a third more than the link carries.
+const PAUSE_MS: u64 = 50;
+/// Time within which a download is worth most, less its run, in milliseconds.
+const LIMIT_MS: u64 = 1_100;
+
+fn meter() -> LinkMeter {
+    let mut meter = LinkMeter::new(LINK_MBPS);
+    meter.observe("download", DOWNLOAD_BYTES);
+    meter.observe("lookup", 1_000);
+    meter
+}
+
+/// Plays 20 s; returns the longest time to send an admitted download, and the numbers admitted and refused.
+fn play(meter: &mut LinkMeter) -> (u64, u64, u64) {
+    let bytes_per_ms = (LINK_MBPS * 125.0) as u64;
+    let mut queue = std::collections::VecDeque::new();
+    let (mut longest_ms, mut admitted, mut refused) = (0, 0, 0);
+    for now_ms in 0..20_000_u64 {
+        if now_ms % PAUSE_MS == 0 {
+            match meter.offer("download", LIMIT_MS) {
+                Ok(share) => {
+                    admitted += 1;
+                    queue.push_back((now_ms, DOWNLOAD_BYTES, share));
+                }
+                Err(_) => refused += 1,
+            }
+        }
+        if let Some((_, left, _)) = queue.front_mut() {
+            *left = left.saturating_sub(bytes_per_ms);
+        }
+        if queue.front().is_some_and(|(_, left, _)| *left == 0) {
+            let (arrived_ms, _, share) = queue.pop_front().expect("the front is there");
+            longest_ms = longest_ms.max(now_ms - arrived_ms);
+            meter.finished(share);
+        }
+    }
+    (longest_ms, admitted, refused)
+}
+
+#[test]
+fn what_is_taken_on_is_sent_in_time() {
+    let (longest_ms, admitted, refused) = play(&mut meter());
+
+    assert!(longest_ms <= LIMIT_MS, "{longest_ms} ms");
+    assert!(refused > 0);
+    // The link carries 14.6 downloads a second; at least four fifths of that are served.
+    assert!(admitted >= 20 * 14 * 4 / 5, "{admitted}");
+}
+
+#[test]
+fn small_answers_are_never_refused_for_the_link() {
+    let mut meter = meter();
+    while meter.offer("download", LIMIT_MS).is_ok() {}
+
+    assert!(meter.offer("lookup", 0).is_ok());
+}
+
+#[test]
+fn a_single_download_is_taken_even_if_it_needs_longer() {
+    let mut meter = meter();
+
+    assert!(meter.offer("download", 1).is_ok());
+    assert!(meter.offer("download", 1).is_err());
+}
+
+#[test]
+fn a_download_that_is_given_up_makes_room() {
+    let mut meter = meter();
+    let share = meter.offer("download", 1).expect("the link is free");
+
+    meter.finished(share);
+
+    assert!(meter.offer("download", 1).is_ok());
+}
--- a/jayrack-mesh/tests/readers.rs
+++ b/jayrack-mesh/tests/readers.rs
@@ -6,6 +6,7 @@
 fn fleet(size: u8) -> Vec<ReaderCandidate> {
     let candidate = |number| ReaderCandidate {
         address: IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)),
+        link_mbps: 10,
         reaches_store: true,
     };
     (0..size).map(candidate).collect()
@@ -59,3 +60,14 @@
 
     assert_eq!(readers(alone).len(), 1);
 }
+
+#[test]
+fn hosts_with_wide_links_come_first() {
+    let mut candidates = fleet(14);
+    candidates[3].link_mbps = 140;
+    candidates[9].link_mbps = 140;
+
+    let expected = [candidates[3].address, candidates[9].address];
+
+    assert_eq!(readers(&candidates), expected);
+}
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -139,6 +139,7 @@
             epoch,
             revision: 0,
             data_centre: settings.host.data_centre.clone(),
+            link_mbps: settings.host.link_mbps as u32,
             forward: settings.listen.forward,
             gossip: SocketAddr::new(settings.host.address, settings.ports[0]),
             server: None,
@@ -246,6 +247,7 @@
             .filter(is_live)
             .map(|entry| ReaderCandidate {
                 address: entry.record.address,
+                link_mbps: entry.record.link_mbps,
                 reaches_store: entry.reaches_store,
             });
         let mut candidates: Vec<ReaderCandidate> = others
@@ -253,6 +255,7 @@
             .collect();
         candidates.push(ReaderCandidate {
             address: own.address,
+            link_mbps: own.link_mbps,
             reaches_store: core.reaches_store,
         });
         is_reader(own.address, &candidates)
--- a/jayrack-meshd/src/settings.rs
+++ b/jayrack-meshd/src/settings.rs
@@ -29,7 +29,7 @@
 }
 
 /// The host that the daemon runs on.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostSettings {
     /// Name, for logs.
@@ -38,6 +38,8 @@
     pub address: IpAddr,
     /// Data centre.
     pub data_centre: String,
+    /// Rate of the host's link, in megabits a second.
+    pub link_mbps: f64,
 }
 
 /// The backend server beside the daemon.
@@ -153,6 +155,10 @@
     if !(0.0..=1.0).contains(&bounds.repeat_ratio) {
         return Err(out_of_range("bounds.repeat_ratio"));
     }
+    let link_mbps = settings.host.link_mbps;
+    if !(link_mbps > 0.0 && link_mbps.is_finite()) {
+        return Err(out_of_range("host.link_mbps"));
+    }
     let [first, last] = settings.ports;
     if first == 0 || first >= last {
         return Err(out_of_range("ports"));
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -5,12 +5,14 @@
 //! * [`router`]: choice of hosts, shares of split routes and the budget of repeats.
 //! * [`owner`]: requests for the backend server beside the daemon.
 //! * [`gate`]: the driver of its slots.
+//! * [`link`]: the driver of the host's link for large answers.
 //! * [`forward`]: what one daemon tells another about a request.
 //! * [`pool`]: outgoing connections; [`body`]: bodies of answers.
 pub mod body;
 pub mod forward;
 pub mod gate;
 pub mod ingress;
+pub mod link;
 pub mod listener;
 pub mod owner;
 pub mod pool;
--- a/jayrack-meshd/src/traffic/gate.rs
+++ b/jayrack-meshd/src/traffic/gate.rs
@@ -78,6 +78,11 @@
         self.lock().gate.load()
     }
 
+    /// Average time that requests of `route` take, in milliseconds.
+    pub fn expected_ms(&self, route: &str) -> f64 {
+        self.lock().gate.expected_ms(route)
+    }
+
     /// Milliseconds by the clock that the gate's requests are timed with.
     pub fn now_ms(&self) -> u64 {
         self.inner.started.elapsed().as_millis() as u64
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -24,6 +24,7 @@
 use super::{
     body::AnswerBody,
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
+    link::HostLink,
     owner::{self, OwnedRequest, WHOLE_ANSWER_BYTES},
     pool::{self, ConnectionPool},
     router::IngressRouter,
@@ -72,6 +73,8 @@
     pub peer_pool: ConnectionPool,
     /// Connections to the backend server beside the daemon.
     pub server_pool: ConnectionPool,
+    /// The host's link.
+    pub link: HostLink,
     /// Wakes all connections when the daemon closes them.
     pub closing: Notify,
 }
@@ -89,6 +92,7 @@
         };
         Self {
             router: IngressRouter::new(mesh.clone(), seed),
+            link: HostLink::new(mesh.settings.host.link_mbps),
             mesh,
             peer_pool: ConnectionPool::new(options(PEER_CONNECT_TIMEOUT, PEER_MAX_IDLE)),
             server_pool: ConnectionPool::new(options(SERVER_CONNECT_TIMEOUT, SERVER_MAX_IDLE)),
@@ -113,7 +117,14 @@
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => {
             let body = body.to_bytes();
-            let request = OwnedRequest { head, parts, body };
+            let request = OwnedRequest {
+                is_remote: true,
+                head,
+                parts,
+                body,
+            };
+            // The connection learns first whether the other daemon has closed it meanwhile.
+            tokio::task::yield_now().await;
             owner::serve(state, request).await.encode()
         }
         Err(error) => {
@@ -476,7 +487,12 @@
     let mut parts = request.parts.clone();
     let body = request.body.clone();
     if candidate.address == state.mesh.settings.host.address {
-        let request = OwnedRequest { head, parts, body };
+        let request = OwnedRequest {
+            is_remote: false,
+            head,
+            parts,
+            body,
+        };
         return Attempt::Replied(owner::serve(state, request).await);
     }
     let forward = {
--- /dev/null
+++ b/jayrack-meshd/src/traffic/link.rs
@@ -0,0 +1,115 @@
+//! The driver of the host's link for large answers.
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use jayrack_mesh::link::{LinkMeter, LinkShare};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, sleep_until},
+};
+
+/// Large answers that are sent at a time.
+const TRANSFERS: usize = 1;
+
+/// The link of this host; clones share it.
+#[derive(Debug, Clone)]
+pub struct HostLink {
+    meter: Arc<Mutex<LinkMeter>>,
+    turns: Arc<Semaphore>,
+}
+
+/// A place among the answers that the link has taken on; dropping it gives the place up.
+#[derive(Debug)]
+pub struct LinkTicket {
+    link: HostLink,
+    share: Option<LinkShare>,
+}
+
+/// The turn of an answer to be sent, and its place.
+///
+/// Written bytes wait in the buffers of the link, so the turn ends no sooner than the link has carried them.
+#[derive(Debug)]
+pub struct LinkTurn {
+    held: Option<(LinkTicket, OwnedSemaphorePermit)>,
+    carried_at: Instant,
+}
+
+impl Drop for LinkTurn {
+    fn drop(&mut self) {
+        let Some(held) = self.held.take() else { return };
+        let carried_at = self.carried_at;
+        if carried_at > Instant::now() {
+            tokio::spawn(async move {
+                sleep_until(carried_at).await;
+                drop(held);
+            });
+        }
+    }
+}
+
+impl HostLink {
+    /// Creates the driver of a link of `megabits_per_second`.
+    pub fn new(megabits_per_second: f64) -> Self {
+        Self {
+            meter: Arc::new(Mutex::new(LinkMeter::new(megabits_per_second))),
+            turns: Arc::new(Semaphore::new(TRANSFERS)),
+        }
+    }
+
+    /// Takes the expected answer of `route` on if it can be sent within `limit_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Returns after how many milliseconds there may be room.
+    pub fn reserve(&self, route: &str, limit_ms: u64) -> Result<LinkTicket, u64> {
+        let share = self.lock().offer(route, limit_ms)?;
+        Ok(LinkTicket {
+            link: self.clone(),
+            share: Some(share),
+        })
+    }
+
+    /// Notes the size of an answer of `route`.
+    pub fn observe(&self, route: &str, bytes: u64) {
+        self.lock().observe(route, bytes);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkMeter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LinkTicket {
+    /// Takes the turn of an answer of `bytes` if no other one is being sent; returns the ticket if one is.
+    pub fn try_turn(self, bytes: u64) -> Result<LinkTurn, Self> {
+        match self.link.turns.clone().try_acquire_owned() {
+            Ok(turn) => Ok(self.start(bytes, Some(turn))),
+            Err(_) => Err(self),
+        }
+    }
+
+    /// Waits until the answer of `bytes` may be sent.
+    pub async fn take_turn(self, bytes: u64) -> LinkTurn {
+        // The semaphore is never closed.
+        let turn = self.link.turns.clone().acquire_owned().await.ok();
+        self.start(bytes, turn)
+    }
+
+    fn start(self, bytes: u64, turn: Option<OwnedSemaphorePermit>) -> LinkTurn {
+        let sending_ms = self.link.lock().sending_ms(bytes);
+        LinkTurn {
+            held: turn.map(|turn| (self, turn)),
+            carried_at: Instant::now() + Duration::from_millis(sending_ms),
+        }
+    }
+}
+
+impl Drop for LinkTicket {
+    fn drop(&mut self) {
+        if let Some(share) = self.share.take() {
+            self.link.lock().finished(share);
+        }
+    }
+}
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -11,7 +11,10 @@
     header::{self, HeaderValue},
     http::request,
 };
-use jayrack_mesh::gate::{GateRefusal, GateRequest, RefusalReason};
+use jayrack_mesh::{
+    gate::{GateRefusal, GateRequest, RefusalReason},
+    link::LARGE_ANSWER_BYTES,
+};
 use jayrack_platform::headers;
 
 use super::{
@@ -19,11 +22,14 @@
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
     gate::SlotPermit,
     ingress::TrafficState,
+    link::LinkTicket,
     pool,
 };
 
 /// Largest answer that is read whole before it is passed on, so that a broken one can be replaced.
 pub const WHOLE_ANSWER_BYTES: usize = 48 << 10;
+/// Largest answer that is kept while it waits for the link, in bytes; the link's meter bounds their sum.
+const MAX_HELD_BYTES: usize = 4 << 20;
 /// Longest idle time of a connection for a request that must not run twice: the server may close it
 /// at any time later on, and the loss could not be told from a run.
 const UNSAFE_MAX_IDLE: Duration = Duration::from_secs(2);
@@ -37,6 +43,8 @@
 /// A forwarded request with its head and whole body.
 #[derive(Debug)]
 pub struct OwnedRequest {
+    /// Whether its answer goes to another host.
+    pub is_remote: bool,
     /// What the ingress decided.
     pub head: ForwardHead,
     /// Method, address and headers as the caller sent them.
@@ -48,8 +56,18 @@
 /// Takes a request to the backend server when its turn comes.
 pub async fn serve(state: &Arc<TrafficState>, request: OwnedRequest) -> OwnerReply {
     let received = Instant::now();
-    let outcome = match admit(state, &request.head).await {
-        Ok(permit) => run(state, request, permit, received).await,
+    let admitted = match reserve_link(state, &request) {
+        Ok(share) => admit(state, &request.head)
+            .await
+            .map(|permit| (permit, share)),
+        Err(refusal) => Err(refusal),
+    };
+    let outcome = match admitted {
+        Ok((permit, share)) => {
+            let route = request.head.route.clone();
+            let outcome = run(state, request, permit, received).await;
+            send_in_turn(state, &route, outcome, share).await
+        }
         Err(refusal) => {
             log_refusal(&request, &refusal);
             not_run(refusal)
@@ -61,6 +79,81 @@
     }
 }
 
+/// Takes the expected answer on for the host's link, if it goes over it.
+fn reserve_link(
+    state: &TrafficState,
+    request: &OwnedRequest,
+) -> Result<Option<LinkTicket>, GateRefusal> {
+    if !request.is_remote {
+        return Ok(None);
+    }
+    let head = &request.head;
+    let service_ms = state.mesh.gate.expected_ms(&head.route) as u64;
+    let limit_ms = head
+        .target_left_ms
+        .min(head.time_left_ms)
+        .saturating_sub(service_ms);
+    match state.link.reserve(&head.route, limit_ms) {
+        Ok(ticket) => Ok(Some(ticket)),
+        Err(retry_after_ms) => {
+            state.mesh.metrics.count_gate("link");
+            Err(GateRefusal {
+                reason: RefusalReason::Busy,
+                retry_after_ms,
+            })
+        }
+    }
+}
+
+/// Lets a large answer wait for its turn on the link.
+async fn send_in_turn(
+    state: &TrafficState,
+    route: &str,
+    outcome: OwnerOutcome,
+    ticket: Option<LinkTicket>,
+) -> OwnerOutcome {
+    let OwnerOutcome::Answered {
+        response,
+        service_ms,
+    } = outcome
+    else {
+        return outcome;
+    };
+    let length = forward::number(response.headers(), header::CONTENT_LENGTH);
+    if let Some(length) = length {
+        state.link.observe(route, length);
+    }
+    let is_large = length.is_none_or(|length| length >= LARGE_ANSWER_BYTES);
+    let Some(ticket) = ticket.filter(|_| is_large) else {
+        return OwnerOutcome::Answered {
+            response,
+            service_ms,
+        };
+    };
+    let bytes = length.unwrap_or_default();
+    let (turn, response) = match ticket.try_turn(bytes) {
+        Ok(turn) => (turn, response),
+        Err(ticket) => {
+            // The slot is given back while the answer waits for the link.
+            let (parts, body) = response.into_parts();
+            let body = match body.collect_up_to(MAX_HELD_BYTES).await {
+                Ok(bytes) => AnswerBody::whole(bytes),
+                Err(error) => {
+                    log::warn!(route = route, error:? = error; "large answer of the server broke off");
+                    return OwnerOutcome::Lost;
+                }
+            };
+            let turn = ticket.take_turn(bytes).await;
+            (turn, Response::from_parts(parts, body))
+        }
+    };
+    let response = response.map(|body| body.holding(Box::new(turn)));
+    OwnerOutcome::Answered {
+        response,
+        service_ms,
+    }
+}
+
 async fn admit(state: &Arc<TrafficState>, head: &ForwardHead) -> Result<SlotPermit, GateRefusal> {
     let closed = GateRefusal {
         reason: RefusalReason::Closed,
@@ -109,7 +202,9 @@
     mut permit: SlotPermit,
     received: Instant,
 ) -> OwnerOutcome {
-    let OwnedRequest { head, parts, body } = request;
+    let OwnedRequest {
+        head, parts, body, ..
+    } = request;
     let id = parts.headers.get(headers::REQUEST_ID).cloned();
     let running = id.as_ref().and_then(|id| id.to_str().ok());
     let _running = running.map(|id| state.mesh.note_running(id));
