--- a/jayrack-mesh/src/link.rs
+++ b/jayrack-mesh/src/link.rs
@@ -57,6 +57,11 @@
         Ok(LinkShare { bytes: size })
     }
 
+    /// Average size of the answers of `route`, in bytes.
+    pub fn expected_bytes(&self, route: &str) -> u64 {
+        self.sizes.get(route).map_or(0, |size| *size as u64)
+    }
+
     /// Time in which the link carries `bytes`, in milliseconds.
     pub fn sending_ms(&self, bytes: u64) -> u64 {
         (bytes as f64 / self.bytes_per_ms) as u64
--- a/jayrack-meshd/src/traffic/body.rs
+++ b/jayrack-meshd/src/traffic/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers, whole or on their way.
 use std::{
     any::Any,
+    collections::VecDeque,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -23,6 +24,8 @@
 enum BodySource {
     Whole(Full<Bytes>),
     Streamed(Incoming),
+    /// The part that was read ahead, and the rest.
+    Begun(VecDeque<Bytes>, Incoming),
 }
 
 /// Why a body was not read whole.
@@ -57,6 +60,39 @@
         self
     }
 
+    /// Whether all of the body is there.
+    pub fn is_whole(&self) -> bool {
+        matches!(self.source, BodySource::Whole(_))
+    }
+
+    /// Reads ahead until the body has ended or is longer than `limit` bytes.
+    ///
+    /// A body that has ended is whole, and its guards are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Broken`] if the body ends early.
+    pub async fn read_ahead(mut self, limit: usize) -> Result<Self, Error> {
+        let BodySource::Streamed(mut incoming) = self.source else {
+            return Ok(self);
+        };
+        let mut read = VecDeque::new();
+        let mut length = 0;
+        while length <= limit {
+            let Some(frame) = incoming.frame().await else {
+                let parts: Vec<Bytes> = read.into();
+                return Ok(Self::whole(Bytes::from(parts.concat())));
+            };
+            let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                length += data.len();
+                read.push_back(data);
+            }
+        }
+        self.source = BodySource::Begun(read, incoming);
+        Ok(self)
+    }
+
     /// Reads the rest; the guards are dropped.
     ///
     /// # Errors
@@ -84,6 +120,10 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             BodySource::Streamed(body) => Pin::new(body).poll_frame(cx),
+            BodySource::Begun(read, body) => match read.pop_front() {
+                Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                None => Pin::new(body).poll_frame(cx),
+            },
         };
         if matches!(polled, Poll::Ready(None | Some(Err(_)))) || self.is_end_stream() {
             self.guards.clear();
@@ -95,6 +135,7 @@
         match &self.source {
             BodySource::Whole(body) => body.is_end_stream(),
             BodySource::Streamed(body) => body.is_end_stream(),
+            BodySource::Begun(read, body) => read.is_empty() && body.is_end_stream(),
         }
     }
 
@@ -102,6 +143,16 @@
         match &self.source {
             BodySource::Whole(body) => body.size_hint(),
             BodySource::Streamed(body) => body.size_hint(),
+            BodySource::Begun(read, body) => {
+                let read: u64 = read.iter().map(|data| data.len() as u64).sum();
+                let rest = body.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(read + rest.lower());
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(read + upper);
+                }
+                hint
+            }
         }
     }
 }
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{self, HeaderValue},
     http::request::Parts,
 };
@@ -117,12 +117,7 @@
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => {
             let body = body.to_bytes();
-            let request = OwnedRequest {
-                is_remote: true,
-                head,
-                parts,
-                body,
-            };
+            let request = OwnedRequest { head, parts, body };
             // The connection learns first whether the other daemon has closed it meanwhile.
             tokio::task::yield_now().await;
             owner::serve(state, request).await.encode()
@@ -487,12 +482,7 @@
     let mut parts = request.parts.clone();
     let body = request.body.clone();
     if candidate.address == state.mesh.settings.host.address {
-        let request = OwnedRequest {
-            is_remote: false,
-            head,
-            parts,
-            body,
-        };
+        let request = OwnedRequest { head, parts, body };
         return Attempt::Replied(owner::serve(state, request).await);
     }
     let forward = {
@@ -547,16 +537,16 @@
 /// Reads a small answer whole, so that a broken one can be replaced.
 async fn collect_small(response: Response<AnswerBody>, service_ms: u64) -> OwnerOutcome {
     let length = forward::number(response.headers(), header::CONTENT_LENGTH);
-    if length.is_none_or(|length| length > WHOLE_ANSWER_BYTES as u64) {
+    if length.is_some_and(|length| length > WHOLE_ANSWER_BYTES as u64) {
         return OwnerOutcome::Answered {
             response,
             service_ms,
         };
     }
     let (parts, body) = response.into_parts();
-    match body.collect_up_to(WHOLE_ANSWER_BYTES).await {
-        Ok(bytes) => OwnerOutcome::Answered {
-            response: Response::from_parts(parts, AnswerBody::whole(bytes)),
+    match body.read_ahead(WHOLE_ANSWER_BYTES).await {
+        Ok(body) => OwnerOutcome::Answered {
+            response: Response::from_parts(parts, body),
             service_ms,
         },
         Err(error) => {
@@ -623,7 +613,7 @@
             service_ms,
         } => HostOutcome::Answered {
             service_ms: *service_ms,
-            answer_bytes: forward::number(response.headers(), header::CONTENT_LENGTH).unwrap_or(0),
+            answer_bytes: answer_bytes(response),
         },
         OwnerOutcome::NotRun {
             reason: NotRunReason::ServerDown | NotRunReason::Closed,
@@ -636,6 +626,12 @@
     }
 }
 
+/// Size of an answer as far as it is known; at least what was read of it.
+fn answer_bytes(response: &Response<AnswerBody>) -> u64 {
+    let stated = forward::number(response.headers(), header::CONTENT_LENGTH);
+    stated.unwrap_or_else(|| response.body().size_hint().lower())
+}
+
 fn to_response(
     state: &TrafficState,
     answer: CallerAnswer,
--- a/jayrack-meshd/src/traffic/link.rs
+++ b/jayrack-meshd/src/traffic/link.rs
@@ -71,6 +71,11 @@
         })
     }
 
+    /// Average size of the answers of `route`, in bytes.
+    pub fn expected_bytes(&self, route: &str) -> u64 {
+        self.lock().expected_bytes(route)
+    }
+
     /// Notes the size of an answer of `route`.
     pub fn observe(&self, route: &str, bytes: u64) {
         self.lock().observe(route, bytes);
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
+    body::Body,
     header::{self, HeaderValue},
     http::request,
 };
@@ -43,8 +44,6 @@
 /// A forwarded request with its head and whole body.
 #[derive(Debug)]
 pub struct OwnedRequest {
-    /// Whether its answer goes to another host.
-    pub is_remote: bool,
     /// What the ingress decided.
     pub head: ForwardHead,
     /// Method, address and headers as the caller sent them.
@@ -79,14 +78,8 @@
     }
 }
 
-/// Takes the expected answer on for the host's link, if it goes over it.
-fn reserve_link(
-    state: &TrafficState,
-    request: &OwnedRequest,
-) -> Result<Option<LinkTicket>, GateRefusal> {
-    if !request.is_remote {
-        return Ok(None);
-    }
+/// Takes the expected answer on for the host's link; the callers of this host are reached over it, too.
+fn reserve_link(state: &TrafficState, request: &OwnedRequest) -> Result<LinkTicket, GateRefusal> {
     let head = &request.head;
     let service_ms = state.mesh.gate.expected_ms(&head.route) as u64;
     let limit_ms = head
@@ -94,7 +87,7 @@
         .min(head.time_left_ms)
         .saturating_sub(service_ms);
     match state.link.reserve(&head.route, limit_ms) {
-        Ok(ticket) => Ok(Some(ticket)),
+        Ok(ticket) => Ok(ticket),
         Err(retry_after_ms) => {
             state.mesh.metrics.count_gate("link");
             Err(GateRefusal {
@@ -110,7 +103,7 @@
     state: &TrafficState,
     route: &str,
     outcome: OwnerOutcome,
-    ticket: Option<LinkTicket>,
+    ticket: LinkTicket,
 ) -> OwnerOutcome {
     let OwnerOutcome::Answered {
         response,
@@ -119,18 +112,21 @@
     else {
         return outcome;
     };
-    let length = forward::number(response.headers(), header::CONTENT_LENGTH);
-    if let Some(length) = length {
-        state.link.observe(route, length);
+    let bytes = if response.body().is_whole() {
+        response.body().size_hint().exact()
+    } else {
+        forward::number(response.headers(), header::CONTENT_LENGTH)
+    };
+    if let Some(bytes) = bytes {
+        state.link.observe(route, bytes);
     }
-    let is_large = length.is_none_or(|length| length >= LARGE_ANSWER_BYTES);
-    let Some(ticket) = ticket.filter(|_| is_large) else {
+    let bytes = bytes.unwrap_or_else(|| state.link.expected_bytes(route));
+    if bytes < LARGE_ANSWER_BYTES {
         return OwnerOutcome::Answered {
             response,
             service_ms,
         };
-    };
-    let bytes = length.unwrap_or_default();
+    }
     let (turn, response) = match ticket.try_turn(bytes) {
         Ok(turn) => (turn, response),
         Err(ticket) => {
@@ -202,9 +198,7 @@
     mut permit: SlotPermit,
     received: Instant,
 ) -> OwnerOutcome {
-    let OwnedRequest {
-        head, parts, body, ..
-    } = request;
+    let OwnedRequest { head, parts, body } = request;
     let id = parts.headers.get(headers::REQUEST_ID).cloned();
     let running = id.as_ref().and_then(|id| id.to_str().ok());
     let _running = running.map(|id| state.mesh.note_running(id));
@@ -287,15 +281,19 @@
     forward::strip_hop_by_hop(&mut parts.headers);
     forward::strip_own(&mut parts.headers);
     let length = forward::number(&parts.headers, header::CONTENT_LENGTH);
-    let is_small = length.is_some_and(|length| length <= WHOLE_ANSWER_BYTES as u64);
-    let body = if is_small {
-        match body.collect_up_to(WHOLE_ANSWER_BYTES).await {
-            Ok(bytes) => AnswerBody::whole(bytes),
+    let body = if length.is_none_or(|length| length <= WHOLE_ANSWER_BYTES as u64) {
+        match body.read_ahead(WHOLE_ANSWER_BYTES).await {
+            Ok(body) => body,
             Err(error) => {
                 log_lost(&id, &format!("the answer broke off: {error:?}"));
                 return OwnerOutcome::Lost;
             }
         }
+    } else {
+        body
+    };
+    let body = if body.is_whole() {
+        body
     } else {
         body.holding(Box::new(permit))
     };
