--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -11,7 +11,7 @@
 use super::ControlState;
 
 /// Topic with the hosts of the fleet.
-const TOPIC: &str = "keyed.jayrack-hosts";
+const TOPIC: &str = "jayrack-hosts";
 const HOST_PREFIX: &str = "host/";
 const LEFT_PREFIX: &str = "left/";
 
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -126,7 +126,7 @@
     /// The backend server answered.
     Answered {
         /// Its answer, with its own headers only.
-        response: Response<AnswerBody>,
+        response: Box<Response<AnswerBody>>,
         /// Time until its answer began, in milliseconds.
         service_ms: u64,
     },
@@ -157,7 +157,7 @@
             OwnerOutcome::Answered {
                 response,
                 service_ms,
-            } => (response, ANSWERED, service_ms),
+            } => (*response, ANSWERED, service_ms),
             OwnerOutcome::NotRun {
                 reason,
                 retry_after_ms,
@@ -191,7 +191,7 @@
         };
         let outcome = match outcome {
             ANSWERED => OwnerOutcome::Answered {
-                response,
+                response: Box::new(response),
                 service_ms: time_ms,
             },
             LOST => OwnerOutcome::Lost,
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -363,14 +363,14 @@
         OwnerOutcome::Answered { response, .. } => {
             trail.runs += 1;
             if !response.status().is_server_error() {
-                return Some(CallerAnswer::Answer(response));
+                return Some(CallerAnswer::Answer(*response));
             }
             if may_repeat(state, request, trail) {
                 log_repeat(request, trail, response.status().as_str());
-                trail.failure = Some(response);
+                trail.failure = Some(*response);
                 return None;
             }
-            Some(CallerAnswer::Answer(response))
+            Some(CallerAnswer::Answer(*response))
         }
         OwnerOutcome::NotRun {
             reason,
@@ -535,7 +535,7 @@
 }
 
 /// Reads a small answer whole, so that a broken one can be replaced.
-async fn collect_small(response: Response<AnswerBody>, service_ms: u64) -> OwnerOutcome {
+async fn collect_small(response: Box<Response<AnswerBody>>, service_ms: u64) -> OwnerOutcome {
     let length = forward::number(response.headers(), header::CONTENT_LENGTH);
     if length.is_some_and(|length| length > WHOLE_ANSWER_BYTES as u64) {
         return OwnerOutcome::Answered {
@@ -546,7 +546,7 @@
     let (parts, body) = response.into_parts();
     match body.read_ahead(WHOLE_ANSWER_BYTES).await {
         Ok(body) => OwnerOutcome::Answered {
-            response: Response::from_parts(parts, body),
+            response: Box::new(Response::from_parts(parts, body)),
             service_ms,
         },
         Err(error) => {
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -128,7 +128,7 @@
         };
     }
     let (turn, response) = match ticket.try_turn(bytes) {
-        Ok(turn) => (turn, response),
+        Ok(turn) => (turn, *response),
         Err(ticket) => {
             // The slot is given back while the answer waits for the link.
             let (parts, body) = response.into_parts();
@@ -145,7 +145,7 @@
     };
     let response = response.map(|body| body.holding(Box::new(turn)));
     OwnerOutcome::Answered {
-        response,
+        response: Box::new(response),
         service_ms,
     }
 }
@@ -298,7 +298,7 @@
         body.holding(Box::new(permit))
     };
     OwnerOutcome::Answered {
-        response: Response::from_parts(parts, body),
+        response: Box::new(Response::from_parts(parts, body)),
         service_ms,
     }
 }
--- /dev/null
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -0,0 +1,338 @@
+//! A fleet of daemon processes on loopback addresses, with a stand-in of the store in this process.
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderMap, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use jayrack_platform::{
+    headers, pool,
+    store::{self, StoreClient},
+};
+use jayrack_testkit::{log_standin::LogStandin, standin_process::ANY_PORT};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
+
+/// Only ends a test that hangs.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Pause between two looks at a state that is waited for.
+const PAUSE: Duration = Duration::from_millis(20);
+const CALLERS_PORT: u16 = 21_001;
+const FORWARD_PORT: u16 = 21_002;
+const READY_PORT: u16 = 21_003;
+const REPORTS_PORT: u16 = 21_004;
+const SERVER_PORT: u16 = 21_005;
+
+/// Numbers the hosts of this process; each has a loopback address of its own.
+static HOSTS: AtomicU8 = AtomicU8::new(1);
+
+/// An answer, read whole.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// The store and its client.
+pub struct FleetStore {
+    pub standin: LogStandin,
+    client: StoreClient,
+}
+
+impl FleetStore {
+    pub async fn start() -> Self {
+        let standin = LogStandin::start(ANY_PORT).await.unwrap();
+        let second = Duration::from_secs(1);
+        let options = store::Options {
+            pool: pool::Options::default(),
+            answer_timeout: second,
+            wait_grace: second,
+        };
+        let client = StoreClient::new(standin.address(), options);
+        Self { standin, client }
+    }
+
+    /// Writes what an operator writes.
+    pub async fn put_configuration(&self, text: &str) {
+        let put = self.client.put("op", "config", text.as_bytes());
+        put.await.unwrap();
+    }
+}
+
+/// A configuration with the routes `/book/` (must not run twice) and `/browse/` to the service `slots`.
+pub fn configuration(version: u64, timeout_s: f64) -> String {
+    let route = |name: &str, kind: &str| {
+        serde_json::json!({
+            "name": name, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_s": timeout_s,
+            "target_latency_s": 0.5, "priority": 0, "service": "slots", "attempts": 2,
+        })
+    };
+    serde_json::json!({
+        "version": version, "base_version": 0,
+        "services": [{"name": "slots", "health_path": "/health", "max_connections": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_s": 3, "idle_timeout_s": 15},
+        "virtual_hosts": [{"host": "a.example", "paths": [route("book", "unsafe"), route("browse", "safe")]}],
+    })
+    .to_string()
+}
+
+/// A daemon process and the addresses of its host.
+pub struct HostProcess {
+    pub address: IpAddr,
+    settings: std::path::PathBuf,
+    child: Child,
+}
+
+impl HostProcess {
+    /// Starts a daemon on a loopback address of its own.
+    pub fn start(store: &FleetStore) -> Self {
+        let number = HOSTS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let address = Ipv4Addr::new(
+            127,
+            1 + (process % 250) as u8,
+            (process / 250) as u8,
+            number,
+        );
+        let settings = std::env::temp_dir().join(format!("jayrack-meshd-{process}-{number}.jsonc"));
+        std::fs::write(&settings, settings_of(address, store.standin.address())).unwrap();
+        let child = spawn(&settings);
+        Self {
+            address: address.into(),
+            settings,
+            child,
+        }
+    }
+
+    /// Ends the process without a warning.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        let id = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(id, rustix::process::Signal::TERM).unwrap();
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(started.elapsed() < LIMIT, "the process does not end");
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Starts the daemon again.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings);
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        (self.address, CALLERS_PORT).into()
+    }
+
+    pub fn server(&self) -> SocketAddr {
+        (self.address, SERVER_PORT).into()
+    }
+
+    /// Sends a caller's request.
+    pub async fn ask(&self, method: Method, path: &str, id: &str) -> Option<WholeAnswer> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "a.example")
+            .header(headers::REQUEST_ID, id)
+            .header(headers::TIME_LEFT_MS, 5_000);
+        exchange(self.callers(), request.body(Full::default()).unwrap()).await
+    }
+
+    /// Sends a status report or a departure of the server `instance`; whether it was acknowledged.
+    pub async fn report(&self, instance: &str, call: &str, body: serde_json::Value) -> bool {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("/jayrack/rpc?call=instances.{call}&of={instance}"))
+            .header("host", "reports");
+        let body = Full::from(body.to_string());
+        let address = (self.address, REPORTS_PORT).into();
+        let answer = exchange(address, request.body(body).unwrap()).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// The body of a status report of this host's server.
+    pub fn status(&self, state: &str, born: u64, sequence: u64) -> serde_json::Value {
+        serde_json::json!({
+            "service": "slots", "address": self.server().to_string(), "zone": "z", "version": "v1",
+            "slots": 4, "state": state, "warmup_left_s": 0, "sequence": sequence, "born": born,
+        })
+    }
+
+    /// Waits until reports are taken.
+    pub async fn until_reported(&self, instance: &str, body: serde_json::Value) {
+        until("a report is taken", || {
+            let body = body.clone();
+            async move { self.report(instance, "heartbeat", body).await }
+        })
+        .await;
+    }
+
+    /// Waits until the daemon says that it takes callers, or that it does not.
+    pub async fn until_ready(&self, expected: StatusCode) {
+        until("readiness changes", || async {
+            let request = Request::builder()
+                .uri(headers::READY_PATH)
+                .header("host", "ready")
+                .body(Full::default())
+                .unwrap();
+            let answer = exchange((self.address, READY_PORT).into(), request).await;
+            answer.is_some_and(|answer| answer.status == expected)
+        })
+        .await;
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        // A process that has ended already needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn spawn(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_jayrack-meshd"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+fn settings_of(address: Ipv4Addr, store: SocketAddr) -> String {
+    format!(
+        r#"{{
+  "host": {{ "name": "{address}", "address": "{address}", "data_centre": "z", "link_mbps": 1000 }},
+  "server": {{ "address": "{address}:{SERVER_PORT}", "service": "slots" }},
+  "listen": {{
+    "callers": "{address}:{CALLERS_PORT}", "forward": "{address}:{FORWARD_PORT}",
+    "ready": "{address}:{READY_PORT}", "reports": "{address}:{REPORTS_PORT}"
+  }},
+  "ports": [21010, 21011],
+  "store": "{store}",
+  "bounds": {{
+    "departure_s": 2, "stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 60, "repeat_window_s": 10
+  }}
+}}"#
+    )
+}
+
+/// Waits until `is_reached` holds.
+pub async fn until<F, Fut>(what: &str, is_reached: F)
+where
+    F: Fn() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let started = Instant::now();
+    while !is_reached().await {
+        assert!(started.elapsed() < LIMIT, "{what}: not reached");
+        sleep(PAUSE).await;
+    }
+}
+
+async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<WholeAnswer> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let connecting = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = connecting.ok()?;
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let (parts, body) = response.into_parts();
+    Some(WholeAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.collect().await.ok()?.to_bytes(),
+    })
+}
+
+/// A backend server in this process.
+#[derive(Clone)]
+pub struct ServerStandin {
+    instance: String,
+    delay: Duration,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl ServerStandin {
+    /// Serves at `address` as `instance`; each answer takes `delay`.
+    pub async fn start(address: SocketAddr, instance: &str, delay: Duration) -> Self {
+        let standin = Self {
+            instance: instance.to_string(),
+            delay,
+            runs: Arc::default(),
+        };
+        let listener = TcpListener::bind(address).await.unwrap();
+        let served = standin.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let served = served.clone();
+                let service = service_fn(move |request| served.clone().answer(request));
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(connection);
+            }
+        });
+        standin
+    }
+
+    /// Identifiers of the requests that were run, in order.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, std::convert::Infallible> {
+        let text = |name| {
+            let value: Option<&HeaderValue> = request.headers().get(name);
+            value.and_then(|value| value.to_str().ok()).unwrap_or("")
+        };
+        let mut response = Response::new(Full::from("whole"));
+        if text(headers::EXPECTED_INSTANCE) != self.instance {
+            *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return Ok(response);
+        }
+        let id = text(headers::REQUEST_ID).to_string();
+        self.runs.lock().unwrap().push(id.clone());
+        sleep(self.delay).await;
+        let fields = response.headers_mut();
+        fields.insert(headers::REQUEST_ID, HeaderValue::from_str(&id).unwrap());
+        fields.insert(
+            headers::ANSWER_SIGNATURE,
+            HeaderValue::from_static("signed"),
+        );
+        Ok(response)
+    }
+}
