feat: trails of requests in bounded logs, and a verb that joins them

One request in sixteen is logged whole by all daemons, chosen by a hash of its identifier; failures and changes of belief always, each kind within its own budget of lines a second.

--- a/jayrack-meshd/src/logging.rs
+++ b/jayrack-meshd/src/logging.rs
@@ -11,12 +11,19 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::Map;
 
-/// Lines that may be written within one second; a tenth of them is kept for warnings.
-const LINES_PER_SECOND: u64 = 60;
+/// Target of lines about single requests; all other lines are about beliefs and the process.
+pub const REQUEST: &str = "request";
+/// Lines about requests that may be written within one second.
+const REQUEST_LINES_PER_SECOND: u64 = 40;
+/// Other lines that may be written within one second.
+const OTHER_LINES_PER_SECOND: u64 = 40;
 /// Part of the lines that only warnings and errors may use, as a divisor.
-const RESERVED_PART: u64 = 10;
+const RESERVED_PART: u64 = 4;
+/// One of so many requests is logged from its arrival to its answer; the others only if they fail.
+const SAMPLED_PART: u64 = 16;
 
-static BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
+static REQUEST_BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
+static OTHER_BUDGET: Mutex<Option<LineBudget>> = Mutex::new(None);
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 #[derive(Debug)]
@@ -34,7 +41,7 @@
     let _ = env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(OutputPipe)))
         .format(|out, record| {
-            if admit(record.level()) {
+            if admit(record) {
                 writeln!(out, "{}", line_of(record))
             } else {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
@@ -76,9 +83,25 @@
     }
 }
 
-/// Whether a line of `level` is within the budget of this second.
-fn admit(level: log::Level) -> bool {
-    let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
+/// Whether all lines of the request `id` are written; all daemons decide alike.
+pub fn is_sampled(id: &str) -> bool {
+    // The identifier of a call begins with that of its request.
+    let request = id.split('.').next().unwrap_or(id);
+    xxhash_rust::xxh3::xxh3_64(request.as_bytes()).is_multiple_of(SAMPLED_PART)
+}
+
+/// Whether a line is within the budget of this second.
+fn admit(record: &log::Record<'_>) -> bool {
+    let (budget, lines) = if record.target() == REQUEST {
+        (&REQUEST_BUDGET, REQUEST_LINES_PER_SECOND)
+    } else {
+        (&OTHER_BUDGET, OTHER_LINES_PER_SECOND)
+    };
+    let limit = match record.level() {
+        log::Level::Error | log::Level::Warn => lines,
+        _ => lines - lines / RESERVED_PART,
+    };
+    let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
     let now = Instant::now();
     let budget = budget.get_or_insert(LineBudget {
         second: now,
@@ -88,10 +111,6 @@
         budget.second = now;
         budget.written = 0;
     }
-    let limit = match level {
-        log::Level::Error | log::Level::Warn => LINES_PER_SECOND,
-        _ => LINES_PER_SECOND - LINES_PER_SECOND / RESERVED_PART,
-    };
     if budget.written >= limit {
         return false;
     }
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -5,6 +5,7 @@
     header::{self, HeaderName, HeaderValue},
 };
 use jayrack_mesh::gate::{GateLoad, Urgency};
+use jayrack_platform::headers::REQUEST_ID;
 
 use super::body::AnswerBody;
 
@@ -141,6 +142,17 @@
     Lost,
 }
 
+impl OwnerOutcome {
+    /// Name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            OwnerOutcome::Answered { .. } => ANSWERED,
+            OwnerOutcome::NotRun { reason, .. } => reason.name(),
+            OwnerOutcome::Lost => LOST,
+        }
+    }
+}
+
 /// An outcome with the load of the owner's gate.
 #[derive(Debug)]
 pub struct OwnerReply {
@@ -231,6 +243,14 @@
     }
 }
 
+/// Identifier of a request, for logs.
+pub fn id_of(headers: &HeaderMap) -> &str {
+    headers
+        .get(REQUEST_ID)
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("")
+}
+
 /// An answer without a body.
 pub fn empty(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::new()));
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -29,7 +29,7 @@
     pool::{self, ConnectionPool},
     router::IngressRouter,
 };
-use crate::shared::MeshState;
+use crate::{logging, shared::MeshState};
 
 /// Largest body of a request that is taken, in bytes; bodies are kept whole until the answer is there.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -168,6 +168,16 @@
         .latency
         .observe(started.elapsed().as_secs_f64());
     let mut response = to_response(state, answer, id);
+    let id = forward::id_of(response.headers());
+    if logging::is_sampled(id) {
+        log::info!(
+            target: logging::REQUEST,
+            id = id,
+            status = response.status().as_u16(),
+            elapsed_ms = started.elapsed().as_millis() as u64;
+            "answered"
+        );
+    }
     if state.mesh.is_leaving() {
         // The caller learns not to send anything else on this connection.
         let close = HeaderValue::from_static("close");
@@ -226,8 +236,16 @@
     let service = service
         .ok_or(CallerAnswer::Code(ResultCode::RouteInactive))?
         .to_string();
-    log::debug!(
-        id:? = parts.headers.get(headers::REQUEST_ID),
+    let id = forward::id_of(&parts.headers);
+    let level = if logging::is_sampled(id) {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        target: logging::REQUEST,
+        level,
+        id = id,
         route = route.name.as_str(),
         version = routes.version(),
         service = service.as_str(),
@@ -288,7 +306,8 @@
         return answer;
     }
     log::warn!(
-        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        target: logging::REQUEST,
+        id = forward::id_of(&request.parts.headers),
         route = request.route.name.as_str(),
         hosts:? = trail.tried,
         sent = is_sent;
@@ -329,6 +348,7 @@
         let attempt = send(state, request, candidate).await;
         *is_sent = false;
         watch.end(&attempt);
+        log_attempt(request, candidate, &attempt);
         drop(watch);
         if let Some(answer) = judge(state, request, trail, attempt) {
             return answer;
@@ -438,7 +458,8 @@
         ResultCode::Shed
     };
     log::info!(
-        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        target: logging::REQUEST,
+        id = forward::id_of(&request.parts.headers),
         route = request.route.name.as_str(),
         service = request.service.as_str(),
         urgency:? = request.urgency,
@@ -453,9 +474,34 @@
     CallerAnswer::Refusal(code, pause_ms.min(most_ms).max(MIN_RETRY_AFTER_MS))
 }
 
+/// Logs where a sampled request was sent and what came of it.
+fn log_attempt(request: &CallerRequest, candidate: &HostCandidate, attempt: &Attempt) {
+    let id = forward::id_of(&request.parts.headers);
+    if !logging::is_sampled(id) {
+        return;
+    }
+    let (outcome, load) = match attempt {
+        Attempt::Unreachable => ("unreachable", None),
+        Attempt::Lost => ("connection lost", None),
+        Attempt::Replied(reply) => (reply.outcome.name(), Some(reply.load)),
+    };
+    log::info!(
+        target: logging::REQUEST,
+        id = id,
+        host:% = candidate.address,
+        instance = candidate.instance.as_str(),
+        near = candidate.is_near,
+        paused = candidate.is_paused,
+        load:? = load,
+        outcome = outcome;
+        "attempt ended"
+    );
+}
+
 fn log_repeat(request: &CallerRequest, trail: &RequestTrail, reason: &str) {
     log::info!(
-        id:? = request.parts.headers.get(headers::REQUEST_ID),
+        target: logging::REQUEST,
+        id = forward::id_of(&request.parts.headers),
         route = request.route.name.as_str(),
         hosts:? = trail.tried,
         reason = reason;
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -27,6 +27,8 @@
     pool,
 };
 
+use crate::logging;
+
 /// Largest answer that is read whole before it is passed on, so that a broken one can be replaced.
 pub const WHOLE_ANSWER_BYTES: usize = 48 << 10;
 /// Largest answer that is kept while it waits for the link, in bytes; the link's meter bounds their sum.
@@ -223,21 +225,21 @@
         Ok(sent) => sent,
         Err(_) => {
             permit.count_time();
-            log_lost(&id, "no answer in time");
+            log_lost(id.as_ref(), "no answer in time");
             return OwnerOutcome::Lost;
         }
     };
     let answer = match sent {
         Ok(answer) => answer,
         Err(pool::Error::NotSent(error)) => {
-            log::warn!(id:? = id, error = error.as_str(); "server not reached");
+            log::warn!(target: logging::REQUEST, id = text_of(id.as_ref()), error = error.as_str(); "server not reached");
             return OwnerOutcome::NotRun {
                 reason: NotRunReason::ServerDown,
                 retry_after_ms: SERVER_DOWN_PAUSE_MS,
             };
         }
         Err(pool::Error::Lost(error)) => {
-            log_lost(&id, &error);
+            log_lost(id.as_ref(), &error);
             return OwnerOutcome::Lost;
         }
     };
@@ -260,7 +262,7 @@
     if is_refusal {
         // Read to the end, so that the connection can be used again.
         if let Err(error) = body.collect_up_to(WHOLE_ANSWER_BYTES).await {
-            log::info!(id:? = id; "refusal of the server broke off: {error:?}");
+            log::info!(target: logging::REQUEST, id = text_of(id.as_ref()); "refusal of the server broke off: {error:?}");
         }
         return OwnerOutcome::NotRun {
             reason: NotRunReason::ServerRefused,
@@ -268,12 +270,12 @@
         };
     }
     if parts.headers.get(headers::REQUEST_ID) != id.as_ref() {
-        log_lost(&id, "the answer belongs to another request");
+        log_lost(id.as_ref(), "the answer belongs to another request");
         return OwnerOutcome::Lost;
     }
     let is_signed = parts.headers.contains_key(headers::ANSWER_SIGNATURE);
     if parts.status.is_success() && !is_signed {
-        log_lost(&id, "the answer is not signed");
+        log_lost(id.as_ref(), "the answer is not signed");
         return OwnerOutcome::Lost;
     }
     let service_ms = permit.elapsed_ms();
@@ -285,7 +287,7 @@
         match body.read_ahead(WHOLE_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(error) => {
-                log_lost(&id, &format!("the answer broke off: {error:?}"));
+                log_lost(id.as_ref(), &format!("the answer broke off: {error:?}"));
                 return OwnerOutcome::Lost;
             }
         }
@@ -338,9 +340,16 @@
 }
 
 fn log_refusal(request: &OwnedRequest, refusal: &GateRefusal) {
-    let id = request.parts.headers.get(headers::REQUEST_ID);
-    log::debug!(
-        id:? = id,
+    let id = forward::id_of(&request.parts.headers);
+    let level = if logging::is_sampled(id) {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        target: logging::REQUEST,
+        level,
+        id = id,
         route = request.head.route.as_str(),
         urgency:? = request.head.urgency,
         reason = reason_of(refusal.reason).name(),
@@ -349,6 +358,10 @@
     );
 }
 
-fn log_lost(id: &Option<HeaderValue>, reason: &str) {
-    log::warn!(id:? = id, reason = reason; "answer of the server lost");
+fn log_lost(id: Option<&HeaderValue>, reason: &str) {
+    log::warn!(target: logging::REQUEST, id = text_of(id), reason = reason; "answer of the server lost");
+}
+
+fn text_of(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
 }
--- a/jayrack/src/client.rs
+++ b/jayrack/src/client.rs
@@ -56,7 +56,7 @@
         Command::Status => get("/v1/status"),
         Command::Members => get("/v1/members"),
         Command::Report => get("/v1/report"),
-        Command::Help | Command::Version => return None,
+        Command::Help | Command::Version | Command::Explain { .. } => return None,
     };
     Some(request)
 }
--- a/jayrack/src/main.rs
+++ b/jayrack/src/main.rs
@@ -1,7 +1,11 @@
 //! The operators' command-line tool.
-use std::{io::Read, path::Path, process::ExitCode};
+use std::{
+    io::Read,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use jayrack::{client, render, usage};
+use jayrack::{client, explain, render, usage};
 use jayrack_protocol::ResultCode;
 
 const EXIT_REFUSED: u8 = 1;
@@ -22,6 +26,7 @@
     match &invocation.command {
         usage::Command::Help => print(&usage::help()),
         usage::Command::Version => print(&format!("jayrack {}", env!("CARGO_PKG_VERSION"))),
+        usage::Command::Explain { id, files } => explain(id, files),
         command => match read_change(command) {
             Ok(change) => ask(&invocation, &change).await,
             Err(error) => fail(EXIT_USAGE, &error.to_string()),
@@ -29,6 +34,21 @@
     }
 }
 
+fn explain(id: &str, files: &[PathBuf]) -> ExitCode {
+    let mut lines = Vec::new();
+    for file in files {
+        let source = file.display().to_string();
+        match std::fs::read(file) {
+            Ok(bytes) => {
+                let text = String::from_utf8_lossy(&bytes);
+                lines.extend(explain::lines_of(id, &source, &text));
+            }
+            Err(error) => return fail(EXIT_USAGE, &format!("{source}: {error}")),
+        }
+    }
+    print(&explain::render(id, lines))
+}
+
 async fn ask(invocation: &usage::Invocation, change: &str) -> ExitCode {
     let Some(request) = client::request_of(&invocation.command, change) else {
         return ExitCode::SUCCESS;
--- a/jayrack/src/render.rs
+++ b/jayrack/src/render.rs
@@ -21,7 +21,7 @@
         Command::Status => render_status(body, &mut lines),
         Command::Members => render_members(body, &mut lines),
         Command::Report => render_report(body, &mut lines),
-        Command::Help | Command::Version => {}
+        Command::Help | Command::Version | Command::Explain { .. } => {}
     }
     lines
         .iter()
--- a/jayrack/src/usage.rs
+++ b/jayrack/src/usage.rs
@@ -34,6 +34,13 @@
     Members,
     /// Show service-level burn.
     Report,
+    /// Show the trail of one request through log files.
+    Explain {
+        /// Identifier of the request.
+        id: String,
+        /// Log files of daemons.
+        files: Vec<PathBuf>,
+    },
     /// Print the usage and end.
     Help,
     /// Print the version and end.
@@ -75,6 +82,7 @@
   status        where it is in force
   members       daemons and servers
   report        service-level burn
+  explain ID FILE...  a request's trail in logs
 
 exit status:
   0  done
@@ -149,10 +157,16 @@
         ["status"] => Ok(Command::Status),
         ["members"] => Ok(Command::Members),
         ["report"] => Ok(Command::Report),
+        ["explain", id, files @ ..] if !files.is_empty() => Ok(Command::Explain {
+            id: id.to_string(),
+            files: files.iter().map(PathBuf::from).collect(),
+        }),
         [] => Err(Error(
             "a command is missing; see `jayrack --help`".to_string(),
         )),
-        ["plan" | "confirm" | "drop"] => Err(Error(format!("`{}` needs an argument", words[0]))),
+        ["plan" | "confirm" | "drop" | "explain", ..] => {
+            Err(Error(format!("`{}` needs an argument", words[0])))
+        }
         _ => Err(Error(format!(
             "`{}` is not understood; see `jayrack --help`",
             words.join(" ")
