--- a/jayrack-mesh/src/link.rs
+++ b/jayrack-mesh/src/link.rs
@@ -6,8 +6,9 @@
 
 /// Answers from this size on count as large, in bytes: shorter ones fit into a few packets.
 pub const LARGE_ANSWER_BYTES: u64 = 24_000;
-/// Part of the link that large answers may fill, in percent; the rest is for small ones and retransmits.
-const LINK_PERCENT: u64 = 85;
+/// Part of the link that large answers may fill, in percent; the rest is for small ones, for what the host's
+/// own callers get, and for retransmits.
+const LINK_PERCENT: u64 = 65;
 /// Weight of a new observation in the average size of a route's answers.
 const SIZE_WEIGHT: f64 = 0.1;
 /// Shortest pause that a refused caller is told, in milliseconds.
