--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -57,7 +57,6 @@
 #[derive(Debug, Default)]
 pub struct ServerTracker {
     record: Option<ServerRecord>,
-    warm_at_ms: u64,
     reported_ms: u64,
     is_restored: bool,
 }
@@ -82,17 +81,13 @@
 
     /// Takes a report.
     pub fn handle(&mut self, now_ms: u64, report: StatusReport) -> ReportEffect {
-        let StatusReport {
-            record,
-            warmup_left_ms,
-        } = report;
+        let record = report.record;
         if let Some(known) = &self.record
             && !supersedes(known, &record)
         {
             return ReportEffect::Outdated;
         }
         self.reported_ms = now_ms;
-        self.warm_at_ms = now_ms + warmup_left_ms;
         let is_changed = self.is_restored
             || self.record.as_ref().is_none_or(|known| {
                 known.instance != record.instance
@@ -134,11 +129,6 @@
             .filter(|record| record.phase == ServerPhase::Ready && !self.is_restored)
     }
 
-    /// Time until which the server is slow.
-    pub fn warm_at_ms(&self) -> u64 {
-        self.warm_at_ms
-    }
-
     /// Time of the latest report.
     pub fn reported_ms(&self) -> u64 {
         self.reported_ms
--- a/jayrack-meshd/src/logging.rs
+++ b/jayrack-meshd/src/logging.rs
@@ -90,6 +90,15 @@
     xxhash_rust::xxh3::xxh3_64(request.as_bytes()).is_multiple_of(SAMPLED_PART)
 }
 
+/// Level of a line that only sampled requests need.
+pub fn request_level(id: &str) -> log::Level {
+    if is_sampled(id) {
+        log::Level::Info
+    } else {
+        log::Level::Debug
+    }
+}
+
 /// Whether a line is within the budget of this second.
 fn admit(record: &log::Record<'_>) -> bool {
     let (budget, lines) = if record.target() == REQUEST {
--- a/jayrack-meshd/src/settings.rs
+++ b/jayrack-meshd/src/settings.rs
@@ -70,8 +70,6 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
-    /// Time after the acknowledgement of a departure in which work may still arrive, in seconds.
-    pub departure_s: f64,
     /// Time between the signal to stop and the forced end, in seconds.
     pub stop_s: f64,
     /// Repeats allowed for each request of a service.
@@ -143,7 +141,6 @@
 fn check(settings: &MeshSettings) -> Result<(), Error> {
     let bounds = &settings.bounds;
     let times = [
-        ("bounds.departure_s", bounds.departure_s),
         ("bounds.stop_s", bounds.stop_s),
         ("bounds.repeat_window_s", bounds.repeat_window_s),
     ];
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -2,12 +2,14 @@
 //!
 //! * [`listener`]: connections of callers and of other daemons.
 //! * [`ingress`]: the way of a caller's request to a backend server and back.
+//! * [`answer`]: what the caller is told.
 //! * [`router`]: choice of hosts, shares of split routes and the budget of repeats.
 //! * [`owner`]: requests for the backend server beside the daemon.
 //! * [`gate`]: the driver of its slots.
 //! * [`link`]: the driver of the host's link for large answers.
 //! * [`forward`]: what one daemon tells another about a request.
 //! * [`pool`]: outgoing connections; [`body`]: bodies of answers.
+pub mod answer;
 pub mod body;
 pub mod forward;
 pub mod gate;
--- /dev/null
+++ b/jayrack-meshd/src/traffic/answer.rs
@@ -0,0 +1,62 @@
+//! What callers are told, and the answers of the daemon's own.
+use hyper::{
+    Response, StatusCode,
+    header::{self, HeaderName, HeaderValue},
+};
+use jayrack_platform::headers;
+use jayrack_protocol::ResultCode;
+
+use super::{body::AnswerBody, forward, ingress::TrafficState};
+
+/// Header with the number of the result code of an answer of the daemon's own.
+const CODE: HeaderName = HeaderName::from_static("jayrack-code");
+
+/// What the caller is told.
+#[derive(Debug)]
+pub enum CallerAnswer {
+    /// The backend server's answer.
+    Answer(Response<AnswerBody>),
+    /// An answer of the daemon's own.
+    Code(ResultCode),
+    /// The request did not run; it may come back after so many milliseconds.
+    Refusal(ResultCode, u64),
+}
+
+/// Makes the message to the caller and counts it.
+pub fn to_response(
+    state: &TrafficState,
+    answer: CallerAnswer,
+    id: Option<HeaderValue>,
+) -> Response<AnswerBody> {
+    let (code, pause_ms) = match answer {
+        CallerAnswer::Answer(response) => {
+            state.mesh.metrics.count_request("answered");
+            return response;
+        }
+        CallerAnswer::Code(code) => (code, None),
+        CallerAnswer::Refusal(code, pause_ms) => (code, Some(pause_ms)),
+    };
+    state.mesh.metrics.count_request(code.name());
+    let mut response = forward::empty(status_of(code));
+    let fields = response.headers_mut();
+    fields.insert(CODE, HeaderValue::from(code.number()));
+    if let Some(id) = id {
+        fields.insert(headers::REQUEST_ID, id);
+    }
+    if let Some(pause_ms) = pause_ms {
+        let seconds = format!("{:.3}", pause_ms as f64 / 1_000.0);
+        forward::put_text(fields, header::RETRY_AFTER, &seconds);
+    }
+    response
+}
+
+/// HTTP status of an answer of the daemon's own; 503 says that the request did not run.
+fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::RouteUnknown => StatusCode::NOT_FOUND,
+        ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{
+    answer::{CallerAnswer, to_response},
     body::AnswerBody,
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
     link::HostLink,
@@ -144,16 +145,6 @@
     time_left_ms: u64,
 }
 
-/// What the caller is told.
-enum CallerAnswer {
-    /// The backend server's answer.
-    Answer(Response<AnswerBody>),
-    /// An answer of the daemon's own.
-    Code(ResultCode),
-    /// The request did not run; it may come back after so many milliseconds.
-    Refusal(ResultCode, u64),
-}
-
 /// Answers a request of a caller.
 pub async fn serve(state: &Arc<TrafficState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = Instant::now();
@@ -237,14 +228,9 @@
         .ok_or(CallerAnswer::Code(ResultCode::RouteInactive))?
         .to_string();
     let id = forward::id_of(&parts.headers);
-    let level = if logging::is_sampled(id) {
-        log::Level::Info
-    } else {
-        log::Level::Debug
-    };
     log::log!(
         target: logging::REQUEST,
-        level,
+        logging::request_level(id),
         id = id,
         route = route.name.as_str(),
         version = routes.version(),
@@ -677,41 +663,3 @@
     let stated = forward::number(response.headers(), header::CONTENT_LENGTH);
     stated.unwrap_or_else(|| response.body().size_hint().lower())
 }
-
-fn to_response(
-    state: &TrafficState,
-    answer: CallerAnswer,
-    id: Option<HeaderValue>,
-) -> Response<AnswerBody> {
-    let (code, pause_ms) = match answer {
-        CallerAnswer::Answer(response) => {
-            state.mesh.metrics.count_request("answered");
-            return response;
-        }
-        CallerAnswer::Code(code) => (code, None),
-        CallerAnswer::Refusal(code, pause_ms) => (code, Some(pause_ms)),
-    };
-    state.mesh.metrics.count_request(code.name());
-    let mut response = forward::empty(status_of(code));
-    let fields = response.headers_mut();
-    fields.insert("jayrack-code", HeaderValue::from(code.number()));
-    if let Some(id) = id {
-        fields.insert(headers::REQUEST_ID, id);
-    }
-    if let Some(pause_ms) = pause_ms {
-        let seconds = format!("{:.3}", pause_ms as f64 / 1_000.0);
-        forward::put_text(fields, header::RETRY_AFTER, &seconds);
-    }
-    response
-}
-
-/// HTTP status of an answer of the daemon's own; 503 says that the request did not run.
-fn status_of(code: ResultCode) -> StatusCode {
-    match code {
-        ResultCode::RouteUnknown => StatusCode::NOT_FOUND,
-        ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        ResultCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -341,14 +341,9 @@
 
 fn log_refusal(request: &OwnedRequest, refusal: &GateRefusal) {
     let id = forward::id_of(&request.parts.headers);
-    let level = if logging::is_sampled(id) {
-        log::Level::Info
-    } else {
-        log::Level::Debug
-    };
     log::log!(
         target: logging::REQUEST,
-        level,
+        logging::request_level(id),
         id = id,
         route = request.head.route.as_str(),
         urgency:? = request.head.urgency,
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -243,7 +243,7 @@
   "ports": [21010, 21011],
   "store": "{store}",
   "bounds": {{
-    "departure_s": 2, "stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 60, "repeat_window_s": 10
+    "stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 60, "repeat_window_s": 10
   }}
 }}"#
     )
