--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -210,7 +210,10 @@
     let body = Limited::new(body, max_bytes)
         .collect()
         .await
-        .map_err(|_| CallerAnswer::Code(ResultCode::RequestTooLarge))?
+        .map_err(|error| {
+            log::info!(route = route.name.as_str(), error:% = error; "body not read");
+            CallerAnswer::Code(ResultCode::RequestTooLarge)
+        })?
         .to_bytes();
     let time_left_ms = forward::number(&parts.headers, headers::TIME_LEFT_MS)
         .unwrap_or(route.timeout_ms)
@@ -271,7 +274,6 @@
     tried: Vec<IpAddr>,
     /// Servers that the request reached.
     runs: u32,
-    refusals: usize,
     retry_after_ms: Option<u64>,
     /// A failure of a backend server, returned unless a further attempt does better.
     failure: Option<Response<AnswerBody>>,
@@ -384,7 +386,6 @@
         } => {
             let known = trail.retry_after_ms.unwrap_or(u64::MAX);
             trail.retry_after_ms = Some(known.min(retry_after_ms));
-            trail.refusals += 1;
             let is_reached = reason == NotRunReason::ServerRefused;
             let is_out_of_budget = is_reached && !state.router.try_repeat(&request.service);
             let is_over = is_exhausted(trail) || is_out_of_budget;
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -26,7 +26,6 @@
     link::LinkTicket,
     pool,
 };
-
 use crate::logging;
 
 /// Largest answer that is read whole before it is passed on, so that a broken one can be replaced.
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -5,8 +5,7 @@
 };
 
 use jayrack_mesh::{
-    HostPicker, MeshRoutes, RepeatBudget, SplitChooser,
-    budget::{self},
+    HostPicker, MeshRoutes, RepeatBudget, SplitChooser, budget,
     gate::GateLoad,
     hosts::HostDirectory,
     pick::{HostCandidate, HostOutcome, PickRequest},
