fix(mesh): the time that a request waits between hosts counts against its caller's time

The logs of both hosts show the call received, no gate and no pool in between. Ruled out: a wait at the gate (slots were free), the pool's connect (250 ms).

The head names the sender's process and its clock (one that counts suspension and is never set); the owner takes the smallest difference of the last seconds for a free link and subtracts what a request took beyond it. Configurations are asked of the announcer with the widest link.

--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`server`]: the backend server beside the daemon, from its status reports.
 //! * [`gate`]: who gets a slot of that backend server, who waits and who is refused.
 //! * [`link`]: how many large answers a narrow link carries.
+//! * [`transit`]: how long requests of other hosts were on their way.
 //! * [`pick`]: the choice of a host for a request.
 //! * [`budget`]: how many requests may be sent a second time.
 //! * [`running`]: the requests that the backend server runs, and what became of their calls.
@@ -27,6 +28,7 @@
 pub mod running;
 pub mod server;
 pub mod split;
+pub mod transit;
 
 pub use budget::RepeatBudget;
 pub use gate::AdmissionGate;
@@ -36,3 +38,4 @@
 pub use running::RunningRequests;
 pub use server::ServerTracker;
 pub use split::SplitChooser;
+pub use transit::TransitMeter;
--- /dev/null
+++ b/jayrack-mesh/tests/transit.rs
@@ -0,0 +1,80 @@
+//! Requests that were held up on their way between hosts.
+use std::net::{IpAddr, Ipv4Addr};
+
+use jayrack_mesh::TransitMeter;
+
+const SENDER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+const EPOCH: u64 = 5;
+/// The sender's clock is ahead by this, in milliseconds.
+const AHEAD_MS: u64 = 70_000;
+/// Time on a free link, in milliseconds.
+const FREE_MS: u64 = 2;
+
+fn delay(meter: &mut TransitMeter, sent_ms: u64, transit_ms: u64) -> u64 {
+    meter.delay_ms(sent_ms + transit_ms, SENDER, EPOCH, sent_ms + AHEAD_MS)
+}
+
+/// Pattern: copies of a configuration fill a narrow link, and calls wait on it for longer than their callers.
+#[test]
+fn a_request_that_waited_on_a_full_link_is_known_to_be_late() {
+    let mut meter = TransitMeter::default();
+    for sent_ms in (0..8_000).step_by(500) {
+        assert_eq!(delay(&mut meter, sent_ms, FREE_MS), 0);
+    }
+
+    let held = delay(&mut meter, 8_000, 1_050);
+    let next = delay(&mut meter, 9_500, FREE_MS);
+
+    assert_eq!(held, 1_050 - FREE_MS);
+    assert_eq!(next, 0);
+}
+
+#[test]
+fn a_link_that_is_full_for_seconds_does_not_count_as_free() {
+    let mut meter = TransitMeter::default();
+    delay(&mut meter, 0, FREE_MS);
+
+    let delays: Vec<u64> = (9_000..18_000)
+        .step_by(500)
+        .map(|sent_ms| delay(&mut meter, sent_ms, 700))
+        .collect();
+
+    assert!(
+        delays.iter().all(|delay| *delay == 700 - FREE_MS),
+        "{delays:?}"
+    );
+}
+
+#[test]
+fn a_sender_whose_clock_stood_still_is_believed_after_two_windows() {
+    const STOOD_STILL_MS: u64 = 4_000;
+    let mut meter = TransitMeter::default();
+    delay(&mut meter, 0, FREE_MS);
+
+    let last = (5_000..40_000)
+        .step_by(1_000)
+        .map(|sent_ms| delay(&mut meter, sent_ms, FREE_MS + STOOD_STILL_MS))
+        .last();
+
+    assert_eq!(last, Some(0));
+}
+
+#[test]
+fn another_process_at_the_address_is_measured_anew() {
+    let mut meter = TransitMeter::default();
+    delay(&mut meter, 10_000, FREE_MS);
+
+    let other = meter.delay_ms(11_000, SENDER, EPOCH + 1, 30);
+
+    assert_eq!(other, 0);
+}
+
+#[test]
+fn a_difference_longer_than_any_request_waits_is_another_clock() {
+    let mut meter = TransitMeter::default();
+    delay(&mut meter, 0, FREE_MS);
+
+    let set = delay(&mut meter, 1_000, 60_000);
+
+    assert_eq!(set, 0);
+}
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -184,6 +184,9 @@
             if let Some(routes) = state.mesh.routes.load().as_ref() {
                 state.router.retain(routes);
             }
+            let directory = state.mesh.directory();
+            let is_known = |address: &std::net::IpAddr| directory.get(*address).is_some();
+            state.mesh.transit().retain(is_known);
         }
     }
 }
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -92,12 +92,20 @@
 #[derive(Debug, Default)]
 struct ConfigurationNotice {
     version: u64,
-    near: Option<SocketAddr>,
-    far: Option<SocketAddr>,
+    near: Option<ConfigurationSource>,
+    far: Option<ConfigurationSource>,
+}
+
+/// A daemon that has a configuration.
+#[derive(Debug, Clone, Copy)]
+struct ConfigurationSource {
+    address: SocketAddr,
+    link_mbps: u32,
 }
 
 impl ConfigurationNotice {
-    fn take(&mut self, version: u64, address: SocketAddr, is_near: bool) {
+    /// Notes a source; those with wide links are kept, since many daemons ask at once.
+    fn take(&mut self, version: u64, source: ConfigurationSource, is_near: bool) {
         if version < self.version {
             return;
         }
@@ -107,16 +115,20 @@
                 ..Self::default()
             };
         }
-        if is_near {
-            self.near = Some(address);
+        let known = if is_near {
+            &mut self.near
         } else {
-            self.far = Some(address);
+            &mut self.far
+        };
+        if known.is_none_or(|known| known.link_mbps <= source.link_mbps) {
+            *known = Some(source);
         }
     }
 
     /// The daemon to ask, one of the same data centre if possible; it is not asked again.
     fn next_source(&mut self) -> Option<SocketAddr> {
-        self.near.take().or_else(|| self.far.take())
+        let source = self.near.take().or_else(|| self.far.take());
+        source.map(|source| source.address)
     }
 }
 
@@ -456,10 +468,14 @@
     let (mesh, gossip) = (&control.mesh, &control.gossip);
     let source = message.record.forward;
     let is_near = message.record.data_centre == mesh.settings.host.data_centre;
+    let holder = ConfigurationSource {
+        address: source,
+        link_mbps: message.record.link_mbps,
+    };
     gossip
         .lock()
         .notice
-        .take(message.configuration, source, is_near);
+        .take(message.configuration, holder, is_near);
     let is_behind = message.configuration > mesh.version();
     let is_fresh = !gossip.is_memory_checked();
     if !is_behind && !is_fresh || gossip.pulling.swap(true, Ordering::AcqRel) {
--- a/jayrack-meshd/src/shared.rs
+++ b/jayrack-meshd/src/shared.rs
@@ -10,13 +10,22 @@
 };
 
 use arc_swap::ArcSwapOption;
-use jayrack_mesh::{HostDirectory, MeshRoutes, RunningRequests, ServerTracker, gate::GateLoad};
+use jayrack_mesh::{
+    HostDirectory, MeshRoutes, RunningRequests, ServerTracker, TransitMeter, gate::GateLoad,
+};
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::{
     control::configuration::AcceptedConfiguration, metrics::MeshMetrics, settings::MeshSettings,
     traffic::gate::OwnerGate,
 };
 
+/// Milliseconds of the clock that goes on while the host is suspended and is never set.
+pub fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec.unsigned_abs() * 1_000 + time.tv_nsec.unsigned_abs() / 1_000_000
+}
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct MeshState {
@@ -30,7 +39,9 @@
     pub gate: OwnerGate,
     directory: Mutex<HostDirectory>,
     tracker: Mutex<ServerTracker>,
+    transit: Mutex<TransitMeter>,
     started: Instant,
+    started_boot_ms: u64,
     leaving: AtomicBool,
     closing: AtomicBool,
     accepted: Mutex<AcceptedConfiguration>,
@@ -50,7 +61,9 @@
             gate: OwnerGate::new(),
             directory: Mutex::default(),
             tracker: Mutex::default(),
+            transit: Mutex::default(),
             started: Instant::now(),
+            started_boot_ms: boot_ms(),
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             accepted: Mutex::default(),
@@ -66,6 +79,16 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// When the daemon started, by [`boot_ms`]; tells this process from others at the address.
+    pub fn started_boot_ms(&self) -> u64 {
+        self.started_boot_ms
+    }
+
+    /// Locks what is known of the ways from other hosts.
+    pub fn transit(&self) -> MutexGuard<'_, TransitMeter> {
+        self.transit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the hosts that are known.
     pub fn directory(&self) -> MutexGuard<'_, HostDirectory> {
         self.directory
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -32,6 +32,15 @@
     header::UPGRADE,
 ];
 
+/// The moment at which a request was sent, by the clock of the host that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SentMark {
+    /// When the sending process started, in milliseconds.
+    pub epoch: u64,
+    /// When the request was sent, in milliseconds.
+    pub at_ms: u64,
+}
+
 /// What the owner of a backend server needs to know of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardHead {
@@ -49,6 +58,8 @@
     pub is_idempotent: bool,
     /// Whether it may have reached another server before.
     pub is_repeat: bool,
+    /// Which process sent it, and when, in milliseconds of that host's clock.
+    pub sent: SentMark,
 }
 
 impl ForwardHead {
@@ -56,12 +67,14 @@
     pub fn encode(&self, headers: &mut HeaderMap) {
         let Urgency { stage, rank } = self.urgency;
         let text = format!(
-            "{} {stage} {rank} {} {} {} {} {}",
+            "{} {stage} {rank} {} {} {} {} {} {} {}",
             self.instance,
             self.target_left_ms,
             self.time_left_ms,
             u8::from(self.is_idempotent),
             u8::from(self.is_repeat),
+            self.sent.epoch,
+            self.sent.at_ms,
             self.route,
         );
         put_text(headers, REQUEST, &text);
@@ -69,7 +82,7 @@
 
     /// Reads the head; `None` if a part is missing or malformed.
     pub fn decode(headers: &HeaderMap) -> Option<Self> {
-        let mut parts = headers.get(REQUEST)?.to_str().ok()?.splitn(8, ' ');
+        let mut parts = headers.get(REQUEST)?.to_str().ok()?.splitn(10, ' ');
         let instance = parts.next()?.to_string();
         let urgency = Urgency {
             stage: parts.next()?.parse().ok()?,
@@ -82,6 +95,10 @@
             time_left_ms: parts.next()?.parse().ok()?,
             is_idempotent: parts.next()? == "1",
             is_repeat: parts.next()? == "1",
+            sent: SentMark {
+                epoch: parts.next()?.parse().ok()?,
+                at_ms: parts.next()?.parse().ok()?,
+            },
             route: parts.next()?.to_string(),
         })
     }
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -25,13 +25,16 @@
 use super::{
     answer::{CallerAnswer, to_response},
     body::{self, AnswerBody},
-    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
+    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply, SentMark},
     link::HostLink,
     owner::{self, OwnedRequest, WHOLE_ANSWER_BYTES},
     pool::{self, ConnectionPool},
     router::IngressRouter,
 };
-use crate::{logging, shared::MeshState};
+use crate::{
+    logging,
+    shared::{MeshState, boot_ms},
+};
 
 /// Largest body of a request that is taken, in bytes; bodies are kept whole until the answer is there.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -61,6 +64,8 @@
 const NOT_READY_PAUSE_MS: u64 = 400;
 /// Pause told while the daemon stops, in milliseconds: it is back after about a second.
 const RESTART_PAUSE_MS: u64 = 700;
+/// Delay between hosts that is logged, in milliseconds: many times that of a free link.
+const LONG_TRANSIT_MS: u64 = 100;
 /// Time kept for the way back of an answer, in milliseconds.
 const RETURN_MS: u64 = 5;
 
@@ -107,15 +112,17 @@
 pub async fn serve_daemon(
     state: &Arc<TrafficState>,
     request: Request<Incoming>,
+    peer: IpAddr,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     if let Some(response) = crate::control::sync::serve(&state.mesh, &parts) {
         return response;
     }
-    let Some(head) = ForwardHead::decode(&parts.headers) else {
+    let Some(mut head) = ForwardHead::decode(&parts.headers) else {
         log::warn!(path = parts.uri.path(); "forwarded request without a head");
         return forward::empty(StatusCode::BAD_REQUEST);
     };
+    subtract_transit(state, &mut head, peer, forward::id_of(&parts.headers));
     match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => {
             let body = body.to_bytes();
@@ -131,6 +138,27 @@
     }
 }
 
+/// Takes the time that a request was held up on its way from the time that its caller has left.
+fn subtract_transit(state: &TrafficState, head: &mut ForwardHead, peer: IpAddr, id: &str) {
+    let SentMark { epoch, at_ms } = head.sent;
+    let mut transit = state.mesh.transit();
+    let delay_ms = transit.delay_ms(boot_ms(), peer, epoch, at_ms);
+    drop(transit);
+    head.target_left_ms = head.target_left_ms.saturating_sub(delay_ms);
+    head.time_left_ms = head.time_left_ms.saturating_sub(delay_ms);
+    if delay_ms >= LONG_TRANSIT_MS {
+        log::log!(
+            target: logging::REQUEST,
+            logging::request_level(id),
+            id = id,
+            peer:% = peer,
+            delay_ms = delay_ms,
+            time_left_ms = head.time_left_ms;
+            "held up between hosts"
+        );
+    }
+}
+
 /// A request of a caller that was read whole.
 struct CallerRequest {
     route: Arc<MeshRoute>,
@@ -555,6 +583,10 @@
         time_left_ms: left_ms(request.expires_at).saturating_sub(RETURN_MS),
         is_idempotent: request.route.kind.is_idempotent(),
         is_repeat,
+        sent: SentMark {
+            epoch: state.mesh.started_boot_ms(),
+            at_ms: boot_ms(),
+        },
     };
     let mut parts = request.parts.clone();
     let body = request.body.clone();
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -1,6 +1,7 @@
 //! Connections of callers and of other daemons.
 use std::{
     convert::Infallible,
+    net::IpAddr,
     pin::pin,
     sync::{
         Arc, Mutex, PoisonError,
@@ -82,8 +83,8 @@
 pub async fn accept(listener: TcpListener, kind: PeerKind, state: Arc<TrafficState>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, kind, state.clone()));
+            Ok((stream, peer)) => {
+                tokio::spawn(serve_connection(stream, peer.ip(), kind, state.clone()));
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -93,7 +94,12 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, kind: PeerKind, state: Arc<TrafficState>) {
+async fn serve_connection(
+    stream: TcpStream,
+    peer: IpAddr,
+    kind: PeerKind,
+    state: Arc<TrafficState>,
+) {
     if let Err(error) = socket::guard(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "connection closed before it was used");
         return;
@@ -112,7 +118,7 @@
             let flight = state.mesh.enter();
             let response: Response<AnswerBody> = match notes.kind {
                 PeerKind::Caller => ingress::serve(&state, request).await,
-                PeerKind::Daemon => ingress::serve_daemon(&state, request).await,
+                PeerKind::Daemon => ingress::serve_daemon(&state, request, peer).await,
             };
             let guards = Box::new((busy, flight));
             Ok::<_, Infallible>(response.map(|body| body.holding(guards)))
