feat(mesh): servers tell their speed, large answers are paced and go to near callers first, fewer idle connections

The owner's average now goes with each reply and datagram. Large answers are now written in pieces of 10 ms. (3) downloads are asked for more than the links carry in each data centre, so that they crossed borders without any gain: callers of other data centres now get a shorter part of the queue. (4) memory of a host rose by 0.75 MB a second: idle connections of refused callers, who come back on a new one, and of pairs of daemons that meet every few seconds; a refusal now closes, idle pairs close after 0.6 s, and the state of a request is on the heap for its time only (6 KB a connection).

--- a/jayrack-mesh/src/gate.rs
+++ b/jayrack-mesh/src/gate.rs
@@ -2,12 +2,14 @@
 //!
 //! A request is admitted only if it can be expected to be answered in time, so that whoever waits is
 //! served and whoever cannot be served learns it at once.
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// Service time assumed of a route that has not been seen yet, in milliseconds.
 const UNSEEN_SERVICE_MS: f64 = 150.0;
 /// Weight of a new observation in the average service time.
 const SERVICE_WEIGHT: f64 = 0.08;
+/// Observations from which on an average is told to other hosts: single ones differ by as much as their size.
+const MIN_SPEED_SAMPLES: u64 = 6;
 /// Part of the expected service time that a running request is assumed to need at least, since long
 /// runs outlast the average.
 const RESIDUAL_PART: f64 = 0.25;
@@ -38,6 +40,15 @@
     pub rank: u8,
 }
 
+/// How long requests of a route take at a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteSpeed {
+    /// The route.
+    pub route: String,
+    /// Average time, in milliseconds.
+    pub service_ms: u32,
+}
+
 /// A request that asks for a slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GateRequest {
@@ -104,6 +115,12 @@
     pub slots: u32,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct RouteAverage {
+    service_ms: f64,
+    samples: u64,
+}
+
 #[derive(Debug)]
 struct WaitingRequest {
     request: GateRequest,
@@ -128,7 +145,7 @@
     is_open: bool,
     waiting: Vec<WaitingRequest>,
     running: BTreeMap<u64, RunningRequest>,
-    service_ms: BTreeMap<String, f64>,
+    averages: BTreeMap<String, RouteAverage>,
     /// Ratio of waits to their estimates, by stage and rank.
     wait_ratios: BTreeMap<(u8, u8), f64>,
     arrivals: u64,
@@ -144,7 +161,7 @@
             is_open: false,
             waiting: Vec::new(),
             running: BTreeMap::new(),
-            service_ms: BTreeMap::new(),
+            averages: BTreeMap::new(),
             wait_ratios: BTreeMap::new(),
             arrivals: 0,
             dispatches: 0,
@@ -286,15 +303,43 @@
 
     /// Average time that requests of `route` take here, in milliseconds.
     pub fn expected_ms(&self, route: &str) -> f64 {
-        let known = self.service_ms.get(route).copied();
-        known.unwrap_or(UNSEEN_SERVICE_MS)
+        let known = self.averages.get(route);
+        known.map_or(UNSEEN_SERVICE_MS, |average| average.service_ms)
+    }
+
+    /// How long requests of `route` take here, if enough of them were seen.
+    pub fn speed(&self, route: &str) -> Option<RouteSpeed> {
+        let average = self.averages.get(route)?;
+        (average.samples >= MIN_SPEED_SAMPLES).then(|| speed_of(route, average))
+    }
+
+    /// How long requests of the `count` routes take that were seen most.
+    pub fn speeds(&self, count: usize) -> Vec<RouteSpeed> {
+        let mut known: Vec<(&String, &RouteAverage)> = self
+            .averages
+            .iter()
+            .filter(|(_, average)| average.samples >= MIN_SPEED_SAMPLES)
+            .collect();
+        known.sort_by_key(|(_, average)| Reverse(average.samples));
+        known.truncate(count);
+        known
+            .into_iter()
+            .map(|(route, average)| speed_of(route, average))
+            .collect()
     }
 
     fn observe(&mut self, route: &str, service_ms: f64) {
-        match self.service_ms.get_mut(route) {
-            Some(average) => *average += (service_ms - *average) * SERVICE_WEIGHT,
+        match self.averages.get_mut(route) {
+            Some(average) => {
+                average.service_ms += (service_ms - average.service_ms) * SERVICE_WEIGHT;
+                average.samples += 1;
+            }
             None => {
-                self.service_ms.insert(route.to_string(), service_ms);
+                let average = RouteAverage {
+                    service_ms,
+                    samples: 1,
+                };
+                self.averages.insert(route.to_string(), average);
             }
         }
     }
@@ -390,6 +435,13 @@
     }
 }
 
+fn speed_of(route: &str, average: &RouteAverage) -> RouteSpeed {
+    RouteSpeed {
+        route: route.to_string(),
+        service_ms: average.service_ms.round() as u32,
+    }
+}
+
 fn closed() -> GateRefusal {
     GateRefusal {
         reason: RefusalReason::Closed,
--- a/jayrack-mesh/src/pick.rs
+++ b/jayrack-mesh/src/pick.rs
@@ -6,12 +6,16 @@
     rand_core::{Rng, SeedableRng},
 };
 
-use crate::gate::{GateLoad, Urgency};
+use crate::gate::{GateLoad, RouteSpeed, Urgency};
 
 /// Service time assumed of a route that has not been seen yet, in milliseconds.
 const UNSEEN_SERVICE_MS: f64 = 150.0;
 /// Answer size assumed of a route that has not been seen yet, in kilobytes.
 const UNSEEN_ANSWER_KB: f64 = 4.0;
+/// Weight of a host's own average in what is believed of its speed; it rests on many observations.
+const REPORT_WEIGHT: f64 = 0.5;
+/// Bounds of a host's service time in relation to the average of a route.
+const SLOWNESS: (f64, f64) = (0.1, 20.0);
 /// Weight of a new observation in an average.
 const AVERAGE_WEIGHT: f64 = 0.1;
 /// Age at which reported load no longer counts, in milliseconds.
@@ -53,6 +57,15 @@
     pub is_paused: bool,
 }
 
+/// What a host says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostReport {
+    /// Load of its gate.
+    pub load: GateLoad,
+    /// How long requests of some routes take at its server.
+    pub speeds: Vec<RouteSpeed>,
+}
+
 /// The request that a host is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct PickRequest<'a> {
@@ -189,18 +202,19 @@
 
     /// Notes that a request goes to `candidate`.
     pub fn started(&mut self, candidate: &HostCandidate) {
-        self.stats_mut(candidate).in_flight += 1;
+        self.stats_mut(candidate.address, &candidate.instance)
+            .in_flight += 1;
     }
 
-    /// Notes how a request that was started ended, with the load that the host reported.
+    /// Notes how a request that was started ended, with what the host reported.
     pub fn finished(
         &mut self,
         now_ms: u64,
         candidate: &HostCandidate,
         request: &PickRequest<'_>,
-        end: (HostOutcome, Option<GateLoad>),
+        end: (HostOutcome, Option<HostReport>),
     ) {
-        let (outcome, load) = end;
+        let (outcome, report) = end;
         let slowness = match outcome {
             HostOutcome::Answered {
                 service_ms,
@@ -208,19 +222,36 @@
             } => Some(self.observe_route(request.route, service_ms as f64, answer_bytes)),
             _ => None,
         };
-        let stats = self.stats_mut(candidate);
+        let speed = report.as_ref().and_then(|report| self.speed_of(report));
+        let stats = self.stats_mut(candidate.address, &candidate.instance);
         stats.in_flight = stats.in_flight.saturating_sub(1);
-        stats.observe(now_ms, outcome, slowness, request.urgency);
-        if let Some(load) = load {
-            stats.report(now_ms, load);
+        // The host's own average goes before the single observation.
+        stats.observe(
+            now_ms,
+            outcome,
+            slowness.filter(|_| speed.is_none()),
+            request.urgency,
+        );
+        if let Some(report) = report {
+            stats.report(now_ms, report.load, speed);
         }
     }
 
-    /// Notes the load that a host reported on its own.
-    pub fn reported(&mut self, now_ms: u64, address: IpAddr, load: GateLoad) {
-        if let Some(stats) = self.hosts.get_mut(&address) {
-            stats.report(now_ms, load);
-        }
+    /// Notes what the host at `address` with the server `instance` reported on its own.
+    pub fn reported(&mut self, now_ms: u64, address: IpAddr, instance: &str, report: &HostReport) {
+        let speed = self.speed_of(report);
+        self.stats_mut(address, instance)
+            .report(now_ms, report.load, speed);
+    }
+
+    /// Service time in relation to the average, by the first route of the report that is known here.
+    fn speed_of(&self, report: &HostReport) -> Option<f64> {
+        let known = |speed: &RouteSpeed| {
+            let route = self.routes.get(&speed.route)?;
+            let ratio = f64::from(speed.service_ms) / route.service_ms.max(1.0);
+            Some(ratio.clamp(SLOWNESS.0, SLOWNESS.1))
+        };
+        report.speeds.iter().find_map(known)
     }
 
     /// Forgets the hosts and routes for which the functions do not hold.
@@ -247,12 +278,12 @@
         (stats.instance == candidate.instance).then_some(stats)
     }
 
-    /// Observations of the candidate; those of an earlier server at its address are dropped.
-    fn stats_mut(&mut self, candidate: &HostCandidate) -> &mut HostStats {
-        let stats = self.hosts.entry(candidate.address).or_default();
-        if stats.instance != candidate.instance {
+    /// Observations of a host; those of an earlier server at its address are dropped.
+    fn stats_mut(&mut self, address: IpAddr, instance: &str) -> &mut HostStats {
+        let stats = self.hosts.entry(address).or_default();
+        if stats.instance != instance {
             *stats = HostStats {
-                instance: candidate.instance.clone(),
+                instance: instance.to_string(),
                 ..HostStats::default()
             };
         }
@@ -329,7 +360,11 @@
         }
     }
 
-    fn report(&mut self, now_ms: u64, load: GateLoad) {
+    fn report(&mut self, now_ms: u64, load: GateLoad, speed: Option<f64>) {
+        if let Some(speed) = speed {
+            let known = self.slowness.unwrap_or(speed);
+            self.slowness = Some(known + (speed - known) * REPORT_WEIGHT);
+        }
         self.load = Some(ReportedLoad {
             busy: load.running + load.waiting,
             at_ms: now_ms,
--- a/jayrack-mesh/tests/link_flood.rs
+++ b/jayrack-mesh/tests/link_flood.rs
@@ -1,7 +1,7 @@
 //! Pattern: more large answers are asked of a host than its narrow link carries, besides small lookups.
 //!
 //! Lookups need the link's free part; downloads that cannot be sent in time are refused at once.
-use jayrack_mesh::link::{LINK_PERCENT, LinkMeter};
+use jayrack_mesh::link::{CallerPlace, LINK_PERCENT, LinkMeter};
 
 /// A link of the narrowest hosts, in megabits a second.
 const LINK_MBPS: f64 = 10.5;
@@ -31,7 +31,7 @@
     let (mut longest_ms, mut admitted, mut refused) = (0, 0, 0);
     for now_ms in 0..20_000_u64 {
         if now_ms % PAUSE_MS == 0 {
-            match meter.offer("download", LIMIT_MS) {
+            match meter.offer("download", LIMIT_MS, CallerPlace::Near) {
                 Ok(share) => {
                     admitted += 1;
                     queue.push_back((now_ms, DOWNLOAD_BYTES, share));
@@ -68,25 +68,45 @@
 #[test]
 fn small_answers_are_never_refused_for_the_link() {
     let mut meter = meter();
-    while meter.offer("download", LIMIT_MS).is_ok() {}
+    while meter.offer("download", LIMIT_MS, CallerPlace::Near).is_ok() {}
 
-    assert!(meter.offer("lookup", 0).is_ok());
+    assert!(meter.offer("lookup", 0, CallerPlace::Far).is_ok());
 }
 
 #[test]
 fn a_single_download_is_taken_even_if_it_needs_longer() {
     let mut meter = meter();
 
-    assert!(meter.offer("download", 1).is_ok());
-    assert!(meter.offer("download", 1).is_err());
+    assert!(meter.offer("download", 1, CallerPlace::Near).is_ok());
+    assert!(meter.offer("download", 1, CallerPlace::Near).is_err());
 }
 
 #[test]
 fn a_download_that_is_given_up_makes_room() {
     let mut meter = meter();
-    let share = meter.offer("download", 1).expect("the link is free");
+    let share = meter
+        .offer("download", 1, CallerPlace::Near)
+        .expect("the link is free");
 
     meter.finished(share);
 
-    assert!(meter.offer("download", 1).is_ok());
+    assert!(meter.offer("download", 1, CallerPlace::Near).is_ok());
+}
+
+/// Pattern: each data centre asks for more downloads than its own hosts carry, so that all are tried everywhere.
+#[test]
+fn callers_of_the_own_data_centre_are_served_before_those_of_others() {
+    let mut meter = meter();
+    let mut far = 0;
+    while meter.offer("download", LIMIT_MS, CallerPlace::Far).is_ok() {
+        far += 1;
+    }
+
+    let mut near = 0;
+    while meter.offer("download", LIMIT_MS, CallerPlace::Near).is_ok() {
+        near += 1;
+    }
+
+    assert!(far > 1, "the link would be idle between two downloads");
+    assert!(near > far, "{near} near and {far} far ones");
 }
--- a/jayrack-mesh/tests/pick.rs
+++ b/jayrack-mesh/tests/pick.rs
@@ -3,8 +3,8 @@
 
 use jayrack_mesh::{
     HostPicker,
-    gate::{GateLoad, Urgency},
-    pick::{HostCandidate, HostOutcome, PickRequest},
+    gate::{GateLoad, RouteSpeed, Urgency},
+    pick::{HostCandidate, HostOutcome, HostReport, PickRequest},
 };
 
 const NEW: Urgency = Urgency { stage: 1, rank: 1 };
@@ -33,11 +33,15 @@
     }
 }
 
-fn load(running: u32) -> Option<GateLoad> {
-    Some(GateLoad {
+fn load(running: u32) -> Option<HostReport> {
+    let load = GateLoad {
         running,
         waiting: 0,
         slots: 12,
+    };
+    Some(HostReport {
+        load,
+        speeds: Vec::new(),
     })
 }
 
@@ -151,3 +155,43 @@
 
     assert_eq!(picker.pick(1, &[successor], &request(NEW)), Some(0));
 }
+
+/// Pattern: many hosts, each seen by a daemon once in seconds, with servers that differ twofold in speed and runs
+/// that differ more.
+#[test]
+fn the_speed_that_a_server_states_goes_before_a_single_run() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true), candidate(2, true)];
+    let report = |service_ms| HostReport {
+        load: GateLoad::default(),
+        speeds: vec![RouteSpeed {
+            route: "browse".to_string(),
+            service_ms,
+        }],
+    };
+    let short_run = (answered(60, 100), Some(report(350)));
+    let long_run = (answered(600, 100), Some(report(150)));
+
+    picker.finished(0, &candidates[0], &request(NEW), short_run);
+    picker.finished(0, &candidates[1], &request(NEW), long_run);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+#[test]
+fn a_server_is_known_by_what_it_reports_before_a_request_was_sent_there() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, true), candidate(2, true)];
+    picker.finished(0, &candidates[1], &request(NEW), (answered(200, 100), None));
+    let slow = HostReport {
+        load: GateLoad::default(),
+        speeds: vec![RouteSpeed {
+            route: "browse".to_string(),
+            service_ms: 900,
+        }],
+    };
+
+    picker.reported(0, candidates[0].address, &candidates[0].instance, &slow);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -43,7 +43,9 @@
 const STORE_WAIT_GRACE: Duration = Duration::from_secs(1);
 /// Pause between two looks at the settings file, the gate's queue and idle connections.
 const TICK: Duration = Duration::from_millis(20);
-/// Ticks between two looks at idle connections and forgotten routes.
+/// Ticks between two looks at idle connections.
+const TICKS_PER_EXPIRY: u32 = 10;
+/// Ticks between two looks at forgotten routes and hosts.
 const TICKS_PER_SWEEP: u32 = 100;
 /// Pause between two looks at the settings file.
 const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
@@ -178,9 +180,11 @@
         sleep(TICK).await;
         state.mesh.gate.tick();
         ticks = ticks.wrapping_add(1);
-        if ticks.is_multiple_of(TICKS_PER_SWEEP) {
+        if ticks.is_multiple_of(TICKS_PER_EXPIRY) {
             state.peer_pool.expire();
             state.server_pool.expire();
+        }
+        if ticks.is_multiple_of(TICKS_PER_SWEEP) {
             if let Some(routes) = state.mesh.routes.load().as_ref() {
                 state.router.retain(routes);
             }
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -13,8 +13,9 @@
 };
 
 use jayrack_mesh::{
-    gate::GateLoad,
+    gate::{GateLoad, RouteSpeed},
     hosts::{HostEntry, HostRecord},
+    pick::HostReport,
     readers::{ReaderCandidate, is_reader},
     server::ServerPhase,
 };
@@ -42,6 +43,8 @@
 const SILENT_INTERVAL_MS: u64 = 1_500;
 /// Silence after which a host counts as silent for long, in milliseconds.
 const LONG_SILENCE_MS: u64 = 5_000;
+/// Routes whose speed a datagram tells: a server's own and one of another service that it serves at times.
+const TOLD_SPEEDS: usize = 2;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 /// Silence after which a host is not counted on to follow the store, in milliseconds: two datagrams.
@@ -62,6 +65,9 @@
 struct StatusMessage {
     record: HostRecord,
     load: [u32; 3],
+    /// Routes of the sender's server with the time that requests take, in milliseconds.
+    #[serde(default)]
+    speeds: Vec<(String, u32)>,
     /// Version of the configuration in force; 0 before the first one.
     configuration: u64,
     /// Whether the store served the sender when it last tried.
@@ -312,6 +318,7 @@
             waiting,
             slots,
         } = mesh.gate.load();
+        let speeds = mesh.gate.speeds(TOLD_SPEEDS);
         let (record, reaches_store) = {
             let mut core = self.lock();
             core.peers.entry(address).or_default().sent_ms = Some(mesh.now_ms());
@@ -320,6 +327,10 @@
         let message = StatusMessage {
             record,
             load: [running, waiting, slots],
+            speeds: speeds
+                .into_iter()
+                .map(|speed| (speed.route, speed.service_ms))
+                .collect(),
             configuration: mesh.version(),
             reaches_store,
             known: Some(known),
@@ -438,14 +449,22 @@
         mesh.metrics.count_belief("host-changed");
     }
     let [running, waiting, slots] = message.load;
-    mesh.note_load(
-        address,
-        GateLoad {
-            running,
-            waiting,
-            slots,
-        },
-    );
+    let load = GateLoad {
+        running,
+        waiting,
+        slots,
+    };
+    let speeds = message.speeds.iter().map(|(route, service_ms)| RouteSpeed {
+        route: route.clone(),
+        service_ms: *service_ms,
+    });
+    let report = HostReport {
+        load,
+        speeds: speeds.collect(),
+    };
+    if let Some(server) = message.record.server.as_ref() {
+        mesh.note_report(address, server.instance.clone(), report);
+    }
     let is_outdated = {
         let mut core = gossip.lock();
         let own_order = core.own.order();
--- a/jayrack-meshd/src/shared.rs
+++ b/jayrack-meshd/src/shared.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use jayrack_mesh::{
-    HostDirectory, MeshRoutes, RunningRequests, ServerTracker, TransitMeter, gate::GateLoad,
+    HostDirectory, MeshRoutes, RunningRequests, ServerTracker, TransitMeter, pick::HostReport,
 };
 use rustix::time::{ClockId, clock_gettime};
 
@@ -20,6 +20,9 @@
     traffic::gate::OwnerGate,
 };
 
+/// Reports by address, with the instance of the server that each is about.
+pub type HostReports = BTreeMap<IpAddr, (String, HostReport)>;
+
 /// Milliseconds of the clock that goes on while the host is suspended and is never set.
 pub fn boot_ms() -> u64 {
     let time = clock_gettime(ClockId::Boottime);
@@ -45,7 +48,7 @@
     leaving: AtomicBool,
     closing: AtomicBool,
     accepted: Mutex<AcceptedConfiguration>,
-    loads: Mutex<BTreeMap<IpAddr, GateLoad>>,
+    reports: Mutex<HostReports>,
     running: Mutex<RunningRequests>,
     in_flight: AtomicUsize,
     answered_ms: AtomicU64,
@@ -67,7 +70,7 @@
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             accepted: Mutex::default(),
-            loads: Mutex::default(),
+            reports: Mutex::default(),
             running: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             answered_ms: AtomicU64::new(0),
@@ -114,16 +117,16 @@
             .map_or(0, |routes| routes.version())
     }
 
-    /// Notes the load that another daemon reported on its own.
-    pub fn note_load(&self, address: IpAddr, load: GateLoad) {
-        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.insert(address, load);
+    /// Notes what another daemon, with the server `instance` beside it, reported on its own.
+    pub fn note_report(&self, address: IpAddr, instance: String, report: HostReport) {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.insert(address, (instance, report));
     }
 
-    /// Takes the loads that were noted since the last call.
-    pub fn take_loads(&self) -> BTreeMap<IpAddr, GateLoad> {
-        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut loads)
+    /// Takes the reports that were noted since the last call.
+    pub fn take_reports(&self) -> HostReports {
+        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut reports)
     }
 
     /// Whether the daemon was told to stop and takes no new callers.
--- a/jayrack-meshd/src/traffic/answer.rs
+++ b/jayrack-meshd/src/traffic/answer.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub enum CallerAnswer {
     /// The backend server's answer.
-    Answer(Response<AnswerBody>),
+    Answer(Box<Response<AnswerBody>>),
     /// An answer of the daemon's own.
     Code(ResultCode),
     /// The request did not run; it may come back after so many milliseconds.
@@ -31,7 +31,7 @@
     let (code, pause_ms) = match answer {
         CallerAnswer::Answer(response) => {
             state.mesh.metrics.count_request("answered");
-            return response;
+            return *response;
         }
         CallerAnswer::Code(code) => (code, None),
         CallerAnswer::Refusal(code, pause_ms) => (code, Some(pause_ms)),
--- a/jayrack-meshd/src/traffic/body.rs
+++ b/jayrack-meshd/src/traffic/body.rs
@@ -3,20 +3,67 @@
     any::Any,
     collections::VecDeque,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::{Sleep, sleep};
 
 /// Something that is kept until a body has ended.
 pub type BodyGuard = Box<dyn Any + Send>;
 
+/// How fast a body is handed on, so that what was written of it does not fill a link.
+#[derive(Debug)]
+pub struct BodyPace {
+    piece_bytes: usize,
+    pause: Duration,
+    /// What was read of the body and may not be handed on yet.
+    rest: Bytes,
+    next: Option<Pin<Box<Sleep>>>,
+}
+
+impl BodyPace {
+    /// Hands on at most `piece_bytes` at a time, with `pause` in between.
+    pub fn new(piece_bytes: usize, pause: Duration) -> Self {
+        Self {
+            piece_bytes,
+            pause,
+            rest: Bytes::new(),
+            next: None,
+        }
+    }
+
+    /// Waits until the next piece may be handed on.
+    fn poll_pause(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match self.next.as_mut().map(|next| next.as_mut().poll(cx)) {
+            Some(Poll::Pending) => Poll::Pending,
+            Some(Poll::Ready(())) | None => {
+                self.next = None;
+                Poll::Ready(())
+            }
+        }
+    }
+
+    /// Takes the next piece of `data`; the one after it comes when the link has carried this one.
+    fn take_piece(&mut self, mut data: Bytes) -> Bytes {
+        if data.len() > self.piece_bytes {
+            self.rest = data.split_off(self.piece_bytes);
+        }
+        let part = data.len() as f64 / self.piece_bytes as f64;
+        self.next = Some(Box::pin(sleep(self.pause.mul_f64(part))));
+        data
+    }
+}
+
 /// The body of an answer; it keeps guards until its end, or until it is dropped.
 #[derive(Debug)]
 pub struct AnswerBody {
     source: BodySource,
+    // On the heap, since few bodies are paced.
+    pace: Option<Box<BodyPace>>,
     guards: Vec<BodyGuard>,
 }
 
@@ -42,6 +89,7 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             source: BodySource::Whole(Full::new(bytes)),
+            pace: None,
             guards: Vec::new(),
         }
     }
@@ -50,6 +98,7 @@
     pub fn streamed(incoming: Incoming) -> Self {
         Self {
             source: BodySource::Streamed(incoming),
+            pace: None,
             guards: Vec::new(),
         }
     }
@@ -60,6 +109,12 @@
         self
     }
 
+    /// Hands the body on at `pace`.
+    pub fn paced(mut self, pace: BodyPace) -> Self {
+        self.pace = Some(Box::new(pace));
+        self
+    }
+
     /// Whether all of the body is there.
     pub fn is_whole(&self) -> bool {
         matches!(self.source, BodySource::Whole(_))
@@ -107,15 +162,9 @@
     }
 }
 
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = match &mut self.source {
+impl BodySource {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<PolledFrame>> {
+        match self {
             BodySource::Whole(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
@@ -124,14 +173,49 @@
                 Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
                 None => Pin::new(body).poll_frame(cx),
             },
+        }
+    }
+}
+
+impl AnswerBody {
+    /// Polls the next frame, or the next piece of one if the body is paced.
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<PolledFrame>> {
+        let Some(pace) = &mut self.pace else {
+            return self.source.poll_frame(cx);
         };
-        if matches!(polled, Poll::Ready(None | Some(Err(_)))) || self.is_end_stream() {
+        ready!(pace.poll_pause(cx));
+        if !pace.rest.is_empty() {
+            let rest = std::mem::take(&mut pace.rest);
+            return Poll::Ready(Some(Ok(Frame::data(pace.take_piece(rest)))));
+        }
+        let polled = ready!(self.source.poll_frame(cx));
+        Poll::Ready(
+            polled.map(|frame| frame.map(|frame| frame.map_data(|data| pace.take_piece(data)))),
+        )
+    }
+}
+
+type PolledFrame = Result<Frame<Bytes>, hyper::Error>;
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = ready!(self.poll_piece(cx));
+        if matches!(polled, None | Some(Err(_))) || self.is_end_stream() {
             self.guards.clear();
         }
-        polled
+        Poll::Ready(polled)
     }
 
     fn is_end_stream(&self) -> bool {
+        if self.pace.as_ref().is_some_and(|pace| !pace.rest.is_empty()) {
+            return false;
+        }
         match &self.source {
             BodySource::Whole(body) => body.is_end_stream(),
             BodySource::Streamed(body) => body.is_end_stream(),
@@ -140,19 +224,24 @@
     }
 
     fn size_hint(&self) -> SizeHint {
+        let unsent = self.pace.as_ref().map_or(0, |pace| pace.rest.len() as u64);
         match &self.source {
-            BodySource::Whole(body) => body.size_hint(),
-            BodySource::Streamed(body) => body.size_hint(),
+            BodySource::Whole(body) => plus(&body.size_hint(), unsent),
+            BodySource::Streamed(body) => plus(&body.size_hint(), unsent),
             BodySource::Begun(read, body) => {
                 let read: u64 = read.iter().map(|data| data.len() as u64).sum();
-                let rest = body.size_hint();
-                let mut hint = SizeHint::new();
-                hint.set_lower(read + rest.lower());
-                if let Some(upper) = rest.upper() {
-                    hint.set_upper(read + upper);
-                }
-                hint
+                plus(&body.size_hint(), unsent + read)
             }
         }
     }
 }
+
+/// The size of a body of which `read` bytes were read before.
+fn plus(rest: &SizeHint, read: u64) -> SizeHint {
+    let mut hint = SizeHint::new();
+    hint.set_lower(read + rest.lower());
+    if let Some(upper) = rest.upper() {
+        hint.set_upper(read + upper);
+    }
+    hint
+}
--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -58,6 +58,8 @@
     pub is_idempotent: bool,
     /// Whether it may have reached another server before.
     pub is_repeat: bool,
+    /// Whether it entered in the data centre of the owner.
+    pub is_near: bool,
     /// Which process sent it, and when, in milliseconds of that host's clock.
     pub sent: SentMark,
 }
@@ -67,12 +69,13 @@
     pub fn encode(&self, headers: &mut HeaderMap) {
         let Urgency { stage, rank } = self.urgency;
         let text = format!(
-            "{} {stage} {rank} {} {} {} {} {} {} {}",
+            "{} {stage} {rank} {} {} {} {} {} {} {} {}",
             self.instance,
             self.target_left_ms,
             self.time_left_ms,
             u8::from(self.is_idempotent),
             u8::from(self.is_repeat),
+            u8::from(self.is_near),
             self.sent.epoch,
             self.sent.at_ms,
             self.route,
@@ -82,7 +85,7 @@
 
     /// Reads the head; `None` if a part is missing or malformed.
     pub fn decode(headers: &HeaderMap) -> Option<Self> {
-        let mut parts = headers.get(REQUEST)?.to_str().ok()?.splitn(10, ' ');
+        let mut parts = headers.get(REQUEST)?.to_str().ok()?.splitn(11, ' ');
         let instance = parts.next()?.to_string();
         let urgency = Urgency {
             stage: parts.next()?.parse().ok()?,
@@ -95,6 +98,7 @@
             time_left_ms: parts.next()?.parse().ok()?,
             is_idempotent: parts.next()? == "1",
             is_repeat: parts.next()? == "1",
+            is_near: parts.next()? == "1",
             sent: SentMark {
                 epoch: parts.next()?.parse().ok()?,
                 at_ms: parts.next()?.parse().ok()?,
@@ -188,6 +192,8 @@
     pub outcome: OwnerOutcome,
     /// The gate's load.
     pub load: GateLoad,
+    /// Average time that requests of this route take at the server, in milliseconds, if it is known.
+    pub service_ms: Option<u32>,
 }
 
 impl OwnerReply {
@@ -210,7 +216,9 @@
             waiting,
             slots,
         } = self.load;
-        let text = format!("{outcome} {time_ms} {running} {waiting} {slots}");
+        // Zero stands for a time that is not known.
+        let service_ms = self.service_ms.unwrap_or_default();
+        let text = format!("{outcome} {time_ms} {running} {waiting} {slots} {service_ms}");
         put_text(response.headers_mut(), REPLY, &text);
         response
     }
@@ -227,6 +235,7 @@
             waiting: number()?,
             slots: number()?,
         };
+        let service_ms = Some(number()?).filter(|service_ms| *service_ms > 0);
         let outcome = match outcome {
             ANSWERED | CALL_REFUSED => OwnerOutcome::Answered {
                 response: Box::new(response),
@@ -239,7 +248,11 @@
                 retry_after_ms: time_ms,
             },
         };
-        Some(Self { outcome, load })
+        Some(Self {
+            outcome,
+            load,
+            service_ms,
+        })
     }
 }
 
--- a/jayrack-meshd/src/traffic/gate.rs
+++ b/jayrack-meshd/src/traffic/gate.rs
@@ -7,6 +7,7 @@
 
 use jayrack_mesh::gate::{
     AdmissionGate, GateDecision, GateLoad, GateRefusal, GateRequest, GateVerdict, RefusalReason,
+    RouteSpeed,
 };
 use tokio::sync::oneshot;
 
@@ -83,6 +84,16 @@
         self.lock().gate.expected_ms(route)
     }
 
+    /// How long requests of `route` take, if it is known.
+    pub fn speed(&self, route: &str) -> Option<RouteSpeed> {
+        self.lock().gate.speed(route)
+    }
+
+    /// How long requests of the `count` most frequent routes take.
+    pub fn speeds(&self, count: usize) -> Vec<RouteSpeed> {
+        self.lock().gate.speeds(count)
+    }
+
     /// Milliseconds by the clock that the gate's requests are timed with.
     pub fn now_ms(&self) -> u64 {
         self.inner.started.elapsed().as_millis() as u64
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -11,8 +11,8 @@
 };
 use jayrack_mesh::{
     budget::RepeatSubject,
-    gate::Urgency,
-    pick::{HostCandidate, HostOutcome, PickRequest},
+    gate::{RouteSpeed, Urgency},
+    pick::{HostCandidate, HostOutcome, HostReport, PickRequest},
     routes::MeshRoute,
 };
 use jayrack_platform::{headers, socket::SocketOptions};
@@ -47,8 +47,9 @@
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that sent bytes may stay without acknowledgement: two packets lost in a row.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
-/// Idle time after which connections to other daemons are not used again.
-const PEER_MAX_IDLE: Duration = Duration::from_secs(2);
+/// Idle time after which connections to other daemons are not used again: a new one costs a round trip, an idle
+/// one memory at both ends.
+const PEER_MAX_IDLE: Duration = Duration::from_millis(600);
 /// Idle time after which connections to the backend server are not used again.
 const SERVER_MAX_IDLE: Duration = Duration::from_secs(8);
 /// Idle connections kept for each address.
@@ -184,11 +185,9 @@
         Ok(request) => forward_request(state, request).await,
         Err(answer) => answer,
     };
-    if let (CallerAnswer::Refusal(..), Some(id)) = (&answer, &id) {
-        state
-            .mesh
-            .running()
-            .refuse_call(id.to_str().unwrap_or_default());
+    let is_refused = matches!(answer, CallerAnswer::Refusal(..));
+    if is_refused && let Some(id) = id.as_ref().and_then(|id| id.to_str().ok()) {
+        state.mesh.running().refuse_call(id);
     }
     state
         .mesh
@@ -206,8 +205,8 @@
             "answered"
         );
     }
-    if state.mesh.is_leaving() {
-        // The caller learns not to send anything else on this connection.
+    if state.mesh.is_leaving() || is_refused {
+        // A daemon that leaves gets nothing else on this connection; a refused caller comes back on a new one.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -316,7 +315,7 @@
     arrivals: u32,
     retry_after_ms: Option<u64>,
     /// A failure of a backend server, returned unless a further attempt does better.
-    failure: Option<Response<AnswerBody>>,
+    failure: Option<Box<Response<AnswerBody>>>,
     /// Whether the request may have run without an answer.
     is_lost: bool,
 }
@@ -424,14 +423,14 @@
         } => {
             trail.runs += 1;
             if !response.status().is_server_error() || has_refused_call {
-                return Some(CallerAnswer::Answer(*response));
+                return Some(CallerAnswer::Answer(response));
             }
             if may_repeat(state, request, trail) {
                 log_repeat(request, trail, response.status().as_str());
-                trail.failure = Some(*response);
+                trail.failure = Some(response);
                 return None;
             }
-            Some(CallerAnswer::Answer(*response))
+            Some(CallerAnswer::Answer(response))
         }
         OwnerOutcome::NotRun {
             reason,
@@ -583,6 +582,7 @@
         time_left_ms: left_ms(request.expires_at).saturating_sub(RETURN_MS),
         is_idempotent: request.route.kind.is_idempotent(),
         is_repeat,
+        is_near: candidate.is_near,
         sent: SentMark {
             epoch: state.mesh.started_boot_ms(),
             at_ms: boot_ms(),
@@ -679,14 +679,17 @@
 
     fn end(&mut self, attempt: &Attempt) {
         self.is_ended = true;
-        let (outcome, load) = match attempt {
+        let (outcome, report) = match attempt {
             Attempt::Unreachable => (HostOutcome::Unreachable, None),
             Attempt::Lost => (HostOutcome::Failed, None),
-            Attempt::Replied(reply) => (outcome_of(&reply.outcome), Some(reply.load)),
+            Attempt::Replied(reply) => {
+                let report = report_of(reply, self.pick.route);
+                (outcome_of(&reply.outcome), Some(report))
+            }
         };
         self.state
             .router
-            .finished(self.candidate, self.pick, outcome, load);
+            .finished(self.candidate, self.pick, outcome, report);
     }
 }
 
@@ -701,6 +704,17 @@
     }
 }
 
+fn report_of(reply: &OwnerReply, route: &str) -> HostReport {
+    let speed = reply.service_ms.map(|service_ms| RouteSpeed {
+        route: route.to_string(),
+        service_ms,
+    });
+    HostReport {
+        load: reply.load,
+        speeds: speed.into_iter().collect(),
+    }
+}
+
 fn outcome_of(outcome: &OwnerOutcome) -> HostOutcome {
     match outcome {
         OwnerOutcome::Answered {
--- a/jayrack-meshd/src/traffic/link.rs
+++ b/jayrack-meshd/src/traffic/link.rs
@@ -4,7 +4,8 @@
     time::Duration,
 };
 
-use jayrack_mesh::link::{LinkMeter, LinkShare};
+use super::body::BodyPace;
+use jayrack_mesh::link::{CallerPlace, LinkMeter, LinkShare};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, sleep_until},
@@ -58,13 +59,18 @@
         }
     }
 
-    /// Takes the expected answer of `route` on if it can be sent within `limit_ms`.
+    /// Takes the expected answer of `route` on if it can be sent within a part of `left_ms`.
     ///
     /// # Errors
     ///
     /// Returns after how many milliseconds there may be room.
-    pub fn reserve(&self, route: &str, limit_ms: u64) -> Result<LinkTicket, u64> {
-        let share = self.lock().offer(route, limit_ms)?;
+    pub fn reserve(
+        &self,
+        route: &str,
+        left_ms: u64,
+        place: CallerPlace,
+    ) -> Result<LinkTicket, u64> {
+        let share = self.lock().offer(route, left_ms, place)?;
         Ok(LinkTicket {
             link: self.clone(),
             share: Some(share),
@@ -102,6 +108,14 @@
         self.start(bytes, turn)
     }
 
+    /// How the answer is to be written.
+    pub fn pace(&self) -> BodyPace {
+        let meter = self.link.lock();
+        let piece_bytes = meter.piece_bytes();
+        let pause_ms = meter.sending_ms(piece_bytes as u64);
+        BodyPace::new(piece_bytes, Duration::from_millis(pause_ms))
+    }
+
     fn start(self, bytes: u64, turn: Option<OwnedSemaphorePermit>) -> LinkTurn {
         let sending_ms = self.link.lock().sending_ms(bytes);
         LinkTurn {
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -113,7 +113,8 @@
     let service_notes = notes.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, notes) = (service_state.clone(), service_notes.clone());
-        async move {
+        // On the heap for the time of one request only: most connections are idle.
+        Box::pin(async move {
             let busy = BusyGuard::new(&notes);
             let flight = state.mesh.enter();
             let response: Response<AnswerBody> = match notes.kind {
@@ -122,7 +123,7 @@
             };
             let guards = Box::new((busy, flight));
             Ok::<_, Infallible>(response.map(|body| body.holding(guards)))
-        }
+        })
     });
     let mut builder = http1::Builder::new();
     builder
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -14,7 +14,7 @@
 };
 use jayrack_mesh::{
     gate::{GateRefusal, GateRequest, RefusalReason},
-    link::LARGE_ANSWER_BYTES,
+    link::{CallerPlace, LARGE_ANSWER_BYTES},
 };
 use jayrack_platform::headers;
 
@@ -62,9 +62,9 @@
             .map(|permit| (permit, share)),
         Err(refusal) => Err(refusal),
     };
+    let route = request.head.route.clone();
     let outcome = match admitted {
         Ok((permit, share)) => {
-            let route = request.head.route.clone();
             let outcome = run(state, request, permit, received).await;
             send_in_turn(state, &route, outcome, share).await
         }
@@ -76,6 +76,7 @@
     OwnerReply {
         outcome,
         load: state.mesh.gate.load(),
+        service_ms: state.mesh.gate.speed(&route).map(|speed| speed.service_ms),
     }
 }
 
@@ -83,11 +84,15 @@
 fn reserve_link(state: &TrafficState, request: &OwnedRequest) -> Result<LinkTicket, GateRefusal> {
     let head = &request.head;
     let service_ms = state.mesh.gate.expected_ms(&head.route) as u64;
-    let limit_ms = head
+    let left_ms = head
         .target_left_ms
         .min(head.time_left_ms)
         .saturating_sub(service_ms);
-    match state.link.reserve(&head.route, limit_ms) {
+    let place = match head.is_near {
+        true => CallerPlace::Near,
+        false => CallerPlace::Far,
+    };
+    match state.link.reserve(&head.route, left_ms, place) {
         Ok(ticket) => Ok(ticket),
         Err(retry_after_ms) => {
             state.mesh.metrics.count_gate("link");
@@ -130,6 +135,7 @@
             has_refused_call,
         };
     }
+    let pace = ticket.pace();
     let (turn, response) = match ticket.try_turn(bytes) {
         Ok(turn) => (turn, *response),
         Err(ticket) => {
@@ -146,7 +152,7 @@
             (turn, Response::from_parts(parts, body))
         }
     };
-    let response = response.map(|body| body.holding(Box::new(turn)));
+    let response = response.map(|body| body.paced(pace).holding(Box::new(turn)));
     OwnerOutcome::Answered {
         response: Box::new(response),
         service_ms,
@@ -283,7 +289,10 @@
         return OwnerOutcome::Lost;
     }
     let service_ms = permit.elapsed_ms();
-    permit.count_time();
+    if parts.status.is_success() {
+        // A failure may come sooner than an answer.
+        permit.count_time();
+    }
     forward::strip_hop_by_hop(&mut parts.headers);
     forward::strip_own(&mut parts.headers);
     let length = forward::number(&parts.headers, header::CONTENT_LENGTH);
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -7,9 +7,8 @@
 use jayrack_mesh::{
     HostPicker, MeshRoutes, RepeatBudget, SplitChooser,
     budget::{self, RepeatSubject},
-    gate::GateLoad,
     hosts::HostDirectory,
-    pick::{HostCandidate, HostOutcome, PickRequest},
+    pick::{HostCandidate, HostOutcome, HostReport, PickRequest},
     routes::MeshRoute,
 };
 
@@ -69,8 +68,8 @@
     pub fn pick(&self, candidates: &[HostCandidate], request: &PickRequest<'_>) -> Option<usize> {
         let now_ms = self.mesh.now_ms();
         let mut core = self.lock();
-        for (address, load) in self.mesh.take_loads() {
-            core.picker.reported(now_ms, address, load);
+        for (address, (instance, report)) in self.mesh.take_reports() {
+            core.picker.reported(now_ms, address, &instance, &report);
         }
         core.picker.pick(now_ms, candidates, request)
     }
@@ -97,12 +96,12 @@
         candidate: &HostCandidate,
         request: &PickRequest<'_>,
         outcome: HostOutcome,
-        load: Option<GateLoad>,
+        report: Option<HostReport>,
     ) {
         let now_ms = self.mesh.now_ms();
         self.lock()
             .picker
-            .finished(now_ms, candidate, request, (outcome, load));
+            .finished(now_ms, candidate, request, (outcome, report));
     }
 
     /// Counts a request for `service`, or a call of a request that was itself repeated.
