fix(mesh): silences after which a host is left out grow with the fleet as the intervals of datagrams do

Cause: daemons of a fleet above 60 hosts tell each other less often (each 2 s near and 4 s far at 80 hosts), while a host counted as silent after 3.5 s and as no reader after 2.5 s: far hosts were left out half of the time, and one lost datagram made a further reader. Found by reading; at 300 hosts every host would have been silent and every daemon a reader.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -15,6 +15,9 @@
 /// Largest number of doublings of the pause.
 const MAX_DOUBLINGS: u32 = 3;
 
+/// Datagrams that a daemon sends in a second at most, besides changes; larger fleets are told less often.
+const DATAGRAMS_PER_SECOND: u64 = 30;
+
 /// What a daemon says of its host and the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -128,6 +131,12 @@
         pause_ms
     }
 
+    /// How many times the intervals between datagrams, and the silences that follow from them, are those of a
+    /// small fleet.
+    pub fn spread(&self) -> u64 {
+        (self.hosts.len() as u64 / DATAGRAMS_PER_SECOND).max(1)
+    }
+
     /// What is known of the host at `address`.
     pub fn get(&self, address: IpAddr) -> Option<&HostEntry> {
         self.hosts.get(&address)
--- a/jayrack-mesh/tests/hosts.rs
+++ b/jayrack-mesh/tests/hosts.rs
@@ -84,3 +84,19 @@
     let entry = directory.get(ADDRESS).expect("known");
     assert_eq!(entry.paused_until_ms, 0);
 }
+
+/// Pattern: a fleet so large that each host hears another one every few seconds only.
+#[test]
+fn silences_grow_with_the_fleet_as_the_intervals_do() {
+    let mut directory = HostDirectory::default();
+    let mut spreads = Vec::new();
+
+    for number in 1..=90_u8 {
+        let mut record = record(1, 1);
+        record.address = IpAddr::V4(Ipv4Addr::new(10, 0, 0, number));
+        directory.merge(&record);
+        spreads.push(directory.spread());
+    }
+
+    assert_eq!((spreads[13], spreads[59], spreads[89]), (1, 2, 3));
+}
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -35,8 +35,6 @@
 const NEAR_INTERVAL_MS: u64 = 1_000;
 /// Time between two datagrams to a host of another data centre, in milliseconds; they are charged.
 const FAR_INTERVAL_MS: u64 = 2_000;
-/// Datagrams that a daemon sends in a second at most, besides changes; larger fleets are told less often.
-const DATAGRAMS_PER_SECOND: u64 = 30;
 /// Time between two datagrams to a host that has not confirmed the latest record, in milliseconds.
 const RESEND_INTERVAL_MS: u64 = 200;
 /// Time between two datagrams to a host that has been silent for long, in milliseconds.
@@ -47,7 +45,8 @@
 const TOLD_SPEEDS: usize = 2;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 4_096;
-/// Silence after which a host is not counted on to follow the store, in milliseconds: two datagrams.
+/// Silence after which a host of a small fleet is not counted on to follow the store, in milliseconds: two
+/// datagrams.
 const READER_SILENCE_MS: u64 = 2_500;
 /// Random time before a configuration is taken from another daemon, in milliseconds, so that its link is
 /// not asked for all at once; a reader of the same data centre may announce itself meanwhile.
@@ -252,13 +251,14 @@
         let directory = mesh.directory();
         let core = self.lock();
         let own = &core.own;
+        let silence_ms = READER_SILENCE_MS * directory.spread();
         let is_live = |entry: &&HostEntry| {
             let heard_ms = entry.heard_ms.unwrap_or(0);
             entry.record.data_centre == own.data_centre
                 && !entry.record.is_leaving
                 && entry.heard_ms.is_some()
                 && now_ms >= entry.paused_until_ms
-                && now_ms.saturating_sub(heard_ms) < READER_SILENCE_MS
+                && now_ms.saturating_sub(heard_ms) < silence_ms
         };
         let others = directory
             .entries()
@@ -354,7 +354,7 @@
         let directory = mesh.directory();
         let mut core = self.lock();
         let own_order = core.own.order();
-        let spread = (directory.len() as u64 / DATAGRAMS_PER_SECOND).max(1);
+        let spread = directory.spread();
         let mut due = Vec::new();
         for entry in directory.entries() {
             let address = entry.record.address;
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -14,7 +14,7 @@
 
 use crate::shared::MeshState;
 
-/// Silence after which a host is used only if there is no other, in milliseconds: three status
+/// Silence after which a host of a small fleet is used only if there is no other, in milliseconds: three status
 /// datagrams.
 const SILENCE_MS: u64 = 3_500;
 
@@ -158,6 +158,7 @@
     excluded: &[IpAddr],
 ) -> Vec<HostCandidate> {
     let local = mesh.settings.host.address;
+    let silence_ms = SILENCE_MS * directory.spread();
     let usable = directory.entries().filter_map(|entry| {
         let record = &entry.record;
         let server = record.serving(service)?;
@@ -166,7 +167,7 @@
         }
         let is_silent = entry
             .heard_ms
-            .is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) > SILENCE_MS);
+            .is_some_and(|heard_ms| now_ms.saturating_sub(heard_ms) > silence_ms);
         let is_local = record.address == local;
         Some(HostCandidate {
             address: record.address,
