--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -3,7 +3,12 @@
 
 use std::{process::Command, time::Duration};
 
-use hyper::{Method, StatusCode, header};
+use hyper::{
+    HeaderMap, Method, StatusCode,
+    header::{self, HeaderName, HeaderValue},
+};
+use jayrack_mesh::{delta::TextDelta, gate::Urgency};
+use jayrack_meshd::traffic::forward::{ForwardHead, SentMark};
 use jayrack_platform::headers;
 use jayrack_testkit::log_standin::{LogBehaviour, Outage};
 use support::{FleetStore, HostProcess, ServerStandin, configuration, until};
@@ -180,6 +185,86 @@
     assert_eq!(server.runs(), ["b-1"]);
 }
 
+/// Pattern: many daemons take each version of a large configuration over narrow links.
+#[tokio::test]
+async fn a_daemon_hands_on_the_difference_from_a_version_that_it_had() {
+    let (old, new) = (configuration(1, 2.0), configuration(2, 1.0));
+    let store = FleetStore::start().await;
+    store.put_configuration(&old).await;
+    let (host, _server) = ready_host(&store, NO_DELAY).await;
+    let request = |base: u64| {
+        let name = HeaderName::from_static;
+        let mut fields = HeaderMap::new();
+        fields.insert(
+            name("jayrack-sync"),
+            HeaderValue::from_static("configuration"),
+        );
+        fields.insert(name("jayrack-sync-base"), base.into());
+        fields.insert(header::HOST, HeaderValue::from_static("daemon"));
+        fields
+    };
+    let has_version = |version: u64| {
+        let (host, request) = (&host, &request);
+        move || async move {
+            let answer = host.ask_as_daemon(request(version)).await;
+            answer.is_some_and(|answer| answer.headers.contains_key("jayrack-sync-delta"))
+        }
+    };
+    until("the first version is in force", has_version(1)).await;
+    store.put_configuration(&new).await;
+    until("the second version is in force", has_version(2)).await;
+
+    let from_old = host.ask_as_daemon(request(1)).await.unwrap();
+    let from_unknown = host.ask_as_daemon(request(7)).await.unwrap();
+
+    let delta: TextDelta = serde_json::from_slice(&from_old.body).unwrap();
+    assert_eq!(delta.apply(&old), Ok(new.clone()));
+    assert!(!from_unknown.headers.contains_key("jayrack-sync-delta"));
+    assert_eq!(from_unknown.body, new);
+}
+
+/// Pattern: a request lies on a full link for longer than its caller waits.
+#[tokio::test]
+async fn a_request_that_was_held_up_for_longer_than_its_caller_waits_does_not_run() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+    until_served(&host).await;
+    let request = |id: &'static str, at_ms: u64| {
+        let head = ForwardHead {
+            route: "browse".to_string(),
+            instance: "i-1".to_string(),
+            urgency: Urgency { stage: 1, rank: 0 },
+            target_left_ms: 500,
+            time_left_ms: 600,
+            is_idempotent: true,
+            is_repeat: false,
+            is_near: true,
+            sent: SentMark { epoch: 3, at_ms },
+        };
+        let mut fields = HeaderMap::new();
+        head.encode(&mut fields);
+        fields.insert(header::HOST, HeaderValue::from_static("a.example"));
+        fields.insert(headers::REQUEST_ID, HeaderValue::from_static(id));
+        fields
+    };
+    // The sender's clock has any offset; the second request was sent two seconds before the first.
+    const SENT_MS: u64 = 5_000_000;
+
+    let prompt = host.ask_as_daemon(request("prompt", SENT_MS)).await;
+    let held_up = host
+        .ask_as_daemon(request("held-up", SENT_MS - 2_000))
+        .await;
+
+    assert_eq!(prompt.unwrap().status, StatusCode::OK);
+    let reply = held_up.unwrap().headers["jayrack-reply"]
+        .to_str()
+        .unwrap()
+        .to_string();
+    assert!(reply.starts_with("expired "), "{reply}");
+    assert!(!server.runs().contains(&"held-up".to_string()));
+}
+
 #[test]
 fn settings_without_a_field_end_the_process_with_one_line() {
     let path = std::env::temp_dir().join(format!("jayrack-meshd-bad-{}.jsonc", std::process::id()));
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -158,6 +158,14 @@
         (self.address, SERVER_PORT).into()
     }
 
+    /// Sends what another daemon would send.
+    pub async fn ask_as_daemon(&self, fields: HeaderMap) -> Option<WholeAnswer> {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = "/browse/1".parse().unwrap();
+        *request.headers_mut() = fields;
+        exchange((self.address, FORWARD_PORT).into(), request).await
+    }
+
     /// Sends a caller's request.
     pub async fn ask(&self, method: Method, path: &str, id: &str) -> Option<WholeAnswer> {
         let request = Request::builder()
