fix(mesh): a record that is new is confirmed at once, what is not confirmed is told ever less often

Cause: a daemon repeated a change to a host each 200 ms until the host's own datagram named the new record, which comes each 2 to 20 s by the size of the fleet: up to 20 datagrams a host and change at 80 hosts, 100 at 300.

--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`server`]: the backend server beside the daemon, from its status reports.
 //! * [`gate`]: who gets a slot of that backend server, who waits and who is refused.
 //! * [`link`]: how many large answers a narrow link carries.
+//! * [`status`]: when daemons tell each other their status.
 //! * [`transit`]: how long requests of other hosts were on their way.
 //! * [`pick`]: the choice of a host for a request.
 //! * [`budget`]: how many requests may be sent a second time.
@@ -28,6 +29,7 @@
 pub mod running;
 pub mod server;
 pub mod split;
+pub mod status;
 pub mod transit;
 
 pub use budget::RepeatBudget;
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -18,6 +18,7 @@
     pick::HostReport,
     readers::{ReaderCandidate, is_reader},
     server::ServerPhase,
+    status::{DueInput, PeerNotes, ReceivedStatus},
 };
 use rand_pcg::{
     Pcg32,
@@ -31,16 +32,6 @@
 
 /// Pause between two looks at which hosts are due.
 const TICK: Duration = Duration::from_millis(200);
-/// Time between two datagrams to a host of the same data centre, in milliseconds.
-const NEAR_INTERVAL_MS: u64 = 1_000;
-/// Time between two datagrams to a host of another data centre, in milliseconds; they are charged.
-const FAR_INTERVAL_MS: u64 = 2_000;
-/// Time between two datagrams to a host that has not confirmed the latest record, in milliseconds.
-const RESEND_INTERVAL_MS: u64 = 200;
-/// Time between two datagrams to a host that has been silent for long, in milliseconds.
-const SILENT_INTERVAL_MS: u64 = 1_500;
-/// Silence after which a host counts as silent for long, in milliseconds.
-const LONG_SILENCE_MS: u64 = 5_000;
 /// Routes whose speed a datagram tells: a server's own and one of another service that it serves at times.
 const TOLD_SPEEDS: usize = 2;
 /// Largest datagram, in bytes.
@@ -77,13 +68,6 @@
     correction: Option<HostRecord>,
 }
 
-#[derive(Debug, Default)]
-struct PeerNotes {
-    sent_ms: Option<u64>,
-    /// Epoch and revision of this host's record that the peer has confirmed.
-    confirmed: Option<(u64, u64)>,
-}
-
 #[derive(Debug)]
 struct GossipCore {
     own: HostRecord,
@@ -321,7 +305,9 @@
         let speeds = mesh.gate.speeds(TOLD_SPEEDS);
         let (record, reaches_store) = {
             let mut core = self.lock();
-            core.peers.entry(address).or_default().sent_ms = Some(mesh.now_ms());
+            let own_order = core.own.order();
+            let notes = core.peers.entry(address).or_default();
+            notes.sent(mesh.now_ms(), own_order);
             (core.own.clone(), core.reaches_store)
         };
         let message = StatusMessage {
@@ -361,22 +347,14 @@
             if address == core.own.address {
                 continue;
             }
-            let is_near = entry.record.data_centre == core.own.data_centre;
-            let notes = core.peers.entry(address).or_default();
-            let is_silent = entry
-                .heard_ms
-                .is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > LONG_SILENCE_MS);
-            let interval_ms = match (notes.confirmed == Some(own_order), is_silent) {
-                (false, false) => RESEND_INTERVAL_MS,
-                (false, true) if now_ms < LONG_SILENCE_MS => RESEND_INTERVAL_MS,
-                (_, true) => SILENT_INTERVAL_MS * spread,
-                (true, false) if is_near => NEAR_INTERVAL_MS * spread,
-                (true, false) => FAR_INTERVAL_MS * spread,
+            let input = DueInput {
+                now_ms,
+                own: own_order,
+                heard_ms: entry.heard_ms,
+                is_near: entry.record.data_centre == core.own.data_centre,
+                spread,
             };
-            if notes
-                .sent_ms
-                .is_none_or(|sent_ms| now_ms.saturating_sub(sent_ms) >= interval_ms)
-            {
+            if core.peers.entry(address).or_default().is_due(&input) {
                 due.push(address);
             }
         }
@@ -430,11 +408,11 @@
     if let Some(correction) = &message.correction {
         gossip.refute(mesh, correction);
     }
-    let (is_changed, is_new, newer) = {
+    let (is_changed, is_newer, newer) = {
         let mut directory = mesh.directory();
         let known = directory.get(address).map(|entry| belief_of(&entry.record));
         let is_new = known.is_none();
-        directory.merge(&message.record);
+        let is_newer = directory.merge(&message.record);
         let is_changed = known != directory.get(address).map(|entry| belief_of(&entry.record));
         directory.heard(now_ms, address);
         directory.store_seen(address, message.reaches_store);
@@ -442,9 +420,9 @@
             .get(address)
             .filter(|entry| entry.record.order() > message.record.order())
             .map(|entry| entry.record.clone());
-        (is_changed, is_new, newer)
+        (is_changed.then_some(is_new), is_newer, newer)
     };
-    if is_changed {
+    if let Some(is_new) = is_changed {
         log_change(&message.record, is_new);
         mesh.metrics.count_belief("host-changed");
     }
@@ -465,17 +443,18 @@
     if let Some(server) = message.record.server.as_ref() {
         mesh.note_report(address, server.instance.clone(), report);
     }
-    let is_outdated = {
+    let needs_reply = {
         let mut core = gossip.lock();
-        let own_order = core.own.order();
-        let notes = core.peers.entry(address).or_default();
-        notes.confirmed = message.known;
-        let is_recent = notes
-            .sent_ms
-            .is_some_and(|sent_ms| now_ms.saturating_sub(sent_ms) < 20);
-        message.known != Some(own_order) && !is_recent
+        let received = ReceivedStatus {
+            now_ms,
+            own: core.own.order(),
+            known: message.known,
+            is_newer,
+            is_corrected: newer.is_some(),
+        };
+        core.peers.entry(address).or_default().receive(&received)
     };
-    if is_new || is_outdated || newer.is_some() {
+    if needs_reply {
         gossip.send_to(mesh, address, newer).await;
     }
     pull_missing(control, &message).await;
