--- a/jayrack-mesh/src/transit.rs
+++ b/jayrack-mesh/src/transit.rs
@@ -12,7 +12,7 @@
 /// long for its answer.
 const MAX_DELAY_MS: i64 = 5_000;
 
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct HostOffset {
     /// Process of the sender; another one may count from another time.
     epoch: u64,
@@ -40,12 +40,7 @@
         };
         let offset = self.hosts.entry(host).or_insert(fresh);
         if offset.epoch != epoch || difference_ms - offset.least_ms() > MAX_DELAY_MS {
-            *offset = HostOffset {
-                epoch,
-                window_at_ms: now_ms,
-                current_ms: difference_ms,
-                previous_ms: difference_ms,
-            };
+            *offset = fresh;
         }
         if now_ms.saturating_sub(offset.window_at_ms) >= WINDOW_MS {
             offset.previous_ms = offset.current_ms;
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -312,7 +312,7 @@
     /// Servers that ran the request, or may have.
     runs: u32,
     /// Servers that turned the request away.
-    arrivals: u32,
+    turned_away: u32,
     retry_after_ms: Option<u64>,
     /// A failure of a backend server, returned unless a further attempt does better.
     failure: Option<Box<Response<AnswerBody>>>,
@@ -323,7 +323,7 @@
 impl RequestTrail {
     /// Whether a further attempt counts as a repeat.
     fn is_repeat(&self) -> bool {
-        self.runs + self.arrivals > 0
+        self.runs + self.turned_away > 0
     }
 }
 
@@ -439,7 +439,7 @@
             let known = trail.retry_after_ms.unwrap_or(u64::MAX);
             trail.retry_after_ms = Some(known.min(retry_after_ms));
             let is_reached = reason == NotRunReason::ServerRefused;
-            trail.arrivals += u32::from(is_reached);
+            trail.turned_away += u32::from(is_reached);
             let is_out_of_budget = is_reached && !try_repeat(state, request);
             let is_over = is_exhausted(trail) || is_out_of_budget;
             is_over.then(|| give_up(state, request, trail, &[]))
