feat(mesh): new requests get the whole allowance of repeats at services that nothing calls

Nearly half of the allowance was kept for calls, and nothing calls that service.

Ruled out: servers that could be avoided (all turn away alike). The allowance that calls may use stays as it was and bounds new requests now, too; repeats of all hosts stay within it in every window (shed_calls, routes). In shed_calls the lookups are counted as calls in both plays now, as they are; what is compared is how they are repeated, as before.

--- a/jayrack-mesh/src/budget.rs
+++ b/jayrack-mesh/src/budget.rs
@@ -1,16 +1,16 @@
 //! How many requests may be sent a second time.
 use std::collections::{BTreeMap, VecDeque};
 
-/// Part of the allowance for requests that repeats of calls may use, in percent; the rest covers requests that
-/// are counted by another host than the one that repeats them.
-const CALL_PERCENT: u64 = 90;
-/// Part of the allowance for requests that repeats of new requests may use, in percent: their callers come back
-/// by themselves, those of calls do not.
+/// Part of the allowance for requests that repeats may use, in percent; the rest covers requests that are counted by
+/// another host than the one that repeats them.
+const ALLOWANCE_PERCENT: u64 = 90;
+/// Part of the allowance for requests that repeats of new requests may use at a service that is called, in percent:
+/// their callers come back by themselves, those of calls do not. Where nothing calls, no room is kept for calls.
 const REQUEST_PERCENT: u64 = 55;
 /// Part of the fixed allowance that is spent, in percent; the rest covers hosts that join within a window.
 const SLACK_PERCENT: u64 = 50;
 
-/// What is to be repeated.
+/// What a request is, as far as it matters for repeats.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatSubject {
     /// A call of a running request, whose work is lost if the call fails.
@@ -34,6 +34,8 @@
 struct ServiceWindow {
     requests: VecDeque<u64>,
     repeats: VecDeque<u64>,
+    /// When the last call came.
+    call_ms: Option<u64>,
 }
 
 impl ServiceWindow {
@@ -43,6 +45,7 @@
                 times.pop_front();
             }
         }
+        self.call_ms = self.call_ms.filter(|call_ms| *call_ms >= start_ms);
     }
 }
 
@@ -65,8 +68,12 @@
     }
 
     /// Counts a request of `service`.
-    pub fn record_request(&mut self, now_ms: u64, service: &str) {
-        self.window(now_ms, service).requests.push_back(now_ms);
+    pub fn record_request(&mut self, now_ms: u64, service: &str, subject: RepeatSubject) {
+        let window = self.window(now_ms, service);
+        window.requests.push_back(now_ms);
+        if subject == RepeatSubject::Call {
+            window.call_ms = Some(now_ms);
+        }
     }
 
     /// Counts a call of a request that was itself repeated: it is a repeat that nobody can withhold.
@@ -85,11 +92,11 @@
         let Options {
             per_mille, slack, ..
         } = self.options;
+        let window = self.window(now_ms, service);
         let percent = match subject {
-            RepeatSubject::Call => CALL_PERCENT,
-            RepeatSubject::Request => REQUEST_PERCENT,
+            RepeatSubject::Request if window.call_ms.is_some() => REQUEST_PERCENT,
+            RepeatSubject::Request | RepeatSubject::Call => ALLOWANCE_PERCENT,
         };
-        let window = self.window(now_ms, service);
         let by_requests = window.requests.len() as u64 * per_mille * percent / 100_000;
         let by_slack = slack * SLACK_PERCENT / (100 * hosts.max(1) as u64);
         if window.repeats.len() as u64 >= by_requests + by_slack {
--- a/jayrack-mesh/tests/routes.rs
+++ b/jayrack-mesh/tests/routes.rs
@@ -136,7 +136,7 @@
 
     for now_ms in (0..30_000).step_by(50) {
         let budget = &mut budgets[(now_ms / 50) as usize % HOSTS];
-        budget.record_request(now_ms, "slots");
+        budget.record_request(now_ms, "slots", RepeatSubject::Call);
         requests.push(now_ms);
         if budget.try_repeat(now_ms, "slots", HOSTS, RepeatSubject::Call) {
             repeats.push(now_ms);
--- a/jayrack-mesh/tests/shed_calls.rs
+++ b/jayrack-mesh/tests/shed_calls.rs
@@ -57,13 +57,18 @@
 
     /// Offers a request until a server takes it or no repeat is left; `is_needed` is asked before each repeat.
     fn offer(&mut self, now_ms: u64, subject: RepeatSubject, call: Option<&str>) -> bool {
-        self.budget.record_request(now_ms, SERVICE);
+        let kind = match call {
+            Some(_) => RepeatSubject::Call,
+            None => RepeatSubject::Request,
+        };
+        self.budget.record_request(now_ms, SERVICE, kind);
         self.day.requests.push(now_ms);
         for _ in 0..MAX_OFFERS {
             if self.random.next_u32() % 100 >= SHED_PERCENT {
                 return true;
             }
             let is_needed = call
+                .filter(|_| subject == RepeatSubject::Call)
                 .and_then(|call| self.running.caller(call))
                 .is_none_or(|caller| !caller.has_refused_call);
             if !is_needed || !self.budget.try_repeat(now_ms, SERVICE, HOSTS, subject) {
@@ -80,8 +85,7 @@
         self.running.start(&id, false);
         for lookup in ["a", "b"] {
             let call = format!("{id}.{lookup}");
-            let known = (subject == RepeatSubject::Call).then_some(call.as_str());
-            if !self.offer(now_ms, subject, known) {
+            if !self.offer(now_ms, subject, Some(&call)) {
                 self.running.refuse_call(&call);
             }
         }
@@ -150,7 +154,7 @@
 fn a_lookup_of_a_repeated_request_uses_the_allowance_up() {
     let mut budget = budget();
     for _ in 0..100 {
-        budget.record_request(0, SERVICE);
+        budget.record_request(0, SERVICE, RepeatSubject::Call);
     }
 
     for _ in 0..100 {
@@ -179,3 +183,46 @@
     assert!(running.end("one").has_refused_call);
     assert_eq!(running.caller("one.c"), None);
 }
+
+/// Pattern: the servers of a service that no other one calls turn away half of what reaches them.
+#[test]
+fn where_nothing_calls_new_requests_are_repeated_as_calls_are() {
+    const REQUESTS: u64 = 1_000;
+    let repeats_of = |called: bool| {
+        let mut budget = budget();
+        for _ in 0..REQUESTS {
+            budget.record_request(0, SERVICE, RepeatSubject::Request);
+        }
+        if called {
+            budget.record_request(0, SERVICE, RepeatSubject::Call);
+        }
+        let repeat = |_: &u64| budget.try_repeat(1, SERVICE, HOSTS, RepeatSubject::Request);
+        (0..REQUESTS).filter(repeat).count() as u64
+    };
+
+    let (alone, beside_calls) = (repeats_of(false), repeats_of(true));
+
+    assert!(
+        alone * 10 >= beside_calls * 15,
+        "{alone} against {beside_calls}"
+    );
+    assert!(alone * 5 <= REQUESTS, "{alone} of the allowance");
+}
+
+#[test]
+fn room_is_kept_for_calls_as_long_as_one_came_within_the_window() {
+    let mut budget = budget();
+    budget.record_request(0, SERVICE, RepeatSubject::Call);
+    for _ in 0..100 {
+        budget.record_request(9_000, SERVICE, RepeatSubject::Request);
+    }
+    let repeats = |budget: &mut RepeatBudget, now_ms: u64| {
+        let repeat = |_: &u32| budget.try_repeat(now_ms, SERVICE, HOSTS, RepeatSubject::Request);
+        (0..100).filter(repeat).count()
+    };
+
+    let beside_call = repeats(&mut budget, 9_000);
+    let later = repeats(&mut budget, 10_500);
+
+    assert!(later > 0, "{beside_call}, then {later}");
+}
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -185,6 +185,15 @@
     time_left_ms: u64,
 }
 
+impl CallerRequest {
+    fn subject(&self) -> RepeatSubject {
+        match self.urgency.stage {
+            0 => RepeatSubject::Call,
+            _ => RepeatSubject::Request,
+        }
+    }
+}
+
 /// Answers a request of a caller.
 pub async fn serve(state: &Arc<TrafficState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started = Instant::now();
@@ -341,7 +350,7 @@
     }
     state
         .router
-        .record_request(&request.service, request.is_caused);
+        .record_request(&request.service, request.subject(), request.is_caused);
     let mut trail = RequestTrail::new(state.mesh.settings.host.address);
     let mut is_sent = false;
     let expires_at = request.expires_at;
@@ -496,18 +505,15 @@
 
 /// Takes a repeat from the budget; there is none for a call whose request fails anyway.
 fn try_repeat(state: &TrafficState, request: &CallerRequest) -> bool {
-    if request.urgency.stage > 0 {
-        return state
-            .router
-            .try_repeat(&request.service, RepeatSubject::Request);
+    let subject = request.subject();
+    if subject == RepeatSubject::Call {
+        let id = forward::id_of(&request.parts.headers);
+        let caller = state.mesh.running().caller(id);
+        if caller.is_none_or(|caller| caller.has_refused_call) {
+            return false;
+        }
     }
-    let id = forward::id_of(&request.parts.headers);
-    let caller = state.mesh.running().caller(id);
-    let is_needed = caller.is_some_and(|caller| !caller.has_refused_call);
-    is_needed
-        && state
-            .router
-            .try_repeat(&request.service, RepeatSubject::Call)
+    state.router.try_repeat(&request.service, subject)
 }
 
 /// The answer to a request that no further host is tried for.
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -105,13 +105,13 @@
     }
 
     /// Counts a request for `service`, or a call of a request that was itself repeated.
-    pub fn record_request(&self, service: &str, is_caused: bool) {
+    pub fn record_request(&self, service: &str, subject: RepeatSubject, is_caused: bool) {
         let now_ms = self.mesh.now_ms();
         let budget = &mut self.lock().budget;
         if is_caused {
             budget.record_caused(now_ms, service);
         } else {
-            budget.record_request(now_ms, service);
+            budget.record_request(now_ms, service, subject);
         }
     }
 
