feat(meshd): a line for requests that were answered before a host was asked; tests of trails and of blocked output

A 404, or a refusal of a daemon without a configuration, left a line only for one request in sixteen, so its cause was not in the logs of a failed request. `not taken` tells code and version. Process tests cause the three kinds of failure of docs/OPERATIONS.md and find their cause in the daemon's own lines; one more leaves the output unread (a pipe of one page) while requests fail for three seconds.

--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -200,7 +200,10 @@
     let id = request.headers().get(headers::REQUEST_ID).cloned();
     let answer = match read(state, request, started).await {
         Ok(request) => forward_request(state, request).await,
-        Err(answer) => answer,
+        Err(answer) => {
+            log_not_taken(state, id.as_ref(), &answer);
+            answer
+        }
     };
     let is_refused = matches!(answer, CallerAnswer::Refusal(..));
     if is_refused && let Some(id) = id.as_ref().and_then(|id| id.to_str().ok()) {
@@ -231,6 +234,22 @@
     response
 }
 
+/// Logs why a request was answered before a route's service was asked.
+fn log_not_taken(state: &TrafficState, id: Option<&HeaderValue>, answer: &CallerAnswer) {
+    let (CallerAnswer::Code(code) | CallerAnswer::Refusal(code, _)) = answer else {
+        return;
+    };
+    let routes = state.mesh.routes.load();
+    let version = routes.as_ref().map(|routes| routes.version().to_string());
+    log::info!(
+        target: logging::REQUEST,
+        id = id.and_then(|id| id.to_str().ok()).unwrap_or(""),
+        code = code.name(),
+        version = version.as_deref().unwrap_or("none");
+        "not taken"
+    );
+}
+
 /// Checks a request and reads its body.
 async fn read(
     state: &Arc<TrafficState>,
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of daemon processes on loopback addresses, with a stand-in of the store in this process.
 use std::{
+    io::Read,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
     sync::{
@@ -106,6 +107,19 @@
     pub address: IpAddr,
     settings: std::path::PathBuf,
     child: Child,
+    /// What the process wrote, if that is kept.
+    written: Arc<Mutex<String>>,
+}
+
+/// What becomes of what a daemon writes to its standard output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DaemonOutput {
+    /// It is thrown away.
+    Dropped,
+    /// It is kept for [`HostProcess::lines`].
+    Kept,
+    /// Nobody reads it, and there is room for one page.
+    Blocked,
 }
 
 impl HostProcess {
@@ -116,6 +130,11 @@
 
     /// Starts a daemon that reaches the store at the address `store`.
     pub fn start_at(store: SocketAddr) -> Self {
+        Self::start_writing(store, DaemonOutput::Dropped)
+    }
+
+    /// Starts a daemon whose output goes where `output` says.
+    pub fn start_writing(store: SocketAddr, output: DaemonOutput) -> Self {
         let number = HOSTS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let address = Ipv4Addr::new(
@@ -126,14 +145,30 @@
         );
         let settings = std::env::temp_dir().join(format!("jayrack-meshd-{process}-{number}.jsonc"));
         std::fs::write(&settings, settings_of(address, store)).unwrap();
-        let child = spawn(&settings);
+        let mut child = spawn(&settings, output);
+        let written = Arc::<Mutex<String>>::default();
+        if output == DaemonOutput::Kept {
+            keep(child.stdout.take().unwrap(), written.clone());
+        }
         Self {
             address: address.into(),
             settings,
             child,
+            written,
         }
     }
 
+    /// The lines that the process wrote about the request `id`.
+    pub fn lines(&self, id: &str) -> Vec<serde_json::Value> {
+        let written = self.written.lock().unwrap();
+        let lines = written
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &serde_json::Value| line["id"] == id)
+            .collect()
+    }
+
     /// Ends the process without a warning.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
@@ -174,7 +209,7 @@
 
     /// Starts the daemon again.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings);
+        self.child = spawn(&self.settings, DaemonOutput::Dropped);
     }
 
     pub fn callers(&self) -> SocketAddr {
@@ -206,7 +241,8 @@
             .header("host", "a.example")
             .header(headers::REQUEST_ID, id)
             .header(headers::TIME_LEFT_MS, 5_000);
-        exchange(self.callers(), request.body(Full::default()).unwrap()).await
+        let exchanging = exchange(self.callers(), request.body(Full::default()).unwrap());
+        tokio::time::timeout(LIMIT, exchanging).await.ok().flatten()
     }
 
     /// Sends a status report or a departure of the server `instance`; whether it was acknowledged.
@@ -282,13 +318,34 @@
     }
 }
 
-fn spawn(settings: &std::path::Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_jayrack-meshd"))
+fn spawn(settings: &std::path::Path, output: DaemonOutput) -> Child {
+    let stdout = match output {
+        DaemonOutput::Dropped => Stdio::null(),
+        DaemonOutput::Kept | DaemonOutput::Blocked => Stdio::piped(),
+    };
+    let child = Command::new(env!("CARGO_BIN_EXE_jayrack-meshd"))
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(stdout)
         .spawn()
-        .unwrap()
+        .unwrap();
+    if output == DaemonOutput::Blocked {
+        const PAGE_BYTES: usize = 4_096;
+        let pipe = child.stdout.as_ref().unwrap();
+        rustix::pipe::fcntl_setpipe_size(pipe, PAGE_BYTES).unwrap();
+    }
+    child
+}
+
+/// Reads what a process writes until it ends.
+fn keep(mut stdout: std::process::ChildStdout, written: Arc<Mutex<String>>) {
+    std::thread::spawn(move || {
+        let mut buffer = [0; 4_096];
+        while let Ok(count @ 1..) = stdout.read(&mut buffer) {
+            let text = String::from_utf8_lossy(&buffer[..count]);
+            written.lock().unwrap().push_str(&text);
+        }
+    });
 }
 
 fn settings_of(address: Ipv4Addr, store: SocketAddr) -> String {
--- /dev/null
+++ b/jayrack-meshd/tests/trails.rs
@@ -0,0 +1,107 @@
+//! What the daemon writes about requests that failed: the trail names the cause.
+// Each test program uses a part of it.
+#[allow(dead_code)]
+mod support;
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+use support::{DaemonOutput, FleetStore, HostProcess, ServerStandin, configuration, until};
+use tokio::{io::AsyncReadExt, net::TcpListener};
+
+/// A daemon whose lines are kept, with a configuration in force; its server has not reported yet.
+async fn host(store: &FleetStore) -> HostProcess {
+    store.put_configuration(&configuration(3, 2.0)).await;
+    let host = HostProcess::start_writing(store.standin.address(), DaemonOutput::Kept);
+    host.until_ready(StatusCode::OK).await;
+    host
+}
+
+/// Waits for a line about `id` whose `event` is this.
+async fn line_of(host: &HostProcess, id: &str, event: &str) -> Value {
+    let find = || {
+        let lines = host.lines(id);
+        lines.into_iter().find(|line| line["event"] == event)
+    };
+    until(event, || async { find().is_some() }).await;
+    find().unwrap()
+}
+
+#[tokio::test]
+async fn a_refused_request_is_explained_by_its_hosts_and_code() {
+    let store = FleetStore::start().await;
+    let host = host(&store).await;
+
+    let answer = host
+        .ask(Method::GET, "/browse/1", "refused-1")
+        .await
+        .unwrap();
+
+    let line = line_of(&host, "refused-1", "refused").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(line["code"], "RouteInactive");
+    assert_eq!(line["service"], "slots");
+    assert_eq!(line["hosts"], "[]");
+}
+
+#[tokio::test]
+async fn an_unknown_outcome_is_explained_by_the_answer_that_was_lost() {
+    let store = FleetStore::start().await;
+    let host = host(&store).await;
+    let listener = TcpListener::bind(host.server()).await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            // Reads the request and closes.
+            let mut buffer = [0; 4_096];
+            let _ = stream.read(&mut buffer).await;
+        }
+    });
+    host.until_reported("i-1", host.status("ready", 1, 1)).await;
+
+    let answer = host.ask(Method::POST, "/book/1", "lost-1").await.unwrap();
+
+    let line = line_of(&host, "lost-1", "answer of the server lost").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(line["level"], "WARN");
+}
+
+#[tokio::test]
+async fn a_denied_request_is_explained_by_the_version_in_force() {
+    let store = FleetStore::start().await;
+    let host = host(&store).await;
+
+    let answer = host
+        .ask(Method::GET, "/nowhere/1", "denied-1")
+        .await
+        .unwrap();
+
+    let line = line_of(&host, "denied-1", "not taken").await;
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    assert_eq!(line["code"], "RouteUnknown");
+    assert_eq!(line["version"], "3");
+}
+
+/// Pattern: whoever reads the daemon's output has stopped while failures go on.
+#[tokio::test]
+async fn an_output_that_nobody_reads_holds_no_request_up() {
+    // Over some seconds, as the lines of one second are bounded.
+    const REQUESTS: usize = 300;
+    const PAUSE: Duration = Duration::from_millis(10);
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(3, 2.0)).await;
+    let host = HostProcess::start_writing(store.standin.address(), DaemonOutput::Blocked);
+    let _server = ServerStandin::start(host.server(), "i-1", Duration::ZERO).await;
+    host.until_reported("i-1", host.status("ready", 1, 1)).await;
+    host.until_ready(StatusCode::OK).await;
+
+    for number in 0..REQUESTS {
+        let id = format!("denied-{number}");
+        let answer = host.ask(Method::GET, "/nowhere/1", &id).await.unwrap();
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+        tokio::time::sleep(PAUSE).await;
+    }
+    let served = host.ask(Method::GET, "/browse/1", "served-1").await;
+
+    assert_eq!(served.unwrap().status, StatusCode::OK);
+}
