feat(meshd): changed bounds take effect without a start

A changed settings file was read, checked and left for the next start. The bounds of repeats and the time for a stop hold at once now; what else has changed is told as needing a start. Tests: the budget with changed bounds (no network); the daemon told by SIGHUP.

--- a/jayrack-mesh/src/budget.rs
+++ b/jayrack-mesh/src/budget.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Replaces the bounds; what was counted counts on.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Counts a request of `service`.
     pub fn record_request(&mut self, now_ms: u64, service: &str, subject: RepeatSubject) {
         let window = self.window(now_ms, service);
--- a/jayrack-mesh/tests/shed_calls.rs
+++ b/jayrack-mesh/tests/shed_calls.rs
@@ -226,3 +226,20 @@
 
     assert!(later > 0, "{beside_call}, then {later}");
 }
+
+#[test]
+fn changed_bounds_hold_for_what_was_counted_before() {
+    let mut budget = budget();
+    for _ in 0..100 {
+        budget.record_request(0, SERVICE, RepeatSubject::Request);
+    }
+    assert!(budget.try_repeat(0, SERVICE, HOSTS, RepeatSubject::Request));
+
+    budget.set_options(Options {
+        window_ms: 10_000,
+        per_mille: 0,
+        slack: 0,
+    });
+
+    assert!(!budget.try_repeat(0, SERVICE, HOSTS, RepeatSubject::Request));
+}
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -93,11 +93,13 @@
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
-                _ = reload.recv() => reload_settings(&path, &mut known),
-                () = sleep(SETTINGS_PAUSE) => reload_settings(&path, &mut known),
+                _ = reload.recv() => {}
+                () = sleep(SETTINGS_PAUSE) => {}
             }
+            reload_settings(&path, &mut known);
+            traffic.router.set_bounds(&known.bounds);
         }
-        stop(&control, &traffic).await;
+        stop(&control, &traffic, known.bounds.stop_s).await;
         Ok(())
     })
 }
@@ -222,11 +224,15 @@
     }
 }
 
-/// Notes a change of the settings file; what has changed takes effect at the next start.
+/// Reads the settings file again; bounds take effect at once, what else has changed at the next start.
 fn reload_settings(path: &std::path::Path, known: &mut MeshSettings) {
     match settings::load(path) {
         Ok(settings) if settings != *known => {
-            log::info!("settings have changed; they take effect at the next start");
+            let needs_start = MeshSettings {
+                bounds: known.bounds.clone(),
+                ..settings.clone()
+            } != *known;
+            log::info!(needs_start = needs_start; "settings have changed");
             *known = settings;
         }
         Ok(_) => {}
@@ -236,9 +242,9 @@
 
 /// Stops without cutting requests: the platform turns callers away first, then whoever still comes is
 /// refused, and the process ends with the last answer.
-async fn stop(control: &ControlState, traffic: &TrafficState) {
+async fn stop(control: &ControlState, traffic: &TrafficState, stop_s: f64) {
     let mesh = &control.mesh;
-    let grace = Duration::from_secs_f64(mesh.settings.bounds.stop_s).saturating_sub(STOP_MARGIN);
+    let grace = Duration::from_secs_f64(stop_s).saturating_sub(STOP_MARGIN);
     let started = Instant::now();
     log::info!(in_flight = mesh.in_flight(); "stopping");
     mesh.set_leaving();
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -12,7 +12,7 @@
     routes::MeshRoute,
 };
 
-use crate::shared::MeshState;
+use crate::{settings::BoundSettings, shared::MeshState};
 
 /// Silence after which a host of a small fleet is used only if there is no other, in milliseconds: three status
 /// datagrams.
@@ -35,15 +35,9 @@
 impl IngressRouter {
     /// Creates a router without observations.
     pub fn new(mesh: Arc<MeshState>, seed: u64) -> Self {
-        let bounds = &mesh.settings.bounds;
-        let options = budget::Options {
-            window_ms: (bounds.repeat_window_s * 1_000.0) as u64,
-            per_mille: (bounds.repeat_ratio * 1_000.0) as u64,
-            slack: bounds.repeat_slack,
-        };
         let core = RouterCore {
             picker: HostPicker::new(seed),
-            budget: RepeatBudget::new(options),
+            budget: RepeatBudget::new(budget_options(&mesh.settings.bounds)),
             splits: SplitChooser::default(),
         };
         Self {
@@ -52,6 +46,11 @@
         }
     }
 
+    /// Puts changed bounds in force.
+    pub fn set_bounds(&self, bounds: &BoundSettings) {
+        self.lock().budget.set_options(budget_options(bounds));
+    }
+
     /// The service that takes the next request of `route`.
     pub fn choose_service<'a>(&self, route: &'a MeshRoute) -> Option<&'a str> {
         self.lock().splits.choose(route)
@@ -150,6 +149,14 @@
     }
 }
 
+fn budget_options(bounds: &BoundSettings) -> budget::Options {
+    budget::Options {
+        window_ms: (bounds.repeat_window_s * 1_000.0) as u64,
+        per_mille: (bounds.repeat_ratio * 1_000.0) as u64,
+        slack: bounds.repeat_slack,
+    }
+}
+
 fn candidates_of(
     directory: &HostDirectory,
     mesh: &MeshState,
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -160,12 +160,17 @@
 
     /// The lines that the process wrote about the request `id`.
     pub fn lines(&self, id: &str) -> Vec<serde_json::Value> {
+        self.lines_with("id", id)
+    }
+
+    /// The lines in which the field `name` is `value`.
+    pub fn lines_with(&self, name: &str, value: &str) -> Vec<serde_json::Value> {
         let written = self.written.lock().unwrap();
         let lines = written
             .lines()
             .filter_map(|line| serde_json::from_str(line).ok());
         lines
-            .filter(|line: &serde_json::Value| line["id"] == id)
+            .filter(|line: &serde_json::Value| line[name] == value)
             .collect()
     }
 
@@ -190,6 +195,17 @@
         self.signal(rustix::process::Signal::CONT);
     }
 
+    /// Replaces a part of the settings file.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, text.replace(from, to)).unwrap();
+    }
+
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(rustix::process::Signal::HUP);
+    }
+
     fn signal(&self, signal: rustix::process::Signal) {
         let id = rustix::process::Pid::from_child(&self.child);
         rustix::process::kill_process(id, signal).unwrap();
--- a/jayrack-meshd/tests/trails.rs
+++ b/jayrack-meshd/tests/trails.rs
@@ -82,6 +82,26 @@
     assert_eq!(line["version"], "3");
 }
 
+#[tokio::test]
+async fn changed_settings_are_told_with_whether_they_need_a_start() {
+    let store = FleetStore::start().await;
+    let host = host(&store).await;
+    let told = |needs_start: bool| {
+        let lines = host.lines_with("event", "settings have changed");
+        lines.iter().any(|line| line["needs_start"] == needs_start)
+    };
+
+    host.change_settings(r#""repeat_slack": 60"#, r#""repeat_slack": 7"#);
+    host.hang_up();
+    until("changed bounds", || async { told(false) }).await;
+    host.change_settings(r#""link_mbps": 1000"#, r#""link_mbps": 10"#);
+    host.hang_up();
+    until("a changed link", || async { told(true) }).await;
+
+    let answer = host.ask(Method::GET, "/nowhere/1", "after").await;
+    assert_eq!(answer.unwrap().status, StatusCode::NOT_FOUND);
+}
+
 /// Pattern: whoever reads the daemon's output has stopped while failures go on.
 #[tokio::test]
 async fn an_output_that_nobody_reads_holds_no_request_up() {
