refactor(meshd): one offer of a request is a module of its own

The ingress had grown to over 800 lines; what happens at one offer (sending, judging the reply for the choice of hosts, its log line) moves to traffic::attempt. No change of behaviour; process tests as before.

--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`listener`]: connections of callers and of other daemons.
 //! * [`ingress`]: the way of a caller's request to a backend server and back.
+//! * `attempt`: one offer of a request to a host.
 //! * [`answer`]: what the caller is told.
 //! * [`router`]: choice of hosts, shares of split routes and the budget of repeats.
 //! * [`owner`]: requests for the backend server beside the daemon.
@@ -10,6 +11,7 @@
 //! * [`forward`]: what one daemon tells another about a request.
 //! * [`pool`]: outgoing connections; [`body`]: bodies of answers.
 pub mod answer;
+mod attempt;
 pub mod body;
 pub mod forward;
 pub mod gate;
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -2,18 +2,18 @@
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{self, HeaderValue},
     http::request::Parts,
 };
 use jayrack_mesh::{
     budget::RepeatSubject,
-    gate::{RouteSpeed, Urgency},
+    gate::Urgency,
     offers::{OfferEnd, OfferTrail},
-    pick::{HostCandidate, HostOutcome, HostReport, PickRequest},
+    pick::{HostCandidate, PickRequest},
     routes::MeshRoute,
 };
 use jayrack_platform::{headers, socket::SocketOptions};
@@ -25,10 +25,11 @@
 
 use super::{
     answer::{CallerAnswer, to_response},
-    body::{self, AnswerBody},
-    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply, SentMark},
+    attempt::{Attempt, AttemptWatch, answer_bytes, log_attempt, send},
+    body::AnswerBody,
+    forward::{self, ForwardHead, NotRunReason, OwnerOutcome, SentMark},
     link::HostLink,
-    owner::{self, OwnedRequest, WHOLE_ANSWER_BYTES},
+    owner::{self, OwnedRequest},
     pool::{self, ConnectionPool},
     router::IngressRouter,
 };
@@ -48,7 +49,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(700);
 /// Idle time after which connections to other daemons are not used again: a new one costs a round trip, an idle
 /// one memory at both ends.
-const PEER_MAX_IDLE: Duration = Duration::from_millis(600);
+pub(super) const PEER_MAX_IDLE: Duration = Duration::from_millis(600);
 /// Idle time after which connections to the backend server are not used again.
 const SERVER_MAX_IDLE: Duration = Duration::from_secs(8);
 /// Idle connections kept for each address.
@@ -66,8 +67,6 @@
 const RESTART_PAUSE_MS: u64 = 700;
 /// Delay between hosts that is logged, in milliseconds: many times that of a free link.
 const LONG_TRANSIT_MS: u64 = 100;
-/// Time kept for the way back of an answer, in milliseconds.
-const RETURN_MS: u64 = 5;
 
 /// State of the traffic thread.
 #[derive(Debug)]
@@ -169,20 +168,20 @@
 }
 
 /// A request of a caller that was read whole.
-struct CallerRequest {
-    route: Arc<MeshRoute>,
-    service: String,
-    urgency: Urgency,
+pub(super) struct CallerRequest {
+    pub(super) route: Arc<MeshRoute>,
+    pub(super) service: String,
+    pub(super) urgency: Urgency,
     /// Whether it is a call of a request that was sent a second time.
-    is_caused: bool,
-    parts: Parts,
-    body: Bytes,
+    pub(super) is_caused: bool,
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
     /// Time until which an answer is worth most.
-    target_at: Instant,
+    pub(super) target_at: Instant,
     /// Time of the final answer.
-    expires_at: Instant,
+    pub(super) expires_at: Instant,
     /// Time that the caller has left when the request arrives, in milliseconds.
-    time_left_ms: u64,
+    pub(super) time_left_ms: u64,
 }
 
 impl CallerRequest {
@@ -430,15 +429,6 @@
     }
 }
 
-/// How one attempt ended.
-enum Attempt {
-    Replied(OwnerReply),
-    /// The host was not reached; nothing ran.
-    Unreachable,
-    /// The connection was lost after the request was sent.
-    Lost,
-}
-
 /// Decides what follows from an attempt; `None` to go on with another host.
 fn judge(
     state: &Arc<TrafficState>,
@@ -575,30 +565,6 @@
     CallerAnswer::Refusal(code, pause_ms.min(most_ms).max(MIN_RETRY_AFTER_MS))
 }
 
-/// Logs where a sampled request was sent and what came of it.
-fn log_attempt(request: &CallerRequest, candidate: &HostCandidate, attempt: &Attempt) {
-    let id = forward::id_of(&request.parts.headers);
-    if !logging::is_sampled(id) {
-        return;
-    }
-    let (outcome, load) = match attempt {
-        Attempt::Unreachable => ("unreachable", None),
-        Attempt::Lost => ("connection lost", None),
-        Attempt::Replied(reply) => (reply.outcome.name(), Some(reply.load)),
-    };
-    log::info!(
-        target: logging::REQUEST,
-        id = id,
-        host:% = candidate.address,
-        instance = candidate.instance.as_str(),
-        near = candidate.is_near,
-        paused = candidate.is_paused,
-        load:? = load,
-        outcome = outcome;
-        "attempt ended"
-    );
-}
-
 fn log_repeat(request: &CallerRequest, trail: &RequestTrail, reason: &str) {
     log::info!(
         target: logging::REQUEST,
@@ -609,193 +575,3 @@
         "repeated at another server"
     );
 }
-
-/// Sends the request to the daemon beside `candidate`, or to the server on this host.
-async fn send(
-    state: &Arc<TrafficState>,
-    request: &CallerRequest,
-    candidate: &HostCandidate,
-    is_repeat: bool,
-) -> Attempt {
-    let now = Instant::now();
-    let left_ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
-    let head = ForwardHead {
-        route: request.route.name.clone(),
-        instance: candidate.instance.clone(),
-        urgency: request.urgency,
-        target_left_ms: left_ms(request.target_at),
-        time_left_ms: left_ms(request.expires_at).saturating_sub(RETURN_MS),
-        is_idempotent: request.route.kind.is_idempotent(),
-        is_repeat,
-        is_near: candidate.is_near,
-        sent: SentMark {
-            epoch: state.mesh.started_boot_ms(),
-            at_ms: boot_ms(),
-        },
-    };
-    let mut parts = request.parts.clone();
-    let body = request.body.clone();
-    if candidate.address == state.mesh.settings.host.address {
-        let request = OwnedRequest { head, parts, body };
-        return Attempt::Replied(owner::serve(state, request).await);
-    }
-    let forward = {
-        let directory = state.mesh.directory();
-        directory
-            .get(candidate.address)
-            .map(|entry| entry.record.forward)
-    };
-    let Some(forward) = forward else {
-        return Attempt::Unreachable;
-    };
-    head.encode(&mut parts.headers);
-    state.link.note_other(body.len() as u64);
-    let message = Request::from_parts(parts, Full::new(body));
-    let sent = state.peer_pool.send(forward, message, PEER_MAX_IDLE).await;
-    let response = match sent {
-        Ok(answer) => answer.response,
-        Err(pool::Error::NotSent(error)) => {
-            let now_ms = state.mesh.now_ms();
-            let pause_ms = state
-                .mesh
-                .directory()
-                .unreachable(now_ms, candidate.address);
-            log::warn!(host:% = candidate.address, pause_ms = pause_ms, error = error.as_str(); "host not reached");
-            state.peer_pool.forget(forward);
-            return Attempt::Unreachable;
-        }
-        Err(pool::Error::Lost(error)) => {
-            let now_ms = state.mesh.now_ms();
-            state
-                .mesh
-                .directory()
-                .unreachable(now_ms, candidate.address);
-            log::warn!(host:% = candidate.address, error = error.as_str(); "connection to host lost");
-            state.peer_pool.forget(forward);
-            return Attempt::Lost;
-        }
-    };
-    let Some(mut reply) = OwnerReply::decode(response) else {
-        log::warn!(host:% = candidate.address; "answer of host not understood");
-        return Attempt::Lost;
-    };
-    if let OwnerOutcome::Answered { response, .. } = &mut reply.outcome
-        && let Err(error) = read_small(response).await
-    {
-        log::warn!(host:% = candidate.address, error:? = error; "answer of host broke off");
-        reply.outcome = OwnerOutcome::Lost;
-    }
-    Attempt::Replied(reply)
-}
-
-/// Reads a small answer whole, so that a broken one can be replaced.
-async fn read_small(response: &mut Response<AnswerBody>) -> Result<(), body::Error> {
-    let length = forward::number(response.headers(), header::CONTENT_LENGTH);
-    if length.is_some_and(|length| length > WHOLE_ANSWER_BYTES as u64) {
-        return Ok(());
-    }
-    let unread = AnswerBody::whole(Bytes::new());
-    let body = std::mem::replace(response.body_mut(), unread);
-    *response.body_mut() = body.read_ahead(WHOLE_ANSWER_BYTES).await?;
-    Ok(())
-}
-
-/// Counts an attempt as in flight until its end, also when the caller leaves.
-struct AttemptWatch<'a> {
-    state: &'a TrafficState,
-    candidate: &'a HostCandidate,
-    pick: &'a PickRequest<'a>,
-    is_ended: bool,
-}
-
-impl<'a> AttemptWatch<'a> {
-    fn start(
-        state: &'a TrafficState,
-        candidate: &'a HostCandidate,
-        pick: &'a PickRequest<'a>,
-    ) -> Self {
-        state.router.started(candidate);
-        Self {
-            state,
-            candidate,
-            pick,
-            is_ended: false,
-        }
-    }
-
-    fn end(&mut self, attempt: &Attempt) {
-        self.is_ended = true;
-        let (outcome, report) = match attempt {
-            Attempt::Unreachable => (HostOutcome::Unreachable, None),
-            Attempt::Lost => (HostOutcome::Failed, None),
-            Attempt::Replied(reply) => {
-                let report = report_of(reply, self.pick.route);
-                (outcome_of(&reply.outcome), Some(report))
-            }
-        };
-        self.state
-            .router
-            .finished(self.candidate, self.pick, outcome, report);
-    }
-}
-
-impl Drop for AttemptWatch<'_> {
-    fn drop(&mut self) {
-        if !self.is_ended {
-            let outcome = HostOutcome::Abandoned;
-            self.state
-                .router
-                .finished(self.candidate, self.pick, outcome, None);
-        }
-    }
-}
-
-fn report_of(reply: &OwnerReply, route: &str) -> HostReport {
-    let speed = reply.service_ms.map(|service_ms| RouteSpeed {
-        route: route.to_string(),
-        service_ms,
-    });
-    HostReport {
-        load: reply.load,
-        speeds: speed.into_iter().collect(),
-    }
-}
-
-fn outcome_of(outcome: &OwnerOutcome) -> HostOutcome {
-    match outcome {
-        OwnerOutcome::Answered {
-            response,
-            has_refused_call,
-            ..
-        } if response.status().is_server_error() => match has_refused_call {
-            true => HostOutcome::Abandoned,
-            false => HostOutcome::Failed,
-        },
-        OwnerOutcome::Answered {
-            response,
-            service_ms,
-            ..
-        } => HostOutcome::Answered {
-            service_ms: *service_ms,
-            answer_bytes: answer_bytes(response),
-        },
-        OwnerOutcome::NotRun {
-            reason: NotRunReason::ServerDown | NotRunReason::Closed,
-            ..
-        } => HostOutcome::Unreachable,
-        OwnerOutcome::NotRun {
-            reason: NotRunReason::ServerRefused,
-            ..
-        } => HostOutcome::TurnedAway,
-        OwnerOutcome::NotRun { retry_after_ms, .. } => HostOutcome::Refused {
-            retry_after_ms: *retry_after_ms,
-        },
-        OwnerOutcome::Lost => HostOutcome::Failed,
-    }
-}
-
-/// Size of an answer as far as it is known; at least what was read of it.
-fn answer_bytes(response: &Response<AnswerBody>) -> u64 {
-    let stated = forward::number(response.headers(), header::CONTENT_LENGTH);
-    stated.unwrap_or_else(|| response.body().size_hint().lower())
-}
