feat(mesh): the floor of the least urgent is a part of the slots' time, not of the dispatches

A confirmation takes 290 ms, a lookup 55 ms, so confirmations had 36 % of the slots' time at bookings while lookups were refused and 2,156 browsing runs were lost with them. The floor now saves a tenth of the time that goes to others, up to one request's; when it is due, a full queue does not refuse or evict it.

Ruled out: waits of lookups (they come first), calls that are never made (one browse in three).

In the_least_urgent_keeps_a_floor the service time of the least urgent is seen once before: one that is not known counts as 150 ms, for which a tenth of twenty milliseconds is not enough; the number of dispatches in which it must be served stays.

--- a/jayrack-mesh/src/gate.rs
+++ b/jayrack-mesh/src/gate.rs
@@ -28,8 +28,8 @@
 const MIN_ESTIMATE_MS: f64 = 5.0;
 /// Shortest pause that a refused caller is told, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 40;
-/// One of so many dispatches goes to the least urgent request that waits, so that none starves.
-const FLOOR_EVERY: u32 = 10;
+/// Part of the slots' time that the least urgent requests get while others wait, so that none starves.
+const FLOOR_PART: f64 = 0.1;
 
 /// How urgent a request is; the order of the fields is that of their weight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -151,7 +151,8 @@
     /// Ratio of waits to their estimates, by stage and rank.
     wait_ratios: BTreeMap<(u8, u8), f64>,
     arrivals: u64,
-    dispatches: u32,
+    /// Time that the least urgent requests have not had of their part yet, in milliseconds.
+    floor_credit_ms: f64,
 }
 
 impl AdmissionGate {
@@ -166,7 +167,7 @@
             averages: BTreeMap::new(),
             wait_ratios: BTreeMap::new(),
             arrivals: 0,
-            dispatches: 0,
+            floor_credit_ms: 0.0,
         }
     }
 
@@ -193,8 +194,11 @@
         now_ms: u64,
         request: GateRequest,
     ) -> (GateVerdict, Option<GateDecision>) {
+        let is_floor_due =
+            self.is_floor_due(request.urgency.rank, self.expected_ms(&request.route));
         let verdict = self.judge(now_ms, request);
-        let evicted = (self.waiting.len() > self.max_waiting).then(|| self.evict(now_ms));
+        let limit = self.max_waiting + usize::from(is_floor_due);
+        let evicted = (self.waiting.len() > limit).then(|| self.evict(now_ms));
         (verdict, evicted.flatten())
     }
 
@@ -215,7 +219,11 @@
             return GateVerdict::Run;
         }
         let estimate_ms = self.wait_ms(now_ms, &request);
-        let wait_ms = estimate_ms * self.wait_ratio(request.urgency);
+        let by_turn_ms = estimate_ms * self.wait_ratio(request.urgency);
+        let wait_ms = match self.floor_wait_ms(&request, expected_ms) {
+            Some(by_floor_ms) => by_turn_ms.min(by_floor_ms),
+            None => by_turn_ms,
+        };
         let limit_ms = wait_limit_ms(now_ms, &request, expected_ms);
         if wait_ms > limit_ms || self.is_full_for(now_ms, &request, expected_ms) {
             return GateVerdict::Refuse(GateRefusal {
@@ -241,7 +249,9 @@
             let late = is_late(now_ms, &waiting.request, waiting.expected_ms);
             (late, waiting.request.urgency) > own
         };
-        self.waiting.len() >= self.max_waiting && !self.waiting.iter().any(is_behind)
+        self.waiting.len() >= self.max_waiting
+            && !self.is_floor_due(request.urgency.rank, expected_ms)
+            && !self.waiting.iter().any(is_behind)
     }
 
     /// Refuses the request that would be served last.
@@ -392,15 +402,58 @@
 
     /// Index of the request that runs next.
     fn next(&mut self, now_ms: u64) -> Option<usize> {
-        self.dispatches = self.dispatches.wrapping_add(1);
         let key = |index: &usize| order(now_ms, &self.waiting[*index]);
+        let rank = |index: &usize| self.waiting[*index].request.urgency.rank;
         let indices = 0..self.waiting.len();
-        if self.dispatches.is_multiple_of(FLOOR_EVERY) {
-            let rank = |index: &usize| self.waiting[*index].request.urgency.rank;
-            let least = indices.clone().map(|index| rank(&index)).max()?;
-            return indices.filter(|index| rank(index) == least).min_by_key(key);
+        let first = indices.clone().min_by_key(key)?;
+        let least_rank = indices.clone().map(|index| rank(&index)).max()?;
+        let least = indices
+            .filter(|index| rank(index) == least_rank)
+            .min_by_key(key)?;
+        let least_ms = self.expected_ms(&self.waiting[least].request.route);
+        if rank(&first) < least_rank && self.floor_credit_ms >= least_ms {
+            self.floor_credit_ms -= least_ms;
+            return Some(least);
+        }
+        let first_ms = self.expected_ms(&self.waiting[first].request.route);
+        let credit_ms = self.floor_credit_ms + first_ms * FLOOR_PART;
+        self.floor_credit_ms = credit_ms.min(self.longest_ms());
+        Some(first)
+    }
+
+    /// Time of the slowest route seen, in milliseconds: the floor saves no more than one request's.
+    fn longest_ms(&self) -> f64 {
+        let averages = self.averages.values().map(|average| average.service_ms);
+        averages.fold(UNSEEN_SERVICE_MS, f64::max)
+    }
+
+    /// Whether the floor lets a request of `rank` run next though the others that wait are more urgent.
+    fn is_floor_due(&self, rank: u8, expected_ms: f64) -> bool {
+        let ranks = self
+            .waiting
+            .iter()
+            .map(|waiting| waiting.request.urgency.rank);
+        self.floor_credit_ms >= expected_ms && ranks.into_iter().all(|other| other < rank)
+    }
+
+    /// How long `request` would wait for a slot out of the floor of the least urgent, if it is one of these.
+    fn floor_wait_ms(&self, request: &GateRequest, expected_ms: f64) -> Option<f64> {
+        let rank = request.urgency.rank;
+        let ranks = self
+            .waiting
+            .iter()
+            .map(|waiting| waiting.request.urgency.rank);
+        let is_least = ranks.clone().all(|other| other <= rank);
+        if !is_least || ranks.clone().all(|other| other == rank) {
+            return None;
         }
-        indices.min_by_key(key)
+        let alike = self
+            .waiting
+            .iter()
+            .filter(|waiting| waiting.request.urgency.rank == rank);
+        let alike_ms: f64 = alike.map(|waiting| waiting.expected_ms).sum();
+        let missing_ms = (alike_ms + expected_ms - self.floor_credit_ms).max(0.0);
+        Some(missing_ms / (FLOOR_PART * f64::from(self.slots.max(1))))
     }
 
     /// How long `request` would wait for a slot.
--- a/jayrack-mesh/tests/gate.rs
+++ b/jayrack-mesh/tests/gate.rs
@@ -143,6 +143,8 @@
 fn the_least_urgent_keeps_a_floor() {
     let mut gate = AdmissionGate::new(64);
     gate.open(0, 1);
+    gate.offer(0, request(99, 1, 7));
+    gate.finished(0, 99, Some(1));
     gate.offer(0, request(0, 1, 0));
     gate.offer(0, request(100, 1, 7));
     let mut running = 0;
