fix(meshd): keep a departure without a record, acknowledge it once stored

The new cases of jayrack-mesh/tests/server.rs fail on the old tracker (three of three).

Ruled out: the other host's copy (a datagram can be lost, and all daemons were killed together), the gate (the request was let through by the new process, which had a Ready record).

Change: a departure without a matching record becomes a record of its own; a departure is acknowledged when the store has recorded it, honoured at once all the same, and its write goes on beyond the time limit of the answer; only a host list with a record of this host's server restores it, and at most three daemons are asked.

--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -53,12 +53,14 @@
 /// Record of the backend server beside the daemon, updated by its reports.
 ///
 /// Guarantees that an incarnation that was reported as leaving never counts as ready again, in whatever order
-/// reports arrive.
+/// reports arrive, and also if the departure is the first report of it that this process receives.
 #[derive(Debug, Default)]
 pub struct ServerTracker {
     record: Option<ServerRecord>,
     reported_ms: u64,
     is_restored: bool,
+    /// Instance and start of the incarnation whose departure is stored durably.
+    stored_departure: Option<(String, u64)>,
 }
 
 impl ServerTracker {
@@ -82,10 +84,15 @@
     /// Applies a report received at `now_ms`.
     pub fn handle(&mut self, now_ms: u64, report: StatusReport) -> ReportEffect {
         let record = report.record;
-        if let Some(known) = &self.record
-            && !supersedes(known, &record)
-        {
-            return ReportEffect::Outdated;
+        if let Some(known) = &mut self.record {
+            let is_undated_departure = known.phase == ServerPhase::Gone && known.born_ms == 0;
+            if is_undated_departure && known.instance == record.instance {
+                // The departure did not state which incarnation left; it applies to the first one that reports.
+                known.born_ms = record.born_ms;
+            }
+            if !supersedes(known, &record) {
+                return ReportEffect::Outdated;
+            }
         }
         self.reported_ms = now_ms;
         let is_changed = self.is_restored
@@ -106,19 +113,58 @@
 
     /// Records that the server leaves at once; `born_ms` is zero if the server did not state it, and matches any
     /// incarnation then.
+    ///
+    /// A departure of a server without a record, as after a restart of the daemon, is kept as well: reports of before
+    /// may still be on their way.
     pub fn leave(&mut self, instance: &str, born_ms: u64) -> ReportEffect {
-        let Some(record) = &mut self.record else {
-            return ReportEffect::Outdated;
-        };
-        let is_same_incarnation = born_ms == 0 || record.born_ms == born_ms;
-        if record.instance != instance || !is_same_incarnation || record.phase == ServerPhase::Gone
-        {
-            return ReportEffect::Outdated;
+        match &mut self.record {
+            Some(record)
+                if record.instance == instance && (born_ms == 0 || record.born_ms == born_ms) =>
+            {
+                if record.phase == ServerPhase::Gone {
+                    return ReportEffect::Repeated;
+                }
+                record.phase = ServerPhase::Gone;
+            }
+            Some(record) if !self.is_restored && born_ms <= record.born_ms => {
+                return ReportEffect::Outdated;
+            }
+            Some(record) if born_ms != 0 && born_ms < record.born_ms => {
+                return ReportEffect::Outdated;
+            }
+            _ => {
+                self.record = Some(ServerRecord {
+                    instance: instance.to_string(),
+                    born_ms,
+                    sequence: 0,
+                    service: String::new(),
+                    slots: 0,
+                    phase: ServerPhase::Gone,
+                });
+            }
         }
-        record.phase = ServerPhase::Gone;
+        self.is_restored = false;
         ReportEffect::Changed
     }
 
+    /// Record of a departure that must be stored before it is acknowledged, so that it outlives this process; `None`
+    /// if the server has not left or its departure is stored.
+    pub fn unstored_departure(&self) -> Option<&ServerRecord> {
+        let record = self.record.as_ref()?;
+        let is_stored = self
+            .stored_departure
+            .as_ref()
+            .is_some_and(|(instance, born_ms)| {
+                *instance == record.instance && *born_ms == record.born_ms
+            });
+        (record.phase != ServerPhase::Ready && !is_stored).then_some(record)
+    }
+
+    /// Records that the departure `record` is stored durably.
+    pub fn departure_stored(&mut self, record: &ServerRecord) {
+        self.stored_departure = Some((record.instance.clone(), record.born_ms));
+    }
+
     /// Record of the server, also if it has left; `None` without a report or restored record.
     pub fn record(&self) -> Option<&ServerRecord> {
         self.record.as_ref()
--- a/jayrack-mesh/tests/server.rs
+++ b/jayrack-mesh/tests/server.rs
@@ -61,6 +61,75 @@
     assert!(tracker.serving().is_none());
 }
 
+/// Guards against a restart between two reports: the departure is the first report that the new process receives, and
+/// a report of before arrives after it.
+#[rstest]
+#[case::of_the_same_incarnation(5)]
+#[case::without_a_stated_start(0)]
+fn a_departure_of_a_server_without_a_record_holds(#[case] born_ms: u64) {
+    let mut tracker = ServerTracker::default();
+
+    let effect = tracker.leave("i-1", born_ms);
+    let late_effect = tracker.handle(1, report(5, 20, ServerPhase::Ready));
+
+    assert_eq!(effect, ReportEffect::Changed);
+    assert_eq!(late_effect, ReportEffect::Outdated);
+    assert!(tracker.serving().is_none());
+}
+
+#[test]
+fn a_departure_of_an_incarnation_after_the_restored_one_holds() {
+    let mut tracker = ServerTracker::default();
+    tracker.restore(record(5, 7, ServerPhase::Ready));
+
+    tracker.leave("i-1", 6);
+    tracker.handle(1, report(6, 3, ServerPhase::Ready));
+
+    assert!(tracker.serving().is_none());
+}
+
+#[test]
+fn a_server_started_after_a_departure_without_a_record_serves() {
+    let mut tracker = ServerTracker::default();
+    tracker.leave("i-1", 5);
+
+    let effect = tracker.handle(1, report(6, 1, ServerPhase::Ready));
+
+    assert_eq!(effect, ReportEffect::Changed);
+    assert!(tracker.serving().is_some());
+}
+
+#[rstest]
+#[case::drains(true)]
+#[case::leaves_at_once(false)]
+fn a_departure_is_unstored_until_the_store_has_recorded_it(#[case] drains: bool) {
+    let mut tracker = ready_tracker();
+    assert!(tracker.unstored_departure().is_none());
+
+    match drains {
+        true => tracker.handle(1, report(5, 2, ServerPhase::Draining)),
+        false => tracker.leave("i-1", 5),
+    };
+    let departure = tracker.unstored_departure().cloned();
+    assert!(departure.is_some(), "acknowledged without a stored record");
+    tracker.departure_stored(&departure.expect("checked above"));
+
+    assert!(tracker.unstored_departure().is_none());
+}
+
+#[test]
+fn the_departure_of_the_next_incarnation_is_stored_as_well() {
+    let mut tracker = ready_tracker();
+    tracker.handle(1, report(5, 2, ServerPhase::Draining));
+    let departure = tracker.unstored_departure().cloned();
+    tracker.departure_stored(&departure.expect("draining"));
+
+    tracker.handle(2, report(6, 1, ServerPhase::Ready));
+    tracker.handle(3, report(6, 2, ServerPhase::Draining));
+
+    assert!(tracker.unstored_departure().is_some());
+}
+
 #[test]
 fn a_departure_of_an_earlier_incarnation_changes_nothing() {
     let mut tracker = ready_tracker();
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -69,6 +69,8 @@
     pub store: StoreClient,
     /// This host's record and the exchange of datagrams.
     pub gossip: gossip::GossipState,
+    /// Held while a departure is written to the store, so that each is written once.
+    pub departure_writing: tokio::sync::Mutex<()>,
 }
 
 /// Runs the daemon until it receives SIGTERM; SIGHUP makes it read the settings file at once.
@@ -125,6 +127,7 @@
     let control = Arc::new(ControlState {
         store: StoreClient::new(settings.store, options),
         gossip: gossip::GossipState::new(&mesh, socket),
+        departure_writing: tokio::sync::Mutex::default(),
         mesh,
     });
     tokio::spawn(endpoint::serve_ready(ready, control.mesh.clone()));
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -48,6 +48,8 @@
 const READER_WAIT: Duration = Duration::from_millis(600);
 /// Maximum number of other daemons that are asked for a configuration before the store is.
 const MAX_PULL_SOURCES: usize = 2;
+/// Maximum number of other daemons that are asked for the state of an earlier process.
+const MAX_RESTORE_SOURCES: u32 = 3;
 /// Time after the start after which the server gets requests although the state of an earlier process could not be
 /// restored, in milliseconds: the interval of two reports and their delay.
 const RESTORE_TIMEOUT_MS: u64 = 4_000;
@@ -76,6 +78,8 @@
     peers: BTreeMap<IpAddr, PeerState>,
     reaches_store: bool,
     announced: AnnouncedConfiguration,
+    /// Daemons asked for the state of an earlier process.
+    restore_sources: u32,
     random: Pcg32,
 }
 
@@ -156,6 +160,7 @@
                 peers: BTreeMap::new(),
                 reaches_store: true,
                 announced: AnnouncedConfiguration::default(),
+                restore_sources: 0,
                 random: Pcg32::seed_from_u64(epoch),
             }),
             restored: AtomicBool::new(false),
@@ -168,6 +173,11 @@
         self.lock().own.epoch
     }
 
+    /// Whether a further daemon is to be asked for the state of an earlier process.
+    fn needs_restore(&self) -> bool {
+        !self.is_restored() && self.lock().restore_sources < MAX_RESTORE_SOURCES
+    }
+
     /// Copy of this host's record.
     pub fn own_record(&self) -> HostRecord {
         self.lock().own.clone()
@@ -484,15 +494,15 @@
         .announced
         .record(message.configuration, holder, is_same_data_centre);
     let is_behind = message.configuration > mesh.version();
-    let needs_restore = !gossip.is_restored();
-    if !is_behind && !needs_restore || gossip.pulling.swap(true, Ordering::AcqRel) {
+    if !is_behind && !gossip.needs_restore() || gossip.pulling.swap(true, Ordering::AcqRel) {
         return;
     }
     let control = control.clone();
     tokio::spawn(async move {
         let gossip = &control.gossip;
         sleep(Duration::from_millis(gossip.jitter_ms(MAX_PULL_JITTER_MS))).await;
-        if !gossip.is_restored() {
+        if gossip.needs_restore() {
+            gossip.lock().restore_sources += 1;
             sync::pull_hosts(&control, source).await;
         }
         if gossip.lock().announced.same_data_centre.is_none() {
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -73,7 +73,9 @@
         if address == local.to_string() {
             let left: ServerRecord = serde_json::from_slice(&record.value)?;
             log::info!(instance = left.instance.as_str(), phase:? = left.phase; "restored the record of an earlier departure");
-            control.mesh.tracker().restore(left);
+            let mut tracker = control.mesh.tracker();
+            tracker.departure_stored(&left);
+            tracker.restore(left);
         }
         return Ok(());
     }
@@ -86,15 +88,20 @@
     Ok(())
 }
 
-/// Writes the departure of the backend server beside the daemon to the store.
+/// Writes the departure of the backend server beside the daemon to the store unless it is stored already.
 ///
 /// # Errors
 ///
 /// Fails if the store did not acknowledge the record; it may have been written all the same.
-pub async fn record_departure(control: &ControlState, record: &ServerRecord) -> Result<(), Error> {
-    let address = control.mesh.settings.host.address;
-    let key = format!("{LEFT_PREFIX}{address}");
-    control.store.put(TOPIC, &key, &encode(record)?).await
+pub async fn record_departure(control: Arc<ControlState>) -> Result<(), Error> {
+    let _writing = control.departure_writing.lock().await;
+    let Some(record) = control.mesh.tracker().unstored_departure().cloned() else {
+        return Ok(());
+    };
+    let key = format!("{LEFT_PREFIX}{}", control.mesh.settings.host.address);
+    control.store.put(TOPIC, &key, &encode(&record)?).await?;
+    control.mesh.tracker().departure_stored(&record);
+    Ok(())
 }
 
 fn encode(record: &impl serde::Serialize) -> Result<Vec<u8>, Error> {
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode, body::Incoming};
-use jayrack_mesh::server::{ReportEffect, ServerPhase, ServerRecord};
+use jayrack_mesh::server::{ReportEffect, ServerRecord};
 use jayrack_platform::report::{self, ServerCall};
 use tokio::{net::TcpListener, time::timeout};
 
@@ -36,18 +36,20 @@
             return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
         }
     };
-    let accepted = match call {
+    let acknowledged = match call {
         ServerCall::Report(instance) => handle_report(&control, &instance, &body).await,
         ServerCall::Leave(instance) => {
             handle_leave(&control, &instance, &body).await;
             true
         }
     };
-    if accepted {
-        endpoint::answer(StatusCode::OK, "{}".to_string())
-    } else {
-        endpoint::answer(StatusCode::BAD_REQUEST, String::new())
+    if !acknowledged {
+        return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
     }
+    if !store_departure(&control).await {
+        return endpoint::answer(StatusCode::SERVICE_UNAVAILABLE, String::new());
+    }
+    endpoint::answer(StatusCode::OK, "{}".to_string())
 }
 
 async fn handle_report(control: &ControlState, instance: &str, body: &Bytes) -> bool {
@@ -82,23 +84,19 @@
     let born_ms = report::decode_leave(body);
     let (effect, record) = {
         let mut tracker = control.mesh.tracker();
-        let was_leaving = tracker
-            .record()
-            .is_some_and(|record| record.phase != ServerPhase::Ready);
         let effect = tracker.leave(instance, born_ms);
-        // The departure of a draining server was recorded when it began to drain.
-        (effect, tracker.record().filter(|_| !was_leaving).cloned())
+        (effect, tracker.record().cloned())
     };
-    if let (ReportEffect::Changed, Some(record)) = (effect, record) {
-        propagate_change(control, &record).await;
+    match (effect, record) {
+        (ReportEffect::Changed, Some(record)) => propagate_change(control, &record).await,
+        (ReportEffect::Outdated, _) => {
+            log::info!(instance = instance, born_ms = born_ms; "outdated departure ignored");
+        }
+        _ => {}
     }
 }
 
-/// Applies a changed server record to the admission gate, sends it to the other daemons and, for a departure, records
-/// it in the store.
-///
-/// A departure is recorded before it is acknowledged, so that it survives a restart of this process. If the store
-/// does not record it in time, it is acknowledged all the same.
+/// Applies a changed server record to the admission gate and sends it to the other daemons.
 async fn propagate_change(control: &ControlState, record: &ServerRecord) {
     let mesh = &control.mesh;
     log::info!(
@@ -112,12 +110,29 @@
     mesh.metrics.count_state_change("server-changed");
     control.gossip.apply_server(mesh);
     control.gossip.publish(mesh).await;
-    if record.phase == ServerPhase::Ready {
-        return;
+}
+
+/// Stores a departure of the server that is not stored yet; returns whether the report may be acknowledged.
+///
+/// The server reports again until it is acknowledged, and a write that outlasts [`RECORD_TIMEOUT`] goes on meanwhile.
+async fn store_departure(control: &Arc<ControlState>) -> bool {
+    if control.mesh.tracker().unstored_departure().is_none() {
+        return true;
     }
-    match timeout(RECORD_TIMEOUT, hosts::record_departure(control, record)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => log::warn!(error:% = error; "departure not recorded"),
-        Err(_) => log::warn!("departure not recorded in time"),
+    let writing = tokio::spawn(hosts::record_departure(control.clone()));
+    match timeout(RECORD_TIMEOUT, writing).await {
+        Ok(Ok(Ok(()))) => true,
+        Ok(Ok(Err(error))) => {
+            log::warn!(error:% = error; "departure not recorded");
+            false
+        }
+        Ok(Err(error)) => {
+            log::error!(error:% = error; "task that records a departure failed");
+            false
+        }
+        Err(_) => {
+            log::warn!("departure not recorded in time");
+            false
+        }
     }
 }
--- a/jayrack-meshd/src/control/sync.rs
+++ b/jayrack-meshd/src/control/sync.rs
@@ -124,7 +124,8 @@
 
 /// Fetches the hosts that the daemon at `address` knows and merges them into the directory.
 ///
-/// Afterwards the state of an earlier process at this address counts as restored.
+/// Afterwards the state of an earlier process at this address counts as restored if that daemon held a record of the
+/// server beside it; a daemon that has just started itself holds none.
 pub async fn pull_hosts(control: &ControlState, address: SocketAddr) {
     let Some((_, text)) = pull(address, HOSTS, None).await else {
         return;
@@ -138,14 +139,18 @@
     };
     log::info!(from:% = address, hosts = records.len(); "hosts received from another daemon");
     let local = control.mesh.settings.host.address;
+    let mut holds_server = false;
     for record in records {
         if record.address == local {
+            holds_server = record.server.is_some();
             control.gossip.refute(&control.mesh, &record);
         } else {
             control.mesh.directory().merge(&record);
         }
     }
-    control.gossip.set_restored(&control.mesh);
+    if holds_server {
+        control.gossip.set_restored(&control.mesh);
+    }
     control.gossip.publish(&control.mesh).await;
 }
 
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -99,23 +99,56 @@
 }
 
 #[tokio::test]
-async fn a_departure_is_acknowledged_while_the_store_does_not_answer() {
+async fn a_departure_is_honoured_at_once_and_acknowledged_when_the_store_has_recorded_it() {
     let store = FleetStore::start().await;
     store.put_configuration(&configuration(1, 2.0)).await;
-    let (host, _server) = ready_host(&store, NO_DELAY).await;
+    let (mut host, server) = ready_host(&store, NO_DELAY).await;
     until_served(&host).await;
     store.standin.set_behaviour(LogBehaviour {
         outage: Outage::Silent,
         ..LogBehaviour::default()
     });
 
-    let acknowledged = host
-        .report("i-1", "deregister", serde_json::json!({"born": 1}))
+    let leaving = || host.report("i-1", "deregister", serde_json::json!({"born": 1}));
+    let acknowledged = leaving().await;
+    let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
+    store.standin.set_behaviour(LogBehaviour::default());
+    until("the departure is acknowledged", leaving).await;
+    let before = server.runs().len();
+    host.kill();
+    host.restart();
+    host.until_reported("i-1", host.status("ready", 1, 4)).await;
+    host.until_ready(StatusCode::OK).await;
+    let later = host.ask(Method::GET, "/browse/1", "later").await.unwrap();
+
+    assert!(!acknowledged);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(later.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.runs().len(), before);
+}
+
+/// Guards against a departure that is the first report after a restart, with a report of before behind it.
+#[tokio::test]
+async fn a_departure_right_after_a_restart_holds_against_a_late_report() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (mut host, server) = ready_host(&store, NO_DELAY).await;
+    until_served(&host).await;
+    let before = server.runs().len();
+
+    host.kill();
+    host.restart();
+    until("the departure is acknowledged", || {
+        host.report("i-1", "deregister", serde_json::json!({"born": 1}))
+    })
+    .await;
+    host.until_reported("i-1", host.status("ready", 1, 20))
         .await;
+    host.until_ready(StatusCode::OK).await;
     let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
 
-    assert!(acknowledged);
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.runs().len(), before);
 }
 
 #[tokio::test]
