perf(mesh): serve lookups in the own data centre while it has free slots

Ruled out: serving less by it; a free slot nearby answers within the target. Large answers (90 KB) still wait.

--- a/jayrack-mesh/src/pick.rs
+++ b/jayrack-mesh/src/pick.rs
@@ -22,13 +22,17 @@
 const MAX_LOAD_AGE_MS: u64 = 1_500;
 /// Cost of a host in another data centre for each kilobyte of the answer, in milliseconds of waiting.
 ///
-/// Traffic between data centres is charged by volume. Small answers hardly count; requests with large ones are sent
-/// there only if the hosts of their own data centre are full.
-const REMOTE_COST_MS_PER_KB: f64 = 5.0;
-/// Fixed cost of a host in another data centre, in milliseconds.
-const REMOTE_COST_MS: f64 = 15.0;
+/// Traffic between data centres is charged by volume.
+const REMOTE_COST_MS_PER_KB: f64 = 20.0;
+/// Fixed cost of a host in another data centre, in milliseconds, for the heads of request and answer.
+const REMOTE_COST_MS: f64 = 60.0;
 /// Upper bound of the cost of a host in another data centre, in milliseconds.
 const MAX_REMOTE_COST_MS: f64 = 400.0;
+/// Upper bound of the cost of a host without a free slot, in milliseconds, besides the wait itself.
+///
+/// Up to this bound it costs as much as a host in another data centre, so that requests with small answers don't wait
+/// in their own data centre while another one has free slots. Those with large answers wait.
+const MAX_FULL_COST_MS: f64 = 180.0;
 /// Cost of a host other than this one for each kilobyte of the answer, in milliseconds: the answer uses the links of
 /// both hosts, which takes capacity from the link of a host that runs a server.
 const RELAY_COST_MS_PER_KB: f64 = 1.0;
@@ -327,15 +331,18 @@
         let service_ms = route.service_ms * service_ratio;
         let slots = f64::from(candidate.slots.max(1));
         let fullness = f64::from(requests) / slots;
+        let crossing_ms =
+            (REMOTE_COST_MS + REMOTE_COST_MS_PER_KB * route.answer_kb).min(MAX_REMOTE_COST_MS);
         let wait_ms = if fullness < 1.0 {
             service_ms * CROWDING_FRACTION * fullness * fullness
         } else {
-            service_ms * (CROWDING_FRACTION + fullness - 1.0 + 1.0 / slots)
+            let queue_ms = service_ms * (CROWDING_FRACTION + fullness - 1.0 + 1.0 / slots);
+            queue_ms + crossing_ms.min(MAX_FULL_COST_MS)
         };
         let remote_ms = if candidate.is_same_data_centre {
             0.0
         } else {
-            (REMOTE_COST_MS + REMOTE_COST_MS_PER_KB * route.answer_kb).min(MAX_REMOTE_COST_MS)
+            crossing_ms
         };
         let relay_ms = if candidate.is_local {
             0.0
--- a/jayrack-mesh/tests/pick.rs
+++ b/jayrack-mesh/tests/pick.rs
@@ -74,6 +74,41 @@
     assert_eq!(shares(&mut picker, &candidates, 20), [20, 0]);
 }
 
+/// Lookups with answers of 5 KB: bytes between data centres are charged, and a free slot nearby answers within the
+/// target just as well.
+#[test]
+fn lookups_stay_in_the_same_data_centre_while_it_has_free_slots() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, false), candidate(2, true)];
+    picker.finished(
+        0,
+        &candidates[0],
+        &request(NEW),
+        (answered(190, 5_000), load(0)),
+    );
+    let busier = (answered(190, 5_000), load(11));
+    picker.finished(0, &candidates[1], &request(NEW), busier);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [0, 20]);
+}
+
+/// Lookups with answers of 5 KB: none waits for a slot nearby while a slot of another data centre is free.
+#[test]
+fn lookups_leave_a_full_data_centre_while_another_has_free_slots() {
+    let mut picker = HostPicker::new(1);
+    let candidates = [candidate(1, false), candidate(2, true)];
+    picker.finished(
+        0,
+        &candidates[0],
+        &request(NEW),
+        (answered(190, 5_000), load(8)),
+    );
+    let full = (answered(190, 5_000), load(12));
+    picker.finished(0, &candidates[1], &request(NEW), full);
+
+    assert_eq!(shares(&mut picker, &candidates, 20), [20, 0]);
+}
+
 #[test]
 fn large_answers_stay_in_the_same_data_centre_when_it_is_full() {
     let mut picker = HostPicker::new(1);
