perf(meshd): send status datagrams as protocol buffers, the record only until confirmed

Change: jayrack.status messages; the record is left out once the receiver has confirmed it, and a receiver that does not hold it asks for it with its answer. Hosts of the own data centre get datagrams by the size of the data centre, others by that of the fleet. JSON is still decoded, and sent to hosts whose record states no newer format, so that builds mix during an upgrade.

Tests: jayrack-meshd/tests/datagrams.rs, volume at most 4 KB/s a daemon at 11 to 1,000 hosts, a datagram of an earlier build, arbitrary bytes.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -15,8 +15,11 @@
 /// Largest number of doublings of the backoff.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// Most datagrams that a daemon sends per second, besides changes; in larger fleets the intervals grow instead.
-const MAX_DATAGRAMS_PER_SECOND: u64 = 30;
+/// Hosts of the daemon's own data centre up to which the intervals between datagrams do not grow: most of the requests
+/// stay there, so that its loads are worth more datagrams.
+const SAME_DATA_CENTRE_HOSTS: u64 = 20;
+/// Hosts of the fleet up to which the intervals between datagrams to other data centres do not grow.
+const FLEET_HOSTS: u64 = 30;
 
 /// Record of a host and its backend server, published by the daemon there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +42,9 @@
     pub server: Option<ServerRecord>,
     /// Whether the daemon is stopping.
     pub is_leaving: bool,
+    /// Newest datagram format that the daemon decodes; 0 in records of builds that do not state it.
+    #[serde(default)]
+    pub datagram_format: u8,
 }
 
 impl HostRecord {
@@ -69,10 +75,31 @@
     failures: u32,
 }
 
+/// Factors of the intervals between datagrams, which grow with the fleet so that a daemon sends no more of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IntervalFactors {
+    /// Towards hosts of the daemon's own data centre.
+    pub same_data_centre: u64,
+    /// Towards hosts of other data centres.
+    pub remote: u64,
+}
+
+impl IntervalFactors {
+    /// The factor that applies to a host.
+    pub fn of(&self, is_same_data_centre: bool) -> u64 {
+        match is_same_data_centre {
+            true => self.same_data_centre,
+            false => self.remote,
+        }
+    }
+}
+
 /// Known hosts, by address.
 #[derive(Debug, Default)]
 pub struct HostDirectory {
     hosts: BTreeMap<IpAddr, HostEntry>,
+    /// Number of known hosts in each data centre.
+    data_centre_sizes: BTreeMap<String, u64>,
 }
 
 impl HostDirectory {
@@ -100,6 +127,8 @@
                     failures: 0,
                 };
                 self.hosts.insert(record.address, entry);
+                let data_centre = record.data_centre.clone();
+                *self.data_centre_sizes.entry(data_centre).or_default() += 1;
                 true
             }
         }
@@ -135,10 +164,14 @@
         backoff_ms
     }
 
-    /// Factor by which the fleet's size stretches the intervals between datagrams, and the silence timeouts that
-    /// follow from them.
-    pub fn interval_factor(&self) -> u64 {
-        (self.hosts.len() as u64 / MAX_DATAGRAMS_PER_SECOND).max(1)
+    /// Factors by which the fleet's size stretches the intervals between the datagrams of a daemon in `data_centre`,
+    /// and the silence timeouts that follow from them.
+    pub fn interval_factors(&self, data_centre: &str) -> IntervalFactors {
+        let size = self.data_centre_sizes.get(data_centre).copied();
+        IntervalFactors {
+            same_data_centre: size.unwrap_or(0).div_ceil(SAME_DATA_CENTRE_HOSTS).max(1),
+            remote: (self.hosts.len() as u64 / FLEET_HOSTS).max(1),
+        }
     }
 
     /// Entry of the host at `address`, if it is known.
--- a/jayrack-mesh/src/status.rs
+++ b/jayrack-mesh/src/status.rs
@@ -76,6 +76,11 @@
         self.last_sent = Some(own);
     }
 
+    /// Whether the host last reported to hold the record `own`, so that it need not be sent again.
+    pub fn has_confirmed(&self, own: RecordOrder) -> bool {
+        self.confirmed == Some(own)
+    }
+
     /// Whether a datagram to the host is due.
     pub fn is_due(&self, input: &DueInput) -> bool {
         let interval_ms = self.interval_ms(input);
@@ -89,7 +94,7 @@
             input.now_ms.saturating_sub(last_received_ms) > long_silence_ms
         });
         let resend_ms = RESEND_INTERVAL_MS << self.resends.min(MAX_DOUBLINGS);
-        match (self.confirmed == Some(input.own), is_silent) {
+        match (self.has_confirmed(input.own), is_silent) {
             (false, false) => resend_ms,
             (false, true) if input.now_ms < LONG_SILENCE_MS => resend_ms,
             (_, true) => SILENT_INTERVAL_MS * input.interval_factor,
--- a/jayrack-mesh/tests/hosts.rs
+++ b/jayrack-mesh/tests/hosts.rs
@@ -26,6 +26,7 @@
             phase: ServerPhase::Ready,
         }),
         is_leaving: false,
+        datagram_format: 1,
     }
 }
 
@@ -88,16 +89,21 @@
 /// Guards against false silence in a fleet so large that a host receives a datagram of each other one only every few
 /// seconds.
 #[test]
-fn the_interval_factor_grows_with_the_fleet() {
+fn the_interval_factors_grow_with_the_fleet_and_its_data_centre() {
     let mut directory = HostDirectory::default();
     let mut factors = Vec::new();
 
     for number in 1..=90_u8 {
         let mut record = record(1, 1);
         record.address = IpAddr::V4(Ipv4Addr::new(10, 0, 0, number));
+        record.data_centre = ["wrecsam", "abertawe"][usize::from(number % 2)].to_string();
         directory.merge(&record);
-        factors.push(directory.interval_factor());
+        let of_fleet = directory.interval_factors("wrecsam");
+        factors.push((of_fleet.of(true), of_fleet.of(false)));
     }
 
-    assert_eq!((factors[13], factors[59], factors[89]), (1, 2, 3));
+    assert_eq!(
+        (factors[13], factors[59], factors[89]),
+        ((1, 1), (2, 2), (3, 3))
+    );
 }
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -3,10 +3,12 @@
 //! * [`configuration`]: reads the operator's configuration from the store.
 //! * [`hosts`]: registers this host in the store and reads the records of the others.
 //! * [`gossip`]: datagrams between daemons.
+//! * [`datagram`]: encoding of these datagrams.
 //! * [`reports`]: status reports of the backend server beside the daemon.
 //! * [`sync`]: transfer of the configuration and the hosts between daemons, without the store.
 //! * [`endpoint`]: small HTTP listeners: readiness, reports, metrics.
 pub mod configuration;
+pub mod datagram;
 pub mod endpoint;
 pub mod gossip;
 pub mod hosts;
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -13,21 +13,23 @@
 };
 
 use jayrack_mesh::{
-    gate::{GateLoad, ServiceTimeEstimate},
     hosts::{HostEntry, HostRecord},
     pick::HostReport,
     readers::{ReaderCandidate, is_reader},
     server::ServerPhase,
-    status::{DueInput, PeerState, ReceivedStatus},
+    status::{DueInput, PeerState, ReceivedStatus, RecordOrder},
 };
 use rand_pcg::{
     Pcg32,
     rand_core::{Rng, SeedableRng},
 };
-use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{ControlState, configuration, sync};
+use super::{
+    ControlState, configuration,
+    datagram::{self, StatusMessage},
+    sync,
+};
 use crate::{logging, shared::MeshState};
 
 /// Interval between two checks which hosts a datagram is due to.
@@ -54,24 +56,6 @@
 /// restored, in milliseconds: the interval of two reports and their delay.
 const RESTORE_TIMEOUT_MS: u64 = 4_000;
 
-/// Content of a datagram.
-#[derive(Debug, Serialize, Deserialize)]
-struct StatusMessage {
-    record: HostRecord,
-    load: [u32; 3],
-    /// Service time estimates of the sender's server: route and milliseconds.
-    #[serde(default)]
-    speeds: Vec<(String, u32)>,
-    /// Version of the configuration in force; 0 before the first one.
-    configuration: u64,
-    /// Whether the store answered the sender at its last try.
-    reaches_store: bool,
-    /// Epoch and revision of the receiver's record that the sender holds.
-    known: Option<(u64, u64)>,
-    /// The sender's copy of the receiver's record, if the receiver sent an older one.
-    correction: Option<HostRecord>,
-}
-
 #[derive(Debug)]
 struct GossipCore {
     own: HostRecord,
@@ -83,6 +67,15 @@
     random: Pcg32,
 }
 
+/// Receiver of a datagram.
+#[derive(Debug)]
+struct Receiver {
+    address: SocketAddr,
+    /// Order of the record that this daemon holds of it.
+    known: Option<RecordOrder>,
+    datagram_format: u8,
+}
+
 /// Newest version of the configuration that other daemons announced, and daemons that have it.
 #[derive(Debug, Default)]
 struct AnnouncedConfiguration {
@@ -151,6 +144,7 @@
             gossip: SocketAddr::new(settings.host.address, settings.ports[0]),
             server: None,
             is_leaving: false,
+            datagram_format: datagram::FORMAT,
         };
         mesh.directory().merge(&own);
         Self {
@@ -249,7 +243,10 @@
         let directory = mesh.directory();
         let core = self.lock();
         let own = &core.own;
-        let silence_ms = READER_SILENCE_TIMEOUT_MS * directory.interval_factor();
+        let silence_ms = READER_SILENCE_TIMEOUT_MS
+            * directory
+                .interval_factors(&own.data_centre)
+                .same_data_centre;
         let is_live = |entry: &&HostEntry| {
             let received_ms = entry.last_received_ms.unwrap_or(0);
             entry.record.data_centre == own.data_centre
@@ -303,48 +300,55 @@
     }
 
     async fn send_to(&self, mesh: &MeshState, address: IpAddr, correction: Option<HostRecord>) {
-        let Some((target, known)) = ({
+        let receiver = {
             let directory = mesh.directory();
-            directory
-                .get(address)
-                .map(|entry| (entry.record.gossip, entry.record.order()))
-        }) else {
-            return;
+            directory.get(address).map(|entry| Receiver {
+                address: entry.record.gossip,
+                known: Some(entry.record.order()),
+                datagram_format: entry.record.datagram_format,
+            })
         };
-        let GateLoad {
-            running,
-            waiting,
-            slots,
-        } = mesh.gate.load();
+        if let Some(receiver) = receiver {
+            self.send(mesh, &receiver, correction).await;
+        }
+    }
+
+    async fn send(&self, mesh: &MeshState, receiver: &Receiver, correction: Option<HostRecord>) {
+        let load = mesh.gate.load();
         let service_times = mesh.gate.service_time_estimates(MAX_REPORTED_ROUTES);
-        let (record, reaches_store) = {
+        let is_json = receiver.datagram_format < datagram::FORMAT;
+        let (order, record, reaches_store) = {
             let mut core = self.lock();
-            let own_order = core.own.order();
-            let peer = core.peers.entry(address).or_default();
-            peer.record_sent(mesh.now_ms(), own_order);
-            (core.own.clone(), core.reaches_store)
+            let order = core.own.order();
+            let peer = core.peers.entry(receiver.address.ip()).or_default();
+            let needs_record = is_json || !peer.has_confirmed(order);
+            peer.record_sent(mesh.now_ms(), order);
+            let record = needs_record.then(|| core.own.clone());
+            (order, record, core.reaches_store)
         };
         let message = StatusMessage {
+            order,
             record,
-            load: [running, waiting, slots],
-            speeds: service_times
-                .into_iter()
-                .map(|estimate| (estimate.route, estimate.service_ms))
-                .collect(),
+            load,
+            service_times,
             configuration: mesh.version(),
             reaches_store,
-            known: Some(known),
+            known: receiver.known,
             correction,
         };
-        let text = match serde_json::to_vec(&message) {
-            Ok(text) => text,
+        let bytes = match is_json {
+            true => message.encode_json(),
+            false => Ok(message.encode()),
+        };
+        let bytes = match bytes {
+            Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:% = error; "datagram not serialised");
                 return;
             }
         };
-        if let Err(error) = self.socket.send_to(&text, target).await {
-            log::debug!(host:% = address, error:% = error; "datagram not sent");
+        if let Err(error) = self.socket.send_to(&bytes, receiver.address).await {
+            log::debug!(host:% = receiver.address, error:% = error; "datagram not sent");
         }
     }
 
@@ -354,19 +358,20 @@
         let directory = mesh.directory();
         let mut core = self.lock();
         let own_order = core.own.order();
-        let interval_factor = directory.interval_factor();
+        let factors = directory.interval_factors(&core.own.data_centre);
         let mut due = Vec::new();
         for entry in directory.entries() {
             let address = entry.record.address;
             if address == core.own.address {
                 continue;
             }
+            let is_same_data_centre = entry.record.data_centre == core.own.data_centre;
             let input = DueInput {
                 now_ms,
                 own: own_order,
                 last_received_ms: entry.last_received_ms,
-                is_same_data_centre: entry.record.data_centre == core.own.data_centre,
-                interval_factor,
+                is_same_data_centre,
+                interval_factor: factors.of(is_same_data_centre),
             };
             if core.peers.entry(address).or_default().is_due(&input) {
                 due.push(address);
@@ -406,9 +411,9 @@
                 continue;
             }
         };
-        match serde_json::from_slice::<StatusMessage>(&buffer[..length]) {
-            Ok(message) if message.record.address == sender.ip() => {
-                handle_message(&control, message).await
+        match StatusMessage::decode(&buffer[..length]) {
+            Ok(message) if is_of(&message, sender) => {
+                handle_message(&control, message, sender).await
             }
             Ok(_) => log::warn!(sender:% = sender; "datagram does not match its sender"),
             Err(error) => log::warn!(sender:% = sender, error:% = error; "datagram not decoded"),
@@ -416,50 +421,26 @@
     }
 }
 
-async fn handle_message(control: &Arc<ControlState>, message: StatusMessage) {
+/// Whether the record of a datagram, if it carries one, is that of the host that sent it.
+fn is_of(message: &StatusMessage, sender: SocketAddr) -> bool {
+    let record = message.record.as_ref();
+    record.is_none_or(|record| record.address == sender.ip())
+}
+
+async fn handle_message(control: &Arc<ControlState>, message: StatusMessage, sender: SocketAddr) {
     let mesh = &control.mesh;
     let gossip = &control.gossip;
-    let address = message.record.address;
+    let address = sender.ip();
     let now_ms = mesh.now_ms();
     if let Some(correction) = &message.correction {
         gossip.refute(mesh, correction);
     }
-    let (is_changed, is_newer, newer) = {
-        let mut directory = mesh.directory();
-        let known = directory.get(address).map(|entry| state_of(&entry.record));
-        let is_new = known.is_none();
-        let is_newer = directory.merge(&message.record);
-        let is_changed = known != directory.get(address).map(|entry| state_of(&entry.record));
-        directory.record_received(now_ms, address);
-        directory.record_store_reachability(address, message.reaches_store);
-        let newer = directory
-            .get(address)
-            .filter(|entry| entry.record.order() > message.record.order())
-            .map(|entry| entry.record.clone());
-        (is_changed.then_some(is_new), is_newer, newer)
-    };
-    if let Some(is_new) = is_changed {
-        log_change(&message.record, is_new);
-        mesh.metrics.count_state_change("host-changed");
-    }
-    let [running, waiting, slots] = message.load;
-    let load = GateLoad {
-        running,
-        waiting,
-        slots,
-    };
-    let service_times = message
-        .speeds
-        .iter()
-        .map(|(route, service_ms)| ServiceTimeEstimate {
-            route: route.clone(),
-            service_ms: *service_ms,
-        });
-    let report = HostReport {
-        load,
-        service_times: service_times.collect(),
-    };
-    if let Some(server) = message.record.server.as_ref() {
+    let merged = merge_record(mesh, &message, address);
+    if let Some(server) = merged.held.as_ref().and_then(|held| held.server.as_ref()) {
+        let report = HostReport {
+            load: message.load,
+            service_times: message.service_times.clone(),
+        };
         mesh.record_report(address, server.instance.clone(), report);
     }
     let needs_reply = {
@@ -468,32 +449,89 @@
             now_ms,
             own: core.own.order(),
             known: message.known,
-            is_newer,
-            is_sender_outdated: newer.is_some(),
+            is_newer: merged.is_newer,
+            is_sender_outdated: merged.newer.is_some(),
         };
         core.peers.entry(address).or_default().receive(&received)
     };
-    if needs_reply {
-        gossip.send_to(mesh, address, newer).await;
+    match &merged.held {
+        // The sender relies on a record that this daemon does not hold; the answer makes it send the record.
+        None if merged.newer.is_none() => {
+            let receiver = Receiver {
+                address: sender,
+                known: merged.known,
+                datagram_format: datagram::FORMAT,
+            };
+            gossip.send(mesh, &receiver, None).await;
+        }
+        _ if needs_reply => gossip.send_to(mesh, address, merged.newer).await,
+        _ => {}
+    }
+    if let Some(held) = &merged.held {
+        pull_missing(control, message.configuration, held).await;
+    }
+}
+
+/// Records of a datagram's sender after it was merged into the directory.
+struct MergedRecord {
+    /// Record of the order that the datagram states; `None` if this daemon holds another one.
+    held: Option<HostRecord>,
+    /// Whether it was new to this daemon.
+    is_newer: bool,
+    /// Order of the record that this daemon holds.
+    known: Option<RecordOrder>,
+    /// Record that this daemon holds, if it is newer than the sender's.
+    newer: Option<HostRecord>,
+}
+
+/// Merges the record of a datagram, if it carries one, and records that its sender is live.
+fn merge_record(mesh: &MeshState, message: &StatusMessage, address: IpAddr) -> MergedRecord {
+    let mut directory = mesh.directory();
+    let known = directory.get(address).map(|entry| state_of(&entry.record));
+    let is_newer = message
+        .record
+        .as_ref()
+        .is_some_and(|record| directory.merge(record));
+    directory.record_received(mesh.now_ms(), address);
+    directory.record_store_reachability(address, message.reaches_store);
+    let Some(entry) = directory.get(address) else {
+        return MergedRecord {
+            held: None,
+            is_newer,
+            known: None,
+            newer: None,
+        };
+    };
+    let record = entry.record.clone();
+    drop(directory);
+    if known.as_ref() != Some(&state_of(&record)) {
+        log_change(&record, known.is_none());
+        mesh.metrics.count_state_change("host-changed");
+    }
+    let order = record.order();
+    MergedRecord {
+        held: (order == message.order).then(|| record.clone()),
+        is_newer,
+        known: Some(order),
+        newer: (order > message.order).then_some(record),
     }
-    pull_missing(control, &message).await;
 }
 
 /// Starts a task that fetches a newer configuration announced by other daemons and, until the state of an earlier
 /// process is restored, the hosts known to the sender. At most one such task runs at a time.
-async fn pull_missing(control: &Arc<ControlState>, message: &StatusMessage) {
+async fn pull_missing(control: &Arc<ControlState>, version: u64, sender: &HostRecord) {
     let (mesh, gossip) = (&control.mesh, &control.gossip);
-    let source = message.record.forward;
-    let is_same_data_centre = message.record.data_centre == mesh.settings.host.data_centre;
+    let source = sender.forward;
+    let is_same_data_centre = sender.data_centre == mesh.settings.host.data_centre;
     let holder = ConfigurationSource {
         address: source,
-        link_mbps: message.record.link_mbps,
+        link_mbps: sender.link_mbps,
     };
     gossip
         .lock()
         .announced
-        .record(message.configuration, holder, is_same_data_centre);
-    let is_behind = message.configuration > mesh.version();
+        .record(version, holder, is_same_data_centre);
+    let is_behind = version > mesh.version();
     if !is_behind && !gossip.needs_restore() || gossip.pulling.swap(true, Ordering::AcqRel) {
         return;
     }
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -163,13 +163,15 @@
     excluded: &[IpAddr],
 ) -> Vec<HostCandidate> {
     let local = mesh.settings.host.address;
-    let silence_timeout_ms = SILENCE_TIMEOUT_MS * directory.interval_factor();
+    let factors = directory.interval_factors(&mesh.settings.host.data_centre);
     let usable = directory.entries().filter_map(|entry| {
         let record = &entry.record;
         let server = record.serving(service)?;
         if excluded.contains(&record.address) {
             return None;
         }
+        let is_same_data_centre = record.data_centre == mesh.settings.host.data_centre;
+        let silence_timeout_ms = SILENCE_TIMEOUT_MS * factors.of(is_same_data_centre);
         let is_silent = entry
             .last_received_ms
             .is_some_and(|received_ms| now_ms.saturating_sub(received_ms) > silence_timeout_ms);
@@ -178,7 +180,7 @@
             address: record.address,
             instance: server.instance.clone(),
             slots: server.slots,
-            is_same_data_centre: record.data_centre == mesh.settings.host.data_centre,
+            is_same_data_centre,
             is_local,
             is_unresponsive: !is_local && (is_silent || now_ms < entry.backoff_until_ms),
         })
--- /dev/null
+++ b/jayrack-meshd/tests/datagrams.rs
@@ -0,0 +1,183 @@
+//! Tests of the encoding of status datagrams, and of their volume by the size of the fleet.
+use std::net::{IpAddr, Ipv4Addr};
+
+use jayrack_mesh::{
+    HostDirectory, HostRecord,
+    gate::{GateLoad, ServiceTimeEstimate},
+    server::{ServerPhase, ServerRecord},
+    status::{DueInput, PeerState, ReceivedStatus},
+};
+use jayrack_meshd::control::datagram::{FORMAT, StatusMessage};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Volume of control traffic that a daemon may send, in bytes per second.
+const MAX_BYTES_PER_SECOND: f64 = 4_096.0;
+/// Bytes of the IP and UDP headers of a datagram.
+const PACKET_HEADER_BYTES: usize = 28;
+const DATA_CENTRES: u32 = 5;
+
+fn address(number: u32) -> IpAddr {
+    Ipv4Addr::from(0x0a00_0000 + number).into()
+}
+
+fn record(number: u32) -> HostRecord {
+    HostRecord {
+        address: address(number),
+        epoch: 1_790_000_000_000,
+        revision: 7,
+        data_centre: format!("aberystwyth-{}", number % DATA_CENTRES),
+        link_mbps: 140,
+        forward: (address(number), 7_601).into(),
+        gossip: (address(number), 7_600).into(),
+        server: Some(ServerRecord {
+            instance: "i-7f3a91c2d4".to_string(),
+            born_ms: 1_789_999_990_000,
+            sequence: 20,
+            service: "availability".to_string(),
+            slots: 9,
+            phase: ServerPhase::Ready,
+        }),
+        is_leaving: false,
+        datagram_format: FORMAT,
+    }
+}
+
+fn status(record: Option<HostRecord>) -> StatusMessage {
+    let estimate = |route: &str, service_ms| ServiceTimeEstimate {
+        route: route.to_string(),
+        service_ms,
+    };
+    StatusMessage {
+        order: (1_790_000_000_000, 7),
+        record,
+        load: GateLoad {
+            running: 9,
+            waiting: 30,
+            slots: 9,
+        },
+        service_times: vec![
+            estimate("booking-confirm", 350),
+            estimate("catalogue-lookup", 67),
+        ],
+        configuration: 1_204,
+        reaches_store: true,
+        known: Some((1_790_000_000_000, 12)),
+        correction: None,
+    }
+}
+
+#[rstest]
+#[case::with_a_record(Some(record(1)))]
+#[case::without_a_record(None)]
+fn a_datagram_is_decoded_as_it_was_encoded(#[case] record: Option<HostRecord>) {
+    let message = status(record);
+
+    let decoded = StatusMessage::decode(&message.encode()).unwrap();
+
+    assert_eq!(decoded, message);
+}
+
+#[test]
+fn a_record_with_other_addresses_than_its_host_is_kept() {
+    let mut sent = record(1);
+    sent.forward = (address(9), 1).into();
+    sent.gossip = "[fd00::1]:2".parse().unwrap();
+    let message = status(Some(sent));
+
+    let decoded = StatusMessage::decode(&message.encode()).unwrap();
+
+    assert_eq!(decoded, message);
+}
+
+/// A fleet runs two builds while it is upgraded.
+#[test]
+fn a_datagram_of_an_earlier_build_is_decoded() {
+    let text = r#"{"record":{"address":"10.0.0.1","epoch":5,"revision":2,"data_centre":"z","link_mbps":10,
+        "forward":"10.0.0.1:1","gossip":"10.0.0.1:2","server":null,"is_leaving":false},"load":[1,2,3],
+        "speeds":[["browse",40]],"configuration":9,"reaches_store":true,"known":[1,2],"correction":null}"#;
+
+    let decoded = StatusMessage::decode(text.as_bytes()).unwrap();
+
+    assert_eq!(decoded.order, (5, 2));
+    assert_eq!(decoded.record.map(|record| record.datagram_format), Some(0));
+    assert_eq!(decoded.known, Some((1, 2)));
+    assert_eq!(decoded.configuration, 9);
+}
+
+#[test]
+fn a_datagram_for_an_earlier_build_carries_the_record_in_json() {
+    let message = status(Some(record(1)));
+
+    let decoded = StatusMessage::decode(&message.encode_json().unwrap()).unwrap();
+
+    assert_eq!(decoded, message);
+    assert!(status(None).encode_json().is_err());
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_are_refused_or_decoded_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = StatusMessage::decode(&bytes);
+    }
+}
+
+/// Bytes per second that a daemon of a settled fleet of `hosts` hosts sends to the others.
+fn settled_bytes_per_second(hosts: u32) -> f64 {
+    const SECONDS: u64 = 240;
+    const TICK_MS: u64 = 200;
+    let mut directory = HostDirectory::default();
+    for number in 0..hosts {
+        directory.merge(&record(number));
+    }
+    let own = record(0);
+    let factors = directory.interval_factors(&own.data_centre);
+    let mut bytes = 0;
+    for number in 1..hosts {
+        let is_same_data_centre = record(number).data_centre == own.data_centre;
+        let mut peer = PeerState::default();
+        for now_ms in (0..SECONDS * 1_000).step_by(TICK_MS as usize) {
+            let input = DueInput {
+                now_ms,
+                own: own.order(),
+                last_received_ms: Some(now_ms),
+                is_same_data_centre,
+                interval_factor: factors.of(is_same_data_centre),
+            };
+            if !peer.is_due(&input) {
+                continue;
+            }
+            let needs_record = !peer.has_confirmed(own.order());
+            let message = status(needs_record.then(|| own.clone()));
+            bytes += message.encode().len() + PACKET_HEADER_BYTES;
+            peer.record_sent(now_ms, own.order());
+            peer.receive(&ReceivedStatus {
+                now_ms,
+                own: own.order(),
+                known: Some(own.order()),
+                is_newer: false,
+                is_sender_outdated: false,
+            });
+        }
+    }
+    bytes as f64 / SECONDS as f64
+}
+
+/// Each daemon sends datagrams to all others; their number and size must not grow with the fleet.
+#[rstest]
+#[case(11)]
+#[case(30)]
+#[case(65)]
+#[case(100)]
+#[case(295)]
+#[case(300)]
+#[case(760)]
+#[case(1_000)]
+fn datagrams_of_a_settled_fleet_stay_within_4_kb_per_second(#[case] hosts: u32) {
+    let bytes_per_second = settled_bytes_per_second(hosts);
+
+    assert!(
+        bytes_per_second <= MAX_BYTES_PER_SECOND,
+        "{bytes_per_second:.0} B/s at {hosts} hosts"
+    );
+}
--- a/jayrack-protocol/src/lib.rs
+++ b/jayrack-protocol/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`id`]: identifiers of members and requests.
 //! * [`frame`]: length-prefixed messages on byte streams.
 //! * [`auth`]: authentication of datagrams by a fleet key.
-//! * [`gossip`], [`forward`], [`sync`]: message types generated from `proto/`.
+//! * [`gossip`], [`forward`], [`sync`], [`status`]: message types generated from `proto/`.
 #![deny(missing_docs, unsafe_code)]
 
 pub mod auth;
@@ -33,5 +33,12 @@
     include!("generated/jayrack.sync.rs");
 }
 
+/// Status datagrams between the daemons on the platform.
+#[allow(missing_docs)]
+#[rustfmt::skip]
+pub mod status {
+    include!("generated/jayrack.status.rs");
+}
+
 pub use code::ResultCode;
 pub use id::{MemberId, RequestId};
