perf(meshd): register once, take the first configuration from a neighbour

Ruled out: departures (one call each), the readers' polls (one in 3 s each).

Change: a daemon writes its record only if the store holds another one or none; the first configuration is asked of one daemon of the data centre, and of the store if that has none; on the fleet's first start (a new setting, first_start) only the readers poll, the others wait 3 s for them. An older process's record in the store now also raises the epoch of this one.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -53,6 +53,16 @@
         (self.epoch, self.revision)
     }
 
+    /// Whether both records describe one host that is reached in the same way, whatever process wrote them.
+    pub fn is_same_host(&self, other: &Self) -> bool {
+        self.address == other.address
+            && self.data_centre == other.data_centre
+            && self.link_mbps == other.link_mbps
+            && self.forward == other.forward
+            && self.gossip == other.gossip
+            && self.datagram_format == other.datagram_format
+    }
+
     /// The backend server, if requests of `service` may be sent to it.
     pub fn serving(&self, service: &str) -> Option<&ServerRecord> {
         self.server.as_ref().filter(|server| {
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -71,6 +71,8 @@
     pub store: StoreClient,
     /// This host's record and the exchange of datagrams.
     pub gossip: gossip::GossipState,
+    /// Whether this host is registered in the store and has read the other hosts.
+    pub registered: tokio::sync::watch::Sender<bool>,
     /// Held while a departure is written to the store, so that each is written once.
     pub departure_writing: tokio::sync::Mutex<()>,
 }
@@ -129,6 +131,7 @@
     let control = Arc::new(ControlState {
         store: StoreClient::new(settings.store, options),
         gossip: gossip::GossipState::new(&mesh, socket),
+        registered: tokio::sync::watch::Sender::new(false),
         departure_writing: tokio::sync::Mutex::default(),
         mesh,
     });
--- a/jayrack-meshd/src/control/configuration.rs
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -7,9 +7,9 @@
     configuration::{self, KEY, TOPIC},
     store::{Error, KeyedBatch},
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 
-use super::ControlState;
+use super::{ControlState, sync};
 use crate::shared::MeshState;
 
 /// Time that the store is asked to wait for a change; a silent store is detected after this time and the wait grace.
@@ -23,6 +23,16 @@
 /// Longest backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 800;
 
+/// Time that the daemon waits for the list of hosts before it reads its first configuration from the store.
+const HOSTS_WAIT: Duration = Duration::from_millis(500);
+/// Time limit for fetching the first configuration from another daemon.
+const FIRST_PULL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after the fleet's first start until all daemons know each other, so that the readers are the same everywhere.
+const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// Time after the fleet's first start for which a daemon waits for the readers' announcement of the first
+/// configuration.
+const FIRST_ANNOUNCEMENT_WAIT: Duration = Duration::from_secs(3);
+
 /// Configuration in force, as the operator wrote it.
 #[derive(Debug, Default)]
 pub struct AcceptedConfiguration {
@@ -39,8 +49,10 @@
 pub async fn follow(control: Arc<ControlState>) {
     let mut next: Option<u64> = None;
     let mut backoff_ms = INITIAL_BACKOFF_MS;
+    let waits_until = prepare_first(&control).await;
     loop {
-        let is_needed = control.mesh.version() == 0 || control.gossip.is_reader(&control.mesh);
+        let is_missing = control.mesh.version() == 0 && Instant::now() >= waits_until;
+        let is_needed = is_missing || control.gossip.is_reader(&control.mesh);
         if !is_needed {
             // Other daemons announce the changes until this host becomes a reader.
             next = None;
@@ -86,6 +98,27 @@
     }
 }
 
+/// Fetches the first configuration from another daemon if possible, since each call to the store is charged; returns
+/// until when the readers' announcement of it is waited for.
+async fn prepare_first(control: &ControlState) -> Instant {
+    let mut registered = control.registered.subscribe();
+    let registering = registered.wait_for(|is_registered| *is_registered);
+    if timeout(HOSTS_WAIT, registering).await.is_err() {
+        return Instant::now();
+    }
+    if control.mesh.settings.first_start {
+        sleep(SETTLING_TIME).await;
+        return Instant::now() + FIRST_ANNOUNCEMENT_WAIT;
+    }
+    if let Some(source) = control.gossip.configuration_source(&control.mesh) {
+        let pulling = sync::pull_configuration(control, source);
+        if timeout(FIRST_PULL_TIMEOUT, pulling).await.is_err() {
+            log::info!(from:% = source; "first configuration not received in time");
+        }
+    }
+    Instant::now()
+}
+
 /// Reads the newest configuration from the store, after other daemons announced one but could not supply it.
 pub async fn read_newest(control: &ControlState) {
     match control.store.newest(TOPIC).await {
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -274,6 +274,31 @@
         is_reader(own.address, &candidates)
     }
 
+    /// Another daemon of the data centre to fetch the first configuration from: of two random ones, the one with the
+    /// faster link.
+    pub fn configuration_source(&self, mesh: &MeshState) -> Option<SocketAddr> {
+        let directory = mesh.directory();
+        let mut core = self.lock();
+        let is_source = |entry: &&HostEntry| {
+            entry.record.data_centre == core.own.data_centre
+                && entry.record.address != core.own.address
+                && !entry.record.is_leaving
+        };
+        let sources: Vec<&HostRecord> = directory
+            .entries()
+            .filter(is_source)
+            .map(|entry| &entry.record)
+            .collect();
+        let count = u32::try_from(sources.len()).unwrap_or(u32::MAX);
+        let mut random = || Some(sources[core.random.next_u32().checked_rem(count)? as usize]);
+        let (first, second) = (random()?, random()?);
+        let source = match first.link_mbps >= second.link_mbps {
+            true => first,
+            false => second,
+        };
+        Some(source.forward)
+    }
+
     /// Sends a datagram to all other hosts, with the configuration version and the reachability of the store.
     pub async fn announce(&self, mesh: &MeshState) {
         for address in self.others(mesh) {
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -2,7 +2,7 @@
 //!
 //! The topic has two kinds of keys: `host/ADDRESS` with the record of a host, and `left/ADDRESS` with the latest
 //! departure of a backend server there. All other changes are sent from daemon to daemon.
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use jayrack_mesh::{hosts::HostRecord, server::ServerRecord};
 use jayrack_platform::store::{Error, KeyedRecord};
@@ -20,15 +20,19 @@
 /// Longest backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_200;
 
-/// Writes this host's record, then reads those of the others; retries until both have succeeded.
+/// Registers this host in the store and reads the records of the others; retries until both have succeeded.
 ///
-/// Since each host writes before it reads, at least one of two hosts that start at the same time finds the other.
+/// Each host reads after its record is in the store, so at least one of two hosts that start at the same time finds
+/// the other.
 pub async fn register(control: Arc<ControlState>) {
     let mut backoff_ms = INITIAL_BACKOFF_MS;
     let mut is_written = false;
     loop {
         match try_register(&control, &mut is_written).await {
-            Ok(()) => return,
+            Ok(()) => {
+                control.registered.send_replace(true);
+                return;
+            }
             Err(error) => {
                 log::warn!(error:% = error, written = is_written, pause_ms = backoff_ms; "hosts not read");
                 sleep(Duration::from_millis(
@@ -41,51 +45,71 @@
     }
 }
 
+/// Reads the hosts, and writes the record of this one unless an earlier process at this address has written it.
 async fn try_register(control: &ControlState, is_written: &mut bool) -> Result<(), Error> {
-    if !*is_written {
-        let record = HostRecord {
-            server: None,
-            ..control.gossip.own_record()
-        };
-        let key = format!("{HOST_PREFIX}{}", record.address);
-        control.store.put(TOPIC, &key, &encode(&record)?).await?;
+    if !*is_written && control.mesh.settings.first_start {
+        write_record(control).await?;
         *is_written = true;
     }
-    let newest = control.store.newest(TOPIC).await?;
-    let local = control.mesh.settings.host.address;
-    for record in &newest.records {
-        if let Err(error) = apply_record(control, record, local) {
-            log::warn!(key = record.key.as_str(), error:% = error; "record of a host not decoded");
+    loop {
+        let newest = control.store.newest(TOPIC).await?;
+        let own = control.gossip.own_record();
+        let mut is_registered = *is_written;
+        for record in &newest.records {
+            match apply_record(control, record, &own) {
+                Ok(is_own) => is_registered |= is_own,
+                Err(error) => {
+                    log::warn!(key = record.key.as_str(), error:% = error; "record of a host not decoded")
+                }
+            }
         }
+        log::info!(hosts = control.mesh.directory().len(), records = newest.records.len(), registered = is_registered; "hosts read");
+        if is_registered {
+            break;
+        }
+        write_record(control).await?;
+        *is_written = true;
     }
-    log::info!(hosts = control.mesh.directory().len(), records = newest.records.len(); "hosts read");
     control.gossip.set_restored(&control.mesh);
     control.gossip.publish(&control.mesh).await;
     Ok(())
 }
 
+async fn write_record(control: &ControlState) -> Result<(), Error> {
+    let record = HostRecord {
+        server: None,
+        ..control.gossip.own_record()
+    };
+    let key = format!("{HOST_PREFIX}{}", record.address);
+    control.store.put(TOPIC, &key, &encode(&record)?).await
+}
+
+/// Applies a record of the topic; returns whether it is the record of this host, `own`, as this process would write it.
 fn apply_record(
     control: &ControlState,
     record: &KeyedRecord,
-    local: IpAddr,
-) -> Result<(), serde_json::Error> {
+    own: &HostRecord,
+) -> Result<bool, serde_json::Error> {
     if let Some(address) = record.key.strip_prefix(LEFT_PREFIX) {
-        if address == local.to_string() {
+        if address == own.address.to_string() {
             let left: ServerRecord = serde_json::from_slice(&record.value)?;
             log::info!(instance = left.instance.as_str(), phase:? = left.phase; "restored the record of an earlier departure");
             let mut tracker = control.mesh.tracker();
             tracker.departure_stored(&left);
             tracker.restore(left);
         }
-        return Ok(());
+        return Ok(false);
     }
-    if record.key.starts_with(HOST_PREFIX) {
-        let host: HostRecord = serde_json::from_slice(&record.value)?;
-        if host.address != local {
-            control.mesh.directory().merge(&host);
-        }
+    if !record.key.starts_with(HOST_PREFIX) {
+        return Ok(false);
     }
-    Ok(())
+    let host: HostRecord = serde_json::from_slice(&record.value)?;
+    if host.address != own.address {
+        control.mesh.directory().merge(&host);
+        return Ok(false);
+    }
+    control.gossip.refute(&control.mesh, &host);
+    Ok(host.is_same_host(own))
 }
 
 /// Writes the departure of the backend server beside the daemon to the store unless it is stored already.
--- a/jayrack-meshd/src/settings.rs
+++ b/jayrack-meshd/src/settings.rs
@@ -25,6 +25,9 @@
     pub ports: [u16; 2],
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole fleet starts for the first time, so that no other daemon has a configuration yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Bounds for the whole fleet; a change takes effect without a restart.
     pub bounds: BoundSettings,
 }
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -13,7 +13,7 @@
 use jayrack_meshd::traffic::forward::{ForwardHead, SendTime};
 use jayrack_platform::headers;
 use jayrack_testkit::log_standin::{LogBehaviour, Outage};
-use support::{FleetStore, HostProcess, ServerStandin, configuration, until};
+use support::{DaemonOutput, FleetStore, HostProcess, ServerStandin, configuration, until};
 
 const NO_DELAY: Duration = Duration::ZERO;
 
@@ -151,6 +151,46 @@
     assert_eq!(server.runs().len(), before);
 }
 
+/// Calls to the store are charged, and every host of a large fleet restarts during an upgrade.
+#[tokio::test]
+async fn a_restarted_daemon_does_not_register_again() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (mut host, _server) = ready_host(&store, NO_DELAY).await;
+    let hosts_written = || {
+        let counts = store.standin.counts();
+        counts.appends_by_stream.get("keyed.jayrack-hosts").copied()
+    };
+    until("the host is registered", || async {
+        hosts_written() == Some(1)
+    })
+    .await;
+
+    host.kill();
+    host.restart();
+    host.until_ready(StatusCode::OK).await;
+    host.until_reported("i-1", host.status("ready", 1, 9)).await;
+    until_served(&host).await;
+
+    assert_eq!(hosts_written(), Some(1));
+}
+
+#[tokio::test]
+async fn a_daemon_that_starts_later_takes_the_configuration_from_another_one() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (_host, _server) = ready_host(&store, NO_DELAY).await;
+
+    let later = HostProcess::start_with_output(store.standin.address(), DaemonOutput::Collected);
+    later.until_ready(StatusCode::OK).await;
+
+    until("the configuration comes from the other daemon", || async {
+        let received = "configuration received from another daemon";
+        later.lines_with("event", received).len() == 1
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_invalid_status_report_is_rejected_and_the_server_keeps_serving() {
     let store = FleetStore::start().await;
