fix(meshd): bound servers in trouble: late copies of refusals, bytes without end

Causes, each seen by a test that failed on the code of before (jayrack-meshd/tests/hostile_server.rs): - A refusal was taken before the echoed identifier was compared. A late second copy of a refusal, on a connection in use again, told the caller of the next request that it had not run, while it ran (10 of 40 requests). - The connection of an answer for another request went back to the pool, so that the next request met the next stray answer. - A refusal whose body never ends held the caller until its deadline. - A body without length that never ends was passed on until the caller closed. - Interim answers without end took the traffic thread for a poll at a time (refusals of other callers in 1 of 3 runs of an unoptimised build).

Ruled out by the same tests: heads and header lines without end, slow ones, chunk extensions, trailers (bounded before); an answer's late copy (compared before).

Change: the identifier is compared first; a refusal without one is still one; stray answers discard their connection; refusal bodies get 100 ms; streamed answers end a second after the caller's deadline; reads yield every 32 KB.

--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -73,8 +73,8 @@
     pub gossip: gossip::GossipState,
     /// Whether this host is registered in the store and has read the other hosts.
     pub registered: tokio::sync::watch::Sender<bool>,
-    /// Held while a departure is written to the store, so that each is written once.
-    pub departure_writing: tokio::sync::Mutex<()>,
+    /// Writes of departures to the store; locked during a write, so that each departure is written once.
+    pub departure_writes: tokio::sync::Mutex<hosts::DepartureWrites>,
 }
 
 /// Runs the daemon until it receives SIGTERM; SIGHUP makes it read the settings file at once.
@@ -132,7 +132,7 @@
         store: StoreClient::new(settings.store, options),
         gossip: gossip::GossipState::new(&mesh, socket),
         registered: tokio::sync::watch::Sender::new(false),
-        departure_writing: tokio::sync::Mutex::default(),
+        departure_writes: tokio::sync::Mutex::default(),
         mesh,
     });
     tokio::spawn(endpoint::serve_ready(ready, control.mesh.clone()));
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -6,7 +6,7 @@
 
 use jayrack_mesh::{hosts::HostRecord, server::ServerRecord};
 use jayrack_platform::store::{Error, KeyedRecord};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::ControlState;
 
@@ -19,6 +19,12 @@
 const INITIAL_BACKOFF_MS: u64 = 150;
 /// Longest backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// Backoff once other daemons have supplied the hosts and the state of an earlier process, in milliseconds.
+const RESTORED_BACKOFF_MS: u64 = 5_000;
+/// Backoff after a departure could not be written; it doubles with each further failure.
+const DEPARTURE_BACKOFF: Duration = Duration::from_secs(2);
+/// Largest number of doublings of [`DEPARTURE_BACKOFF`].
+const MAX_DEPARTURE_DOUBLINGS: u32 = 1;
 
 /// Registers this host in the store and reads the records of the others; retries until both have succeeded.
 ///
@@ -34,6 +40,9 @@
                 return;
             }
             Err(error) => {
+                if control.gossip.is_restored() {
+                    backoff_ms = RESTORED_BACKOFF_MS;
+                }
                 log::warn!(error:% = error, written = is_written, pause_ms = backoff_ms; "hosts not read");
                 sleep(Duration::from_millis(
                     backoff_ms + control.gossip.jitter_ms(backoff_ms),
@@ -112,20 +121,39 @@
     Ok(host.is_same_host(own))
 }
 
-/// Writes the departure of the backend server beside the daemon to the store unless it is stored already.
+/// Failed writes of departures, and when the next one is tried.
+#[derive(Debug, Default)]
+pub struct DepartureWrites {
+    failures: u32,
+    retry_at: Option<Instant>,
+}
+
+/// Writes the departure of the backend server beside the daemon to the store; returns whether it is stored.
+///
+/// The server reports more often than a store in trouble is worth asking, since failed calls are charged as well:
+/// after a failed write the next one is only tried when the backoff is over.
 ///
 /// # Errors
 ///
 /// Fails if the store did not acknowledge the record; it may have been written all the same.
-pub async fn record_departure(control: Arc<ControlState>) -> Result<(), Error> {
-    let _writing = control.departure_writing.lock().await;
+pub async fn record_departure(control: Arc<ControlState>) -> Result<bool, Error> {
+    let mut writes = control.departure_writes.lock().await;
     let Some(record) = control.mesh.tracker().unstored_departure().cloned() else {
-        return Ok(());
+        return Ok(true);
     };
+    if writes.retry_at.is_some_and(|at| Instant::now() < at) {
+        return Ok(false);
+    }
     let key = format!("{LEFT_PREFIX}{}", control.mesh.settings.host.address);
-    control.store.put(TOPIC, &key, &encode(&record)?).await?;
+    if let Err(error) = control.store.put(TOPIC, &key, &encode(&record)?).await {
+        let doublings = writes.failures.min(MAX_DEPARTURE_DOUBLINGS);
+        writes.failures += 1;
+        writes.retry_at = Some(Instant::now() + DEPARTURE_BACKOFF * (1 << doublings));
+        return Err(error);
+    }
+    *writes = DepartureWrites::default();
     control.mesh.tracker().departure_stored(&record);
-    Ok(())
+    Ok(true)
 }
 
 fn encode(record: &impl serde::Serialize) -> Result<Vec<u8>, Error> {
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -121,7 +121,7 @@
     }
     let writing = tokio::spawn(hosts::record_departure(control.clone()));
     match timeout(RECORD_TIMEOUT, writing).await {
-        Ok(Ok(Ok(()))) => true,
+        Ok(Ok(Ok(is_stored))) => is_stored,
         Ok(Ok(Err(error))) => {
             log::warn!(error:% = error; "departure not recorded");
             false
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -9,10 +9,11 @@
 //! * [`gate`]: admission to that server's slots.
 //! * [`link`]: pacing of large answers on the host's link.
 //! * [`forward`]: headers of requests and answers between daemons.
-//! * [`pool`]: outgoing connections; [`body`]: bodies of answers.
+//! * [`pool`]: outgoing connections; [`fair_stream`]: their sockets; [`body`]: bodies of answers.
 pub mod answer;
 mod attempt;
 pub mod body;
+pub mod fair_stream;
 pub mod forward;
 pub mod gate;
 pub mod ingress;
--- a/jayrack-meshd/src/traffic/answer.rs
+++ b/jayrack-meshd/src/traffic/answer.rs
@@ -5,6 +5,7 @@
 };
 use jayrack_platform::headers;
 use jayrack_protocol::ResultCode;
+use tokio::time::Instant;
 
 use super::{body::AnswerBody, forward, ingress::TrafficState};
 
@@ -22,6 +23,19 @@
     Refusal(ResultCode, u64),
 }
 
+impl CallerAnswer {
+    /// Breaks off a server's answer that has not been received completely by `deadline`.
+    pub fn with_deadline(self, deadline: Instant) -> Self {
+        match self {
+            CallerAnswer::Answer(response) => {
+                let response = response.map(|body| body.with_deadline(deadline));
+                CallerAnswer::Answer(Box::new(response))
+            }
+            CallerAnswer::Code(_) | CallerAnswer::Refusal(..) => self,
+        }
+    }
+}
+
 /// Converts a result to the response to the caller and counts it in the metrics.
 pub fn to_response(
     state: &TrafficState,
--- a/jayrack-meshd/src/traffic/body.rs
+++ b/jayrack-meshd/src/traffic/body.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 /// Value that is dropped when a body has ended.
 pub type BodyGuard = Box<dyn Any + Send>;
@@ -64,6 +64,8 @@
     source: BodySource,
     // On the heap, since few bodies are paced.
     pace: Option<Box<BodyPace>>,
+    /// Ends the body with an error, so that a server that never stops sending is not read for ever.
+    deadline: Option<Pin<Box<Sleep>>>,
     guards: Vec<BodyGuard>,
 }
 
@@ -82,14 +84,29 @@
     TooLarge,
     /// The body ended early.
     Broken(String),
+    /// The body had not ended by its deadline.
+    Expired,
 }
 
+impl std::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::TooLarge => formatter.write_str("the body is too large"),
+            Error::Broken(reason) => write!(formatter, "the body ended early: {reason}"),
+            Error::Expired => formatter.write_str("the body did not end in time"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
 impl AnswerBody {
     /// Creates a body from bytes in memory.
     pub fn buffered(bytes: Bytes) -> Self {
         Self {
             source: BodySource::Buffered(Full::new(bytes)),
             pace: None,
+            deadline: None,
             guards: Vec::new(),
         }
     }
@@ -99,6 +116,7 @@
         Self {
             source: BodySource::Streamed(incoming),
             pace: None,
+            deadline: None,
             guards: Vec::new(),
         }
     }
@@ -115,6 +133,19 @@
         self
     }
 
+    /// Ends the body with an error at `deadline` unless it is completely in memory.
+    pub fn with_deadline(mut self, deadline: Instant) -> Self {
+        if !self.is_buffered() {
+            self.deadline = Some(Box::pin(sleep_until(deadline)));
+        }
+        self
+    }
+
+    /// The guards that are held until the body ends.
+    pub fn guards_mut(&mut self) -> &mut [BodyGuard] {
+        &mut self.guards
+    }
+
     /// Whether the body is sent at a limited rate.
     pub fn is_paced(&self) -> bool {
         self.pace.is_some()
@@ -162,7 +193,10 @@
         match Limited::new(self, limit).collect().await {
             Ok(collected) => Ok(collected.to_bytes()),
             Err(error) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Err(error) => Err(Error::Broken(error.to_string())),
+            Err(error) => match error.downcast() {
+                Ok(error) => Err(*error),
+                Err(error) => Err(Error::Broken(error.to_string())),
+            },
         }
     }
 }
@@ -173,10 +207,10 @@
             BodySource::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            BodySource::Streamed(body) => Pin::new(body).poll_frame(cx),
+            BodySource::Streamed(body) => Pin::new(body).poll_frame(cx).map_err(broken),
             BodySource::PartlyRead(read, body) => match read.pop_front() {
                 Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
-                None => Pin::new(body).poll_frame(cx),
+                None => Pin::new(body).poll_frame(cx).map_err(broken),
             },
         }
     }
@@ -200,16 +234,25 @@
     }
 }
 
-type PolledFrame = Result<Frame<Bytes>, hyper::Error>;
+fn broken(error: hyper::Error) -> Error {
+    Error::Broken(error.to_string())
+}
+
+type PolledFrame = Result<Frame<Bytes>, Error>;
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let deadline = self.deadline.as_mut();
+        if deadline.is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready()) {
+            self.guards.clear();
+            return Poll::Ready(Some(Err(Error::Expired)));
+        }
         let polled = ready!(self.poll_chunk(cx));
         if matches!(polled, None | Some(Err(_))) || self.is_end_stream() {
             self.guards.clear();
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -65,6 +65,9 @@
 const NOT_READY_RETRY_AFTER_MS: u64 = 400;
 /// Time in `Retry-After` while the daemon stops, in milliseconds; a restart takes about a second.
 const RESTART_RETRY_AFTER_MS: u64 = 700;
+/// Time after a caller's deadline after which an answer that is still being received is broken off; callers leave at
+/// their deadline.
+const STREAM_GRACE: Duration = Duration::from_secs(1);
 /// Minimum transit delay that is logged, in milliseconds: many times that of an idle link.
 const LONG_TRANSIT_MS: u64 = 100;
 
@@ -372,9 +375,11 @@
     let mut progress = RequestProgress::new(state.mesh.settings.host.address);
     let mut is_sent = false;
     let expires_at = request.expires_at;
+    let stream_ends_at =
+        Instant::now() + Duration::from_millis(request.time_left_ms) + STREAM_GRACE;
     let forwarding = try_hosts(state, &request, &mut progress, &mut is_sent);
     if let Ok(answer) = timeout_at(expires_at, forwarding).await {
-        return answer;
+        return answer.with_deadline(stream_ends_at);
     }
     log::warn!(
         target: logging::REQUEST,
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -19,7 +19,7 @@
 use jayrack_platform::headers;
 
 use super::{
-    body::AnswerBody,
+    body::{self, AnswerBody},
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply},
     gate::SlotPermit,
     ingress::TrafficState,
@@ -41,6 +41,8 @@
 const SAFE_MAX_IDLE: Duration = Duration::from_secs(8);
 /// Time after a request's deadline in which the server's own answer may still arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(150);
+/// Time limit for the body of a refusal, whose head already says that the request has not run.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Retry-after time in milliseconds when the server cannot be reached or is not the expected one.
 const SERVER_DOWN_RETRY_AFTER_MS: u64 = 300;
 
@@ -275,23 +277,24 @@
     let is_refusal = response.headers().contains_key(headers::NOT_RUN)
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
     let (mut parts, body) = response.into_parts();
+    let echoed = parts.headers.get(headers::REQUEST_ID);
+    // Refusals may lack the identifier.
+    if echoed != id.as_ref() && !(is_refusal && echoed.is_none()) {
+        log_lost(id.as_ref(), "the answer belongs to another request");
+        pool::discard(body);
+        return OwnerOutcome::Lost;
+    }
     if is_refusal {
-        // Read to the end, so that the connection can be reused.
-        if let Err(error) = body.collect_up_to(BUFFERED_ANSWER_BYTES).await {
-            log::info!(target: logging::REQUEST, id = text_of(id.as_ref()); "refusal of the server not read: {error:?}");
-        }
+        read_refusal(body, id.as_ref()).await;
         return OwnerOutcome::NotRun {
             reason: NotRunReason::ServerRefused,
             retry_after_ms: 0,
         };
     }
-    if parts.headers.get(headers::REQUEST_ID) != id.as_ref() {
-        log_lost(id.as_ref(), "the answer belongs to another request");
-        return OwnerOutcome::Lost;
-    }
     let is_signed = parts.headers.contains_key(headers::ANSWER_SIGNATURE);
     if parts.status.is_success() && !is_signed {
         log_lost(id.as_ref(), "the answer is not signed");
+        pool::discard(body);
         return OwnerOutcome::Lost;
     }
     let service_ms = permit.elapsed_ms();
@@ -325,6 +328,17 @@
     }
 }
 
+/// Reads the body of a refusal to its end, so that the connection can be reused.
+async fn read_refusal(body: AnswerBody, id: Option<&HeaderValue>) {
+    let reading = body.collect_up_to(BUFFERED_ANSWER_BYTES);
+    let error = match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await {
+        Ok(Ok(_)) => return,
+        Ok(Err(error)) => error,
+        Err(_) => body::Error::Expired,
+    };
+    log::info!(target: logging::REQUEST, id = text_of(id), error:% = error; "refusal of the server not read");
+}
+
 /// Creates the request to the backend server.
 fn to_server(
     parts: request::Parts,
--- a/jayrack-meshd/src/traffic/pool.rs
+++ b/jayrack-meshd/src/traffic/pool.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use jayrack_platform::socket::{self, SocketOptions};
 
-use super::body::AnswerBody;
+use super::{body::AnswerBody, fair_stream::FairStream};
 
 /// Buffer size of a connection, in bytes: holds the largest head that the platform allows.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -139,7 +139,7 @@
             .map_err(|error| not_sent(&error))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|error| not_sent(&error))?;
         tokio::spawn(async move {
@@ -216,6 +216,15 @@
     Some(Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
+/// Drops a body without returning its connection to the pool: bytes that belong to no request may follow on it.
+pub fn discard(mut body: AnswerBody) {
+    for guard in body.guards_mut() {
+        if let Some(guard) = guard.downcast_mut::<ReturnGuard>() {
+            guard.sender = None;
+        }
+    }
+}
+
 /// Returns a connection to the pool when the answer's body has ended.
 #[derive(Debug)]
 struct ReturnGuard {
--- /dev/null
+++ b/jayrack-meshd/tests/hostile_server.rs
@@ -0,0 +1,338 @@
+//! Backend servers in trouble, which send bytes that are no answer without end, or late copies of earlier answers.
+// Each test program uses only some items of the support module.
+#[allow(dead_code)]
+mod support;
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::{Method, StatusCode};
+use jayrack_platform::headers;
+use rstest::rstest;
+use support::{FleetStore, HostProcess, configuration, signature_of, until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// Memory that a daemon may take, in kilobytes.
+const MAX_MEMORY_KB: u64 = 32 << 10;
+/// Time limit that only ends a body that is never broken off.
+const HANG_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit of the routes, in seconds.
+const TIMEOUT_S: f64 = 0.5;
+/// How often a server without a pause repeats its bytes in one write.
+const FAST_REPEATS: usize = 400;
+/// Time between an answer and its copy: the next request is sent before or after it.
+const COPY_DELAY: Duration = Duration::from_millis(5);
+/// Time for which a server runs a request.
+const RUN_TIME: Duration = Duration::from_millis(30);
+/// More requests than the server has slots.
+const REQUESTS: usize = 6;
+
+/// Backend server that answers each request with scripted bytes.
+struct RawServer {
+    /// Identifiers of the requests received.
+    received: Mutex<Vec<String>>,
+    /// Identifiers of the requests that ran after a copied answer was sent on their connection.
+    ran: Mutex<Vec<String>>,
+    /// Connections that the daemon has closed while the server was sending.
+    closed: AtomicUsize,
+}
+
+/// Bytes that a server sends after a request; `{echo}`, `{signature}` and `{not-run}` stand for header lines.
+#[derive(Debug, Clone)]
+enum Script {
+    /// `start` once, then `repeated` until the connection is closed, with a pause after each.
+    Endless {
+        start: &'static str,
+        repeated: &'static str,
+        pause: Duration,
+    },
+    /// `copied` twice in answer to every other request of a connection, with a pause between; `other` in answer to the
+    /// rest, which run.
+    LateCopy {
+        copied: &'static str,
+        other: &'static str,
+    },
+}
+
+impl RawServer {
+    async fn start(host: &HostProcess, script: Script) -> Arc<Self> {
+        let server = Arc::new(Self {
+            received: Mutex::default(),
+            ran: Mutex::default(),
+            closed: AtomicUsize::new(0),
+        });
+        let listener = TcpListener::bind(host.server()).await.unwrap();
+        let served = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(served.clone().serve(stream, script.clone()));
+            }
+        });
+        server
+    }
+
+    fn received(&self) -> Vec<String> {
+        self.received.lock().unwrap().clone()
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream, script: Script) {
+        let mut number = 0;
+        while let Some(id) = read_id(&mut stream).await {
+            self.received.lock().unwrap().push(id.clone());
+            let sent = match &script {
+                Script::Endless {
+                    start,
+                    repeated,
+                    pause,
+                } => {
+                    let sent = send_endlessly(&mut stream, &id, (start, repeated), *pause).await;
+                    self.closed.fetch_add(1, Ordering::Relaxed);
+                    sent
+                }
+                Script::LateCopy { copied, .. } if number % 2 == 0 => {
+                    let copied = fill(copied, &id);
+                    let sent = stream.write_all(copied.as_bytes()).await;
+                    sleep(COPY_DELAY).await;
+                    sent.and(stream.write_all(copied.as_bytes()).await)
+                }
+                Script::LateCopy { other, .. } => {
+                    self.ran.lock().unwrap().push(id.clone());
+                    sleep(RUN_TIME).await;
+                    stream.write_all(fill(other, &id).as_bytes()).await
+                }
+            };
+            if sent.is_err() {
+                return;
+            }
+            number += 1;
+        }
+    }
+}
+
+/// Sends until the connection is closed.
+async fn send_endlessly(
+    stream: &mut TcpStream,
+    id: &str,
+    (start, repeated): (&str, &str),
+    pause: Duration,
+) -> std::io::Result<()> {
+    stream.write_all(fill(start, id).as_bytes()).await?;
+    let count = if pause.is_zero() { FAST_REPEATS } else { 1 };
+    let repeated = repeated.repeat(count);
+    loop {
+        sleep(pause).await;
+        stream.write_all(repeated.as_bytes()).await?;
+    }
+}
+
+/// Replaces the placeholders of a script by the header lines for the request `id`.
+fn fill(template: &str, id: &str) -> String {
+    let echo = format!("{}: {id}\r\n", headers::REQUEST_ID);
+    let signature = format!("{}: {}\r\n", headers::ANSWER_SIGNATURE, signature_of(id));
+    template
+        .replace("{echo}", &echo)
+        .replace("{signature}", &signature)
+        .replace("{not-run}", &format!("{}: 1\r\n", headers::NOT_RUN))
+}
+
+/// Reads the head of a request; returns its identifier, or `None` at the end of the connection.
+async fn read_id(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let name = headers::REQUEST_ID;
+    head.lines()
+        .filter_map(|line| line.split_once(": "))
+        .find(|(field, _)| field.eq_ignore_ascii_case(name.as_str()))
+        .map(|(_, id)| id.to_string())
+}
+
+/// Starts a host whose server follows `script`; waits until the host accepts requests for it.
+async fn hostile_host(store: &FleetStore, script: Script) -> (HostProcess, Arc<RawServer>) {
+    store.put_configuration(&configuration(1, TIMEOUT_S)).await;
+    let host = HostProcess::start(store);
+    let server = RawServer::start(&host, script).await;
+    host.until_reported("i-1", host.status("ready", 1, 1)).await;
+    host.until_ready(StatusCode::OK).await;
+    (host, server)
+}
+
+const SIGNED_HEAD: &str = "HTTP/1.1 200 OK\r\n{echo}{signature}";
+const NO_PAUSE: Duration = Duration::ZERO;
+const TRICKLE: Duration = Duration::from_millis(50);
+
+fn endless(start: &'static str, repeated: &'static str, pause: Duration) -> Script {
+    Script::Endless {
+        start,
+        repeated,
+        pause,
+    }
+}
+
+/// Each caller is answered or its answer is broken off, the slot and the connection are given back, and memory stays
+/// bounded.
+#[rstest]
+#[case::headers(endless("HTTP/1.1 200 OK\r\n", "x-a: bbbbbbbbbbbbbbbb\r\n", NO_PAUSE))]
+#[case::header_line(endless("HTTP/1.1 200 OK\r\nx-a: ", "bbbbbbbbbbbbbbbbbbbbbbbb", NO_PAUSE))]
+#[case::slow_header_line(endless("HTTP/1.1 200 OK\r\nx-a: ", "b", TRICKLE))]
+#[case::early_answers(endless("", "HTTP/1.1 100 Continue\r\n\r\n", NO_PAUSE))]
+#[case::no_protocol(endless("", "bbbbbbbbbbbbbbbbbbbbbbbb", NO_PAUSE))]
+#[tokio::test]
+async fn a_head_without_end_is_a_lost_answer(#[case] script: Script) {
+    let store = FleetStore::start().await;
+    let (host, server) = hostile_host(&store, script).await;
+
+    for number in 0..REQUESTS {
+        let id = format!("r-{number}");
+        let answer = host.ask(Method::POST, "/book/1", &id).await.unwrap();
+        let is_unknown = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+        // A flooded server may not accept a connection in time; then the request has not run.
+        let is_received = server.received().contains(&id);
+        let is_true_refusal = answer.status == StatusCode::SERVICE_UNAVAILABLE && !is_received;
+        let is_true = is_unknown.contains(&answer.status) || is_true_refusal;
+        assert!(is_true, "{id}: {answer:?}");
+    }
+
+    until("the connections are closed", || async {
+        server.closed.load(Ordering::Relaxed) == server.received().len()
+    })
+    .await;
+    assert!(!server.received().is_empty());
+    assert!(host.peak_memory_kb() < MAX_MEMORY_KB);
+}
+
+#[rstest]
+#[case::chunks("transfer-encoding: chunked\r\n\r\n", "8\r\nbbbbbbbb\r\n", NO_PAUSE)]
+#[case::slow_chunks("transfer-encoding: chunked\r\n\r\n", "1\r\nb\r\n", TRICKLE)]
+#[case::chunk_extension("transfer-encoding: chunked\r\n\r\n8;", "a=b;", NO_PAUSE)]
+#[case::trailers("transfer-encoding: chunked\r\n\r\n0\r\n", "x-a: b\r\n", NO_PAUSE)]
+#[case::no_length("\r\n", "bbbbbbbbbbbbbbbbbbbbbbbb", NO_PAUSE)]
+#[tokio::test]
+async fn a_body_without_end_is_broken_off(
+    #[case] start: &'static str,
+    #[case] repeated: &'static str,
+    #[case] pause: Duration,
+) {
+    let store = FleetStore::start().await;
+    let start = format!("{SIGNED_HEAD}{start}").leak();
+    let (host, server) = hostile_host(&store, endless(start, repeated, pause)).await;
+
+    let asking = (0..REQUESTS).map(|number| {
+        let asking = ask_until_closed(host.callers(), format!("r-{number}"));
+        tokio::spawn(tokio::time::timeout(HANG_TIMEOUT, asking))
+    });
+    let mut answers = Vec::new();
+    for asked in asking.collect::<Vec<_>>() {
+        answers.push(asked.await.unwrap().expect("the body goes on"));
+    }
+
+    // A broken-off answer lacks its final chunk, so that it can't be taken for a complete one.
+    let is_complete =
+        |answer: &String| answer.starts_with("HTTP/1.1 200") && answer.ends_with("0\r\n\r\n");
+    assert!(!answers.iter().any(is_complete));
+    let received = server.received().len();
+    until("the connections are closed", || async {
+        server.closed.load(Ordering::Relaxed) >= received
+    })
+    .await;
+    assert!(host.peak_memory_kb() < MAX_MEMORY_KB);
+}
+
+/// Sends a request with a deadline of half a second and reads until the daemon closes the connection; the caller itself
+/// never closes it. Returns the last bytes received after the status line.
+async fn ask_until_closed(address: std::net::SocketAddr, id: String) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let (echo, deadline) = (headers::REQUEST_ID, headers::TIME_LEFT_MS);
+    let request = format!(
+        "GET /browse/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: {id}\r\n{deadline}: 500\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let (mut first, mut last) = (String::new(), String::new());
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+        let text = String::from_utf8_lossy(&buffer[..length]);
+        if first.is_empty() {
+            first = text.chars().take(12).collect();
+        }
+        last = text
+            .chars()
+            .rev()
+            .take(8)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .rev()
+            .collect();
+    }
+    format!("{first} {last}")
+}
+
+/// The head of a refusal says that the request has not run, whatever its body does.
+#[rstest]
+#[case::fast("bbbbbbbb", NO_PAUSE)]
+#[case::slow("b", TRICKLE)]
+#[tokio::test]
+async fn a_refusal_with_a_body_without_end_is_a_refusal(
+    #[case] repeated: &'static str,
+    #[case] pause: Duration,
+) {
+    let store = FleetStore::start().await;
+    let head = "HTTP/1.1 503 Service Unavailable\r\n{echo}{not-run}\r\n";
+    let (host, server) = hostile_host(&store, endless(head, repeated, pause)).await;
+
+    let answer = host.ask(Method::POST, "/book/1", "r-1").await.unwrap();
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    until("the connection is closed", || async {
+        server.closed.load(Ordering::Relaxed) == 1
+    })
+    .await;
+}
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\n{echo}{signature}content-length: 5\r\n\r\nwhole";
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\n{echo}{not-run}content-length: 0\r\n\r\n";
+
+/// A late second copy of an answer arrives where the answer to the next request is expected. No request gets the
+/// answer of another one, and a copied refusal does not deny that the next request ran.
+#[rstest]
+#[case::answer(ANSWER)]
+#[case::refusal(REFUSAL)]
+#[tokio::test]
+async fn a_late_copy_of_an_answer_reaches_no_other_request(#[case] copied: &'static str) {
+    let store = FleetStore::start().await;
+    let script = Script::LateCopy {
+        copied,
+        other: ANSWER,
+    };
+    let (host, server) = hostile_host(&store, script).await;
+
+    let mut refused = Vec::new();
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let answer = host.ask(Method::POST, "/book/1", &id).await.unwrap();
+        if let Some(signature) = answer.headers.get(headers::ANSWER_SIGNATURE) {
+            assert_eq!(signature.as_bytes(), signature_of(&id).as_bytes());
+        }
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            refused.push(id);
+        }
+        // Some requests go out before the copy arrives, others after it.
+        sleep(Duration::from_millis(number % 8)).await;
+    }
+
+    let ran = server.ran.lock().unwrap().clone();
+    assert!(!ran.is_empty(), "no request met a copy");
+    let denied: Vec<&String> = ran.iter().filter(|id| refused.contains(id)).collect();
+    assert!(denied.is_empty(), "ran and were refused: {denied:?}");
+}
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -173,6 +173,17 @@
             .collect()
     }
 
+    /// Peak resident memory of the process, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|value| value.trim().strip_suffix(" kB"));
+        peak.unwrap().trim().parse().unwrap()
+    }
+
     /// Kills the process with SIGKILL and waits for its end.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
