--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod late_refusal;
+mod overstated_length;
 mod record;
 mod relay;
 mod server;
@@ -24,6 +25,7 @@
     let record = Arc::new(record::Record::new());
     let result = match case.as_str() {
         "late-refusal" => late_refusal::run(&root, &record, has_trouble),
+        "overstated-length" => overstated_length::run(&root, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let (code, verdict) = match result {
