--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! Usage: `jayrack-review CASE ROOT RECORD`; without the disruption if the variable `TROUBLE` is 0. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 mod client;
+mod departed_server;
 mod fleet;
 mod http;
 mod late_refusal;
@@ -25,6 +26,7 @@
     let record = Arc::new(record::Record::new());
     let result = match case.as_str() {
         "late-refusal" => late_refusal::run(&root, &record, has_trouble),
+        "departed-server" => departed_server::run(&root, &record, has_trouble),
         "overstated-length" => overstated_length::run(&root, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
