--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod departed_server;
 mod fleet;
 mod foreign_report;
+mod fractional_bound;
 mod http;
 mod late_refusal;
 mod overstated_length;
@@ -29,6 +30,7 @@
         "late-refusal" => late_refusal::run(&root, &record, has_trouble),
         "departed-server" => departed_server::run(&root, &record, has_trouble),
         "foreign-report" => foreign_report::run(&root, &record, has_trouble),
+        "fractional-bound" => fractional_bound::run(&root, &record, has_trouble),
         "overstated-length" => overstated_length::run(&root, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
