fix(meshd): a large answer holds the link for what is written, not for what its head states

Cause: the permit to send a large answer was released when the link would have carried the stated length, also after the answer had broken off. The same length was taken for the size of the route's answers (at the link and in the choice of a host) and for traffic on the link.

Ruled out: slots (nothing was running), the servers, the retry budget.

Why it works: the turn is extended by each written chunk and ends when nothing was written for 100 ms, so an idle link is never held, whatever a server states, stops sending or a caller stops reading. Sizes are recorded at the end of an answer from the bytes that were passed on. A waiting answer of more than 4 MiB is streamed instead of lost.

--- a/jayrack-mesh/src/pick.rs
+++ b/jayrack-mesh/src/pick.rs
@@ -92,8 +92,8 @@
     Answered {
         /// Time at the backend server, in milliseconds.
         service_ms: u64,
-        /// Size of the answer, in bytes.
-        answer_bytes: u64,
+        /// Size of the answer, in bytes; `None` while it is still being received.
+        answer_bytes: Option<u64>,
     },
     /// The backend server returned an error status or did not complete its answer.
     Failed,
@@ -353,9 +353,17 @@
         service_ms + wait_ms + remote_ms + relay_ms + failure_ms
     }
 
+    /// Records the size of an answer of `route` that has been received completely, in bytes.
+    pub fn record_answer_size(&mut self, route: &str, bytes: u64) {
+        if let Some(stats) = self.routes.get_mut(route) {
+            let answer_kb = bytes as f64 / 1_000.0;
+            stats.answer_kb += (answer_kb - stats.answer_kb) * SMOOTHING;
+        }
+    }
+
     /// Updates the averages of a route; returns the service time relative to the earlier average.
-    fn observe_route(&mut self, route: &str, service_ms: f64, answer_bytes: u64) -> f64 {
-        let answer_kb = answer_bytes as f64 / 1_000.0;
+    fn observe_route(&mut self, route: &str, service_ms: f64, answer_bytes: Option<u64>) -> f64 {
+        let answer_kb = answer_bytes.unwrap_or_default() as f64 / 1_000.0;
         if !self.routes.contains_key(route) {
             let stats = RouteStats {
                 service_ms: service_ms.max(1.0),
@@ -366,7 +374,9 @@
         let stats = self.routes.get_mut(route).expect("inserted above");
         let service_ratio = service_ms / stats.service_ms.max(1.0);
         stats.service_ms += (service_ms - stats.service_ms) * SMOOTHING / 2.0;
-        stats.answer_kb += (answer_kb - stats.answer_kb) * SMOOTHING;
+        if let Some(bytes) = answer_bytes {
+            self.record_answer_size(route, bytes);
+        }
         service_ratio
     }
 }
--- a/jayrack-mesh/tests/many_servers.rs
+++ b/jayrack-mesh/tests/many_servers.rs
@@ -123,7 +123,7 @@
         let request = self.requests.remove(&id).expect("runs");
         let outcome = HostOutcome::Answered {
             service_ms,
-            answer_bytes: ANSWER_BYTES,
+            answer_bytes: Some(ANSWER_BYTES),
         };
         self.reply(now_ms, &request, outcome);
         if request.is_counted && now_ms - request.arrived_ms <= TARGET_MS {
--- a/jayrack-mesh/tests/pick.rs
+++ b/jayrack-mesh/tests/pick.rs
@@ -30,7 +30,7 @@
 fn answered(service_ms: u64, answer_bytes: u64) -> HostOutcome {
     HostOutcome::Answered {
         service_ms,
-        answer_bytes,
+        answer_bytes: Some(answer_bytes),
     }
 }
 
--- a/jayrack-meshd/src/traffic/attempt.rs
+++ b/jayrack-meshd/src/traffic/attempt.rs
@@ -57,8 +57,11 @@
     let mut parts = request.parts.clone();
     let body = request.body.clone();
     if candidate.address == state.mesh.settings.host.address {
+        let route = &request.route.name;
         let request = OwnedRequest { head, parts, body };
-        return Attempt::Replied(owner::serve(state, request).await);
+        let mut reply = owner::serve(state, request).await;
+        observe_streamed_answer(state, route, &mut reply);
+        return Attempt::Replied(reply);
     }
     let forward = {
         let directory = state.mesh.directory();
@@ -106,9 +109,31 @@
         log::warn!(host:% = candidate.address, error:? = error; "answer of host ended early");
         reply.outcome = OwnerOutcome::Lost;
     }
+    observe_streamed_answer(state, &request.route.name, &mut reply);
     Attempt::Replied(reply)
 }
 
+/// Learns the size of an answer that is not in memory when it has been passed on.
+///
+/// The length that its head states is not used: the answer may break off before.
+fn observe_streamed_answer(state: &Arc<TrafficState>, route: &str, reply: &mut OwnerReply) {
+    let OwnerOutcome::Answered { response, .. } = &mut reply.outcome else {
+        return;
+    };
+    if response.body().is_buffered() {
+        return;
+    }
+    let (state, route) = (state.clone(), route.to_string());
+    let unread = AnswerBody::buffered(Bytes::new());
+    let body = std::mem::replace(response.body_mut(), unread);
+    *response.body_mut() = body.on_end(move |progress| {
+        if progress.is_complete() {
+            let bytes = progress.passed_bytes();
+            state.router.record_answer_size(&route, bytes);
+        }
+    });
+}
+
 /// Reads a small answer completely before it is passed on, so that a truncated one can be retried.
 async fn buffer_small_answer(response: &mut Response<AnswerBody>) -> Result<(), body::Error> {
     let length = forward::number(response.headers(), header::CONTENT_LENGTH);
@@ -198,7 +223,7 @@
             ..
         } => HostOutcome::Answered {
             service_ms: *service_ms,
-            answer_bytes: answer_bytes(response),
+            answer_bytes: buffered_bytes(response),
         },
         OwnerOutcome::NotRun {
             reason: NotRunReason::ServerDown | NotRunReason::Closed,
@@ -215,10 +240,10 @@
     }
 }
 
-/// Size of an answer in bytes: its `Content-Length`, otherwise the lower bound that is known of its body.
-pub(super) fn answer_bytes(response: &Response<AnswerBody>) -> u64 {
-    let stated = forward::number(response.headers(), header::CONTENT_LENGTH);
-    stated.unwrap_or_else(|| response.body().size_hint().lower())
+/// Size of an answer that is completely in memory, in bytes.
+fn buffered_bytes(response: &Response<AnswerBody>) -> Option<u64> {
+    let body = response.body();
+    body.is_buffered().then(|| body.size_hint().lower())
 }
 
 /// Logs the host and the outcome of an attempt if the request is sampled.
--- a/jayrack-meshd/src/traffic/body.rs
+++ b/jayrack-meshd/src/traffic/body.rs
@@ -3,6 +3,10 @@
     any::Any,
     collections::VecDeque,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -12,6 +16,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
+use super::link::LinkTurn;
+
 /// Value that is dropped when a body has ended.
 pub type BodyGuard = Box<dyn Any + Send>;
 
@@ -23,6 +29,8 @@
     /// Bytes that were read from the source and may not be passed on yet.
     pending: Bytes,
     delay: Option<Pin<Box<Sleep>>>,
+    /// Turn without which no chunk is passed on, if the link has turns.
+    turn: Option<LinkTurn>,
 }
 
 impl BodyPace {
@@ -33,9 +41,16 @@
             chunk_interval,
             pending: Bytes::new(),
             delay: None,
+            turn: None,
         }
     }
 
+    /// Passes chunks on only while `turn` is held.
+    pub fn with_turn(mut self, turn: LinkTurn) -> Self {
+        self.turn = Some(turn);
+        self
+    }
+
     /// Waits until the next chunk may be passed on.
     fn poll_delay(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match self.delay.as_mut().map(|delay| delay.as_mut().poll(cx)) {
@@ -47,14 +62,57 @@
         }
     }
 
-    /// Splits the next chunk off `data`; the one after it is due when the link has transmitted this one.
-    fn take_chunk(&mut self, mut data: Bytes) -> Bytes {
-        if data.len() > self.chunk_bytes {
-            self.pending = data.split_off(self.chunk_bytes);
+    /// Waits until the answer may be written to the link.
+    fn poll_turn(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match &mut self.turn {
+            Some(turn) => turn.poll_held(cx),
+            None => Poll::Ready(()),
         }
-        let fraction = data.len() as f64 / self.chunk_bytes as f64;
+    }
+
+    /// Splits the next chunk off the pending bytes; the one after it is due when the link has transmitted this one.
+    fn take_chunk(&mut self) -> Bytes {
+        let length = self.pending.len().min(self.chunk_bytes);
+        let chunk = self.pending.split_to(length);
+        let fraction = length as f64 / self.chunk_bytes as f64;
         self.delay = Some(Box::pin(sleep(self.chunk_interval.mul_f64(fraction))));
-        data
+        if let Some(turn) = &self.turn {
+            turn.record_written(length as u64);
+        }
+        chunk
+    }
+}
+
+/// How much of a body was passed on.
+#[derive(Debug, Default)]
+pub struct BodyProgress {
+    passed_bytes: AtomicU64,
+    is_complete: AtomicBool,
+}
+
+impl BodyProgress {
+    /// Number of bytes passed on so far.
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Whether the body was passed on to its end.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.load(Ordering::Relaxed)
+    }
+}
+
+/// Calls an observer with the progress of a body that has ended.
+struct EndGuard<F: FnOnce(&BodyProgress)> {
+    progress: Arc<BodyProgress>,
+    observe: Option<F>,
+}
+
+impl<F: FnOnce(&BodyProgress)> Drop for EndGuard<F> {
+    fn drop(&mut self) {
+        if let Some(observe) = self.observe.take() {
+            observe(&self.progress);
+        }
     }
 }
 
@@ -66,6 +124,8 @@
     pace: Option<Box<BodyPace>>,
     /// Ends the body with an error, so that a server that never stops sending is not read for ever.
     deadline: Option<Pin<Box<Sleep>>>,
+    /// Shared with the observers of the body's end.
+    progress: Option<Arc<BodyProgress>>,
     guards: Vec<BodyGuard>,
 }
 
@@ -107,6 +167,7 @@
             source: BodySource::Buffered(Full::new(bytes)),
             pace: None,
             deadline: None,
+            progress: None,
             guards: Vec::new(),
         }
     }
@@ -117,6 +178,7 @@
             source: BodySource::Streamed(incoming),
             pace: None,
             deadline: None,
+            progress: None,
             guards: Vec::new(),
         }
     }
@@ -141,6 +203,15 @@
         self
     }
 
+    /// Calls `observe` with the progress of the body when it has ended or is dropped.
+    pub fn on_end(mut self, observe: impl FnOnce(&BodyProgress) + Send + 'static) -> Self {
+        let guard = EndGuard {
+            progress: self.progress.get_or_insert_default().clone(),
+            observe: Some(observe),
+        };
+        self.with_guard(Box::new(guard))
+    }
+
     /// The guards that are held until the body ends.
     pub fn guards_mut(&mut self) -> &mut [BodyGuard] {
         &mut self.guards
@@ -164,11 +235,12 @@
     ///
     /// Returns [`Error::Broken`] if the body ends early.
     pub async fn read_ahead(mut self, limit: usize) -> Result<Self, Error> {
-        let BodySource::Streamed(mut incoming) = self.source else {
-            return Ok(self);
+        let (mut read, mut incoming) = match self.source {
+            BodySource::Buffered(_) => return Ok(self),
+            BodySource::Streamed(incoming) => (VecDeque::new(), incoming),
+            BodySource::PartlyRead(read, incoming) => (read, incoming),
         };
-        let mut read = VecDeque::new();
-        let mut length = 0;
+        let mut length: usize = read.iter().map(Bytes::len).sum();
         while length <= limit {
             let Some(frame) = incoming.frame().await else {
                 let chunks: Vec<Bytes> = read.into();
@@ -223,14 +295,42 @@
             return self.source.poll_frame(cx);
         };
         ready!(pace.poll_delay(cx));
-        if !pace.pending.is_empty() {
-            let rest = std::mem::take(&mut pace.pending);
-            return Poll::Ready(Some(Ok(Frame::data(pace.take_chunk(rest)))));
+        if pace.pending.is_empty() {
+            match ready!(self.source.poll_frame(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => pace.pending = data,
+                    Err(frame) => return Poll::Ready(Some(Ok(frame))),
+                },
+                ended => return Poll::Ready(ended),
+            }
         }
-        let polled = ready!(self.source.poll_frame(cx));
-        Poll::Ready(
-            polled.map(|frame| frame.map(|frame| frame.map_data(|data| pace.take_chunk(data)))),
-        )
+        ready!(pace.poll_turn(cx));
+        Poll::Ready(Some(Ok(Frame::data(pace.take_chunk()))))
+    }
+
+    /// Gives back what the body held until its end.
+    fn release(&mut self) {
+        self.guards.clear();
+        if let Some(pace) = &mut self.pace {
+            pace.turn = None;
+        }
+    }
+
+    /// Records what was polled; the last frame completes the body.
+    fn record_progress(&self, polled: &Option<PolledFrame>) {
+        let Some(progress) = &self.progress else {
+            return;
+        };
+        if let Some(Ok(frame)) = polled {
+            let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+            progress.passed_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
+        let is_complete = match polled {
+            None => true,
+            Some(Ok(_)) => self.is_end_stream(),
+            Some(Err(_)) => false,
+        };
+        progress.is_complete.store(is_complete, Ordering::Relaxed);
     }
 }
 
@@ -250,12 +350,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let deadline = self.deadline.as_mut();
         if deadline.is_some_and(|deadline| deadline.as_mut().poll(cx).is_ready()) {
-            self.guards.clear();
+            self.release();
             return Poll::Ready(Some(Err(Error::Expired)));
         }
         let polled = ready!(self.poll_chunk(cx));
+        self.record_progress(&polled);
         if matches!(polled, None | Some(Err(_))) || self.is_end_stream() {
-            self.guards.clear();
+            self.release();
         }
         Poll::Ready(polled)
     }
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -25,7 +25,7 @@
 
 use super::{
     answer::{CallerAnswer, to_response},
-    attempt::{Attempt, AttemptGuard, answer_bytes, log_attempt, send},
+    attempt::{Attempt, AttemptGuard, log_attempt, send},
     body::AnswerBody,
     forward::{self, ForwardHead, NotRunReason, OwnerOutcome, SendTime},
     link::HostLink,
@@ -131,9 +131,7 @@
             let request = OwnedRequest { head, parts, body };
             // Lets the connection's task notice first whether the other daemon has closed it meanwhile.
             tokio::task::yield_now().await;
-            let response = owner::serve(state, request).await.encode();
-            record_sent(state, &response);
-            response
+            record_sent(state, owner::serve(state, request).await.encode())
         }
         Err(error) => {
             log::info!(error:% = error; "body of a forwarded request not read");
@@ -142,11 +140,12 @@
     }
 }
 
-/// Records an answer at the host's link unless it is paced; a paced one has a transfer permit.
-fn record_sent(state: &TrafficState, response: &Response<AnswerBody>) {
-    if !response.body().is_paced() {
-        state.link.record_other(answer_bytes(response));
-    }
+/// Records an answer at the host's link unless it is paced; a paced one has a turn there.
+fn record_sent(state: &TrafficState, response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.map(|body| match body.is_paced() {
+        true => body,
+        false => state.link.record_other_answer(body),
+    })
 }
 
 /// Subtracts the transit delay of a request from the time that its caller has left.
@@ -216,8 +215,7 @@
         .metrics
         .latency
         .observe(started.elapsed().as_secs_f64());
-    let mut response = to_response(state, answer, id);
-    record_sent(state, &response);
+    let mut response = record_sent(state, to_response(state, answer, id));
     let id = forward::request_id(response.headers());
     if logging::is_sampled(id) {
         log::info!(
--- a/jayrack-meshd/src/traffic/link.rs
+++ b/jayrack-meshd/src/traffic/link.rs
@@ -1,10 +1,12 @@
 //! Pacing of large answers on the host's link.
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
-use super::body::BodyPace;
+use super::body::{AnswerBody, BodyPace};
+use hyper::body::Body;
 use jayrack_mesh::link::{CallerLocation, LinkMeter, LinkReservation};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
@@ -14,6 +16,9 @@
 /// Maximum number of large answers that are sent at the same time.
 const MAX_TRANSFERS: usize = 1;
 
+/// Time without a written byte after which a large answer makes way for others: several chunks of a paced answer.
+const STALL_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Size assumed of a message without its body, in bytes: head and packet headers.
 const HEAD_BYTES: u64 = 400;
 
@@ -32,21 +37,101 @@
     reservation: Option<LinkReservation>,
 }
 
-/// Permit to send a large answer, with its reservation.
+/// Turn of a large answer on the link.
 ///
-/// Written bytes wait in the buffers of the link, so the permit is released no sooner than the link has
-/// transmitted them.
+/// A turn is held while the answer is written, until the link has transmitted what was written of it: the length that
+/// the head of an answer states says nothing about what follows. An answer that is not written any further for
+/// [`STALL_TIMEOUT`], because its server sends nothing or its receiver reads nothing, loses its turn and its
+/// reservation to others, and waits for another turn when it goes on.
+pub struct LinkTurn {
+    link: HostLink,
+    state: Arc<Mutex<TurnState>>,
+    waiting: Option<BoxedAcquisition>,
+}
+
+type BoxedAcquisition = std::pin::Pin<Box<dyn Future<Output = HeldTurn> + Send>>;
+
 #[derive(Debug)]
-pub struct TransferPermit {
-    held: Option<(LinkTicket, OwnedSemaphorePermit)>,
+struct TurnState {
+    held: Option<HeldTurn>,
+    /// When the link has transmitted all that was written.
     transmitted_at: Instant,
 }
 
-impl Drop for TransferPermit {
+/// What a turn takes from the link; dropping it gives all of it back.
+#[derive(Debug)]
+struct HeldTurn {
+    _permit: Option<OwnedSemaphorePermit>,
+    /// `None` once the answer has lost an earlier turn.
+    _ticket: Option<LinkTicket>,
+}
+
+impl std::fmt::Debug for LinkTurn {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("LinkTurn")
+            .field("state", &self.state)
+            .finish_non_exhaustive()
+    }
+}
+
+impl LinkTurn {
+    fn new(link: HostLink, held: HeldTurn) -> Self {
+        let turn = Self {
+            link,
+            state: Arc::new(Mutex::new(TurnState {
+                held: Some(held),
+                transmitted_at: Instant::now(),
+            })),
+            waiting: None,
+        };
+        tokio::spawn(end_stalled_turn(turn.state.clone()));
+        turn
+    }
+
+    /// Waits for a turn unless the answer still holds one.
+    pub fn poll_held(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.waiting.is_none() {
+            let mut state = lock(&self.state);
+            if state.held.is_some() {
+                state.transmitted_at = state.transmitted_at.max(Instant::now());
+                return Poll::Ready(());
+            }
+            let transfers = self.link.transfers.clone();
+            self.waiting = Some(Box::pin(async move {
+                HeldTurn {
+                    // The semaphore is never closed.
+                    _permit: transfers.acquire_owned().await.ok(),
+                    _ticket: None,
+                }
+            }));
+        }
+        if let Some(waiting) = &mut self.waiting {
+            let held = ready!(waiting.as_mut().poll(cx));
+            self.waiting = None;
+            let mut state = lock(&self.state);
+            state.held = Some(held);
+            state.transmitted_at = Instant::now();
+            tokio::spawn(end_stalled_turn(self.state.clone()));
+        }
+        Poll::Ready(())
+    }
+
+    /// Records that `bytes` of the answer were written.
+    pub fn record_written(&self, bytes: u64) {
+        let sending_time = Duration::from_millis(self.link.lock().sending_ms(bytes));
+        let mut state = lock(&self.state);
+        state.transmitted_at = state.transmitted_at.max(Instant::now()) + sending_time;
+    }
+}
+
+impl Drop for LinkTurn {
     fn drop(&mut self) {
-        let Some(held) = self.held.take() else { return };
-        let transmitted_at = self.transmitted_at;
-        if transmitted_at > Instant::now() {
+        let (held, transmitted_at) = {
+            let mut state = lock(&self.state);
+            (state.held.take(), state.transmitted_at)
+        };
+        if held.is_some() && transmitted_at > Instant::now() {
             tokio::spawn(async move {
                 sleep_until(transmitted_at).await;
                 drop(held);
@@ -55,6 +140,28 @@
     }
 }
 
+/// Ends a turn whose answer has stalled; returns when the turn has ended.
+async fn end_stalled_turn(state: Arc<Mutex<TurnState>>) {
+    loop {
+        let stalled_at = {
+            let mut state = lock(&state);
+            let stalled_at = state.transmitted_at + STALL_TIMEOUT;
+            if state.held.is_none() || stalled_at <= Instant::now() {
+                let ended = state.held.take();
+                drop(state);
+                drop(ended);
+                return;
+            }
+            stalled_at
+        };
+        sleep_until(stalled_at).await;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl HostLink {
     /// Creates the state of a link of `megabits_per_second`.
     pub fn new(megabits_per_second: f64) -> Self {
@@ -71,6 +178,16 @@
         self.lock().record_other(now_ms, body_bytes + HEAD_BYTES);
     }
 
+    /// Records an answer that is sent without a turn: when it has ended, or at once if it is in memory.
+    pub fn record_other_answer(&self, body: AnswerBody) -> AnswerBody {
+        if body.is_buffered() {
+            self.record_other(body.size_hint().lower());
+            return body;
+        }
+        let link = self.clone();
+        body.on_end(move |progress| link.record_other(progress.passed_bytes()))
+    }
+
     /// Reserves capacity for the expected answer of `route` if it can be sent within a fraction of `left_ms`.
     ///
     /// # Errors
@@ -94,30 +211,43 @@
         self.lock().expected_bytes(route)
     }
 
-    /// Records the size of an answer of `route`, in bytes.
-    pub fn observe(&self, route: &str, bytes: u64) {
-        self.lock().observe(route, bytes);
+    /// Learns the size of an answer of `route` from `body`: when it has ended, or at once if it is in memory.
+    ///
+    /// An answer that breaks off has at least the size that was passed on.
+    pub fn observe(&self, route: &str, body: AnswerBody) -> AnswerBody {
+        if body.is_buffered() {
+            self.lock().observe(route, body.size_hint().lower());
+            return body;
+        }
+        let (link, route) = (self.clone(), route.to_string());
+        body.on_end(move |progress| {
+            let bytes = progress.passed_bytes();
+            let mut meter = link.lock();
+            if progress.is_complete() || bytes > meter.expected_bytes(&route) {
+                meter.observe(&route, bytes);
+            }
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, LinkMeter> {
-        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.meter)
     }
 }
 
 impl LinkTicket {
-    /// Acquires the transfer permit of an answer of `bytes`; returns the ticket if another answer is being sent.
-    pub fn try_acquire(self, bytes: u64) -> Result<TransferPermit, Self> {
+    /// Takes the next turn for an answer; returns the ticket if another answer is being sent.
+    pub fn try_acquire(self) -> Result<LinkTurn, Self> {
         match self.link.transfers.clone().try_acquire_owned() {
-            Ok(permit) => Ok(self.start(bytes, Some(permit))),
+            Ok(permit) => Ok(self.start(Some(permit))),
             Err(_) => Err(self),
         }
     }
 
-    /// Waits for the transfer permit of an answer of `bytes`.
-    pub async fn acquire(self, bytes: u64) -> TransferPermit {
+    /// Waits for the turn of an answer.
+    pub async fn acquire(self) -> LinkTurn {
         // The semaphore is never closed.
         let permit = self.link.transfers.clone().acquire_owned().await.ok();
-        self.start(bytes, permit)
+        self.start(permit)
     }
 
     /// Rate limit for the body of the answer.
@@ -128,12 +258,13 @@
         BodyPace::new(chunk_bytes, Duration::from_millis(interval_ms))
     }
 
-    fn start(self, bytes: u64, permit: Option<OwnedSemaphorePermit>) -> TransferPermit {
-        let sending_ms = self.link.lock().sending_ms(bytes);
-        TransferPermit {
-            held: permit.map(|permit| (self, permit)),
-            transmitted_at: Instant::now() + Duration::from_millis(sending_ms),
-        }
+    fn start(self, permit: Option<OwnedSemaphorePermit>) -> LinkTurn {
+        let link = self.link.clone();
+        let held = HeldTurn {
+            _permit: permit,
+            _ticket: Some(self),
+        };
+        LinkTurn::new(link, held)
     }
 }
 
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -31,8 +31,8 @@
 /// Maximum size of an answer that is buffered before it is passed on, in bytes, so that a truncated one can be
 /// retried.
 pub const BUFFERED_ANSWER_BYTES: usize = 48 << 10;
-/// Maximum size of an answer that is buffered while it waits for the link, in bytes; the link's meter bounds
-/// their sum.
+/// Size up to which an answer is buffered while it waits for the link, in bytes; the link's meter bounds their sum. A
+/// longer one keeps its slot and is streamed when its turn comes.
 const MAX_QUEUED_ANSWER_BYTES: usize = 4 << 20;
 /// Maximum idle time of a connection for a request that must not run twice: the server may close it at any time
 /// after that, and the lost request could not be distinguished from one that ran.
@@ -112,7 +112,7 @@
     }
 }
 
-/// Lets a large answer wait for its transfer permit; a smaller one is returned unchanged.
+/// Lets a large answer wait for its turn on the link; a smaller one is returned unchanged.
 async fn queue_transfer(
     state: &TrafficState,
     route: &str,
@@ -127,40 +127,33 @@
     else {
         return outcome;
     };
-    let bytes = if response.body().is_buffered() {
-        response.body().size_hint().exact()
-    } else {
-        forward::number(response.headers(), header::CONTENT_LENGTH)
-    };
-    if let Some(bytes) = bytes {
-        state.link.observe(route, bytes);
-    }
-    let bytes = bytes.unwrap_or_else(|| state.link.expected_bytes(route));
-    if bytes < LARGE_ANSWER_BYTES {
+    if likely_bytes(state, route, &response) < LARGE_ANSWER_BYTES {
+        let response = response.map(|body| state.link.observe(route, body));
         return OwnerOutcome::Answered {
-            response,
+            response: Box::new(response),
             service_ms,
             has_refused_call,
         };
     }
     let pace = ticket.pace();
-    let (transfer, response) = match ticket.try_acquire(bytes) {
-        Ok(transfer) => (transfer, *response),
+    let (turn, response) = match ticket.try_acquire() {
+        Ok(turn) => (turn, *response),
         Err(ticket) => {
             // Reading the answer releases the slot while the answer waits for the link.
             let (parts, body) = response.into_parts();
-            let body = match body.collect_up_to(MAX_QUEUED_ANSWER_BYTES).await {
-                Ok(bytes) => AnswerBody::buffered(bytes),
+            let body = match body.read_ahead(MAX_QUEUED_ANSWER_BYTES).await {
+                Ok(body) => body,
                 Err(error) => {
                     log::warn!(route = route, error:? = error; "large answer of the server not read");
                     return OwnerOutcome::Lost;
                 }
             };
-            let transfer = ticket.acquire(bytes).await;
-            (transfer, Response::from_parts(parts, body))
+            let turn = ticket.acquire().await;
+            (turn, Response::from_parts(parts, body))
         }
     };
-    let response = response.map(|body| body.paced(pace).with_guard(Box::new(transfer)));
+    let pace = pace.with_turn(turn);
+    let response = response.map(|body| state.link.observe(route, body).paced(pace));
     OwnerOutcome::Answered {
         response: Box::new(response),
         service_ms,
@@ -168,6 +161,17 @@
     }
 }
 
+/// Size of an answer in bytes: the one that it states, otherwise the average of its route unless more has arrived.
+fn likely_bytes(state: &TrafficState, route: &str, response: &Response<AnswerBody>) -> u64 {
+    let received = response.body().size_hint().lower();
+    let stated = forward::number(response.headers(), header::CONTENT_LENGTH);
+    match stated {
+        _ if response.body().is_buffered() => received,
+        Some(stated) => stated,
+        None => state.link.expected_bytes(route).max(received),
+    }
+}
+
 async fn admit(state: &Arc<TrafficState>, head: &ForwardHead) -> Result<SlotPermit, GateRefusal> {
     let closed = GateRefusal {
         reason: RefusalReason::Closed,
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -121,6 +121,11 @@
         self.lock().budget.try_retry(now_ms, service, hosts, kind)
     }
 
+    /// Records the size of an answer of `route` that has been received completely, in bytes.
+    pub fn record_answer_size(&self, route: &str, bytes: u64) {
+        self.lock().picker.record_answer_size(route, bytes);
+    }
+
     /// Average service time of requests of `route`, in milliseconds.
     pub fn service_ms(&self, route: &str) -> f64 {
         self.lock().picker.service_ms(route)
--- a/jayrack-meshd/tests/hostile_server.rs
+++ b/jayrack-meshd/tests/hostile_server.rs
@@ -33,6 +33,12 @@
 const COPY_DELAY: Duration = Duration::from_millis(5);
 /// Time for which a server runs a request.
 const RUN_TIME: Duration = Duration::from_millis(30);
+/// Size of a large answer, in bytes: more than a daemon reads ahead.
+const LARGE_BYTES: usize = 90_000;
+/// Length that an overstated head gives, in bytes: some hours of sending at the link's rate.
+const OVERSTATED_BYTES: usize = 1_000_000_000_000;
+/// Size of an answer that fills all buffers between the server and a caller that does not read, in bytes.
+const HUGE_BYTES: usize = 64 << 20;
 /// More requests than the server has slots.
 const REQUESTS: usize = 6;
 
@@ -61,6 +67,20 @@
         copied: &'static str,
         other: &'static str,
     },
+    /// Large answers; all heads state the length of a whole one unless `fault` says otherwise, and `faulty` requests are
+    /// answered with it.
+    Large { fault: LargeFault, faulty: usize },
+}
+
+/// What a server does instead of sending a large answer completely.
+#[derive(Debug, Clone, Copy)]
+enum LargeFault {
+    /// States a length of many hours of sending and closes the connection after a part of the body.
+    Overstated,
+    /// Sends a part of the body and then nothing, on an open connection.
+    Stalled,
+    /// Sends nothing but a whole answer that is larger than all buffers on its way.
+    Huge,
 }
 
 impl RawServer {
@@ -109,6 +129,28 @@
                     sleep(RUN_TIME).await;
                     stream.write_all(fill(other, &id).as_bytes()).await
                 }
+                Script::Large { fault, faulty } => {
+                    let is_faulty = self.ran.lock().unwrap().len() < *faulty;
+                    self.ran.lock().unwrap().push(id.clone());
+                    match (fault, is_faulty) {
+                        (_, false) => send_large(&mut stream, &id, LARGE_BYTES, LARGE_BYTES).await,
+                        (LargeFault::Huge, _) => {
+                            send_large(&mut stream, &id, HUGE_BYTES, HUGE_BYTES).await
+                        }
+                        (LargeFault::Stalled, _) => {
+                            let part = LARGE_BYTES / 2;
+                            let sent = send_large(&mut stream, &id, LARGE_BYTES, part).await;
+                            sleep(HANG_TIMEOUT).await;
+                            sent
+                        }
+                        (LargeFault::Overstated, _) => {
+                            let part = LARGE_BYTES / 2;
+                            return drop(
+                                send_large(&mut stream, &id, OVERSTATED_BYTES, part).await,
+                            );
+                        }
+                    }
+                }
             };
             if sent.is_err() {
                 return;
@@ -118,6 +160,19 @@
     }
 }
 
+/// Sends a signed answer whose head states `stated_bytes`, with the first `sent_bytes` of its body.
+async fn send_large(
+    stream: &mut TcpStream,
+    id: &str,
+    stated_bytes: usize,
+    sent_bytes: usize,
+) -> std::io::Result<()> {
+    let head = fill(SIGNED_HEAD, id);
+    let head = format!("{head}content-length: {stated_bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&vec![b'b'; sent_bytes]).await
+}
+
 /// Sends until the connection is closed.
 async fn send_endlessly(
     stream: &mut TcpStream,
@@ -336,3 +391,83 @@
     let denied: Vec<&String> = ran.iter().filter(|id| refused.contains(id)).collect();
     assert!(denied.is_empty(), "ran and were refused: {denied:?}");
 }
+
+/// Asks for large answers until one arrives completely; returns how many were asked for.
+async fn until_large_answer(host: &HostProcess) -> usize {
+    let asked = AtomicUsize::new(0);
+    until("a large answer arrives completely", || async {
+        let number = asked.fetch_add(1, Ordering::Relaxed);
+        let answer = host
+            .ask(Method::GET, "/browse/1", &format!("l-{number}"))
+            .await;
+        answer.is_some_and(|answer| answer.body.len() == LARGE_BYTES)
+    })
+    .await;
+    asked.into_inner()
+}
+
+/// Guards against answers whose head states a length that never arrives: the link is not reserved for the stated bytes.
+///
+/// Only the requests that the faults hit may fail.
+#[tokio::test]
+async fn large_answers_that_break_off_do_not_block_those_after_them() {
+    const FAULTY: usize = 3;
+    let store = FleetStore::start().await;
+    let fault = LargeFault::Overstated;
+    let script = Script::Large {
+        fault,
+        faulty: FAULTY,
+    };
+    let (host, _server) = hostile_host(&store, script).await;
+
+    let asked = until_large_answer(&host).await;
+
+    assert!(asked <= FAULTY + 1, "{asked} answers before a whole one");
+    for _ in 0..REQUESTS {
+        assert_eq!(until_large_answer(&host).await, 1);
+    }
+}
+
+/// Guards against a server that stops in the middle of a large answer on an open connection: the answers after it are
+/// sent while the link is idle.
+#[tokio::test]
+async fn a_large_answer_that_stalls_does_not_block_those_after_it() {
+    let store = FleetStore::start().await;
+    let fault = LargeFault::Stalled;
+    let script = Script::Large { fault, faulty: 1 };
+    let (host, server) = hostile_host(&store, script).await;
+    let stalled = tokio::spawn(ask_until_closed(host.callers(), "r-stalled".to_string()));
+    until("the stalled answer has begun", || async {
+        !server.received().is_empty()
+    })
+    .await;
+
+    for _ in 0..REQUESTS {
+        assert_eq!(until_large_answer(&host).await, 1);
+    }
+
+    assert!(!stalled.is_finished(), "the stalled answer ended first");
+}
+
+/// Guards against a caller that does not read its answer: it does not hold the link that others need.
+#[tokio::test]
+async fn a_caller_that_does_not_read_does_not_block_the_large_answers_of_others() {
+    let store = FleetStore::start().await;
+    let fault = LargeFault::Huge;
+    let script = Script::Large { fault, faulty: 1 };
+    let (host, server) = hostile_host(&store, script).await;
+    let mut caller = TcpStream::connect(host.callers()).await.unwrap();
+    let (echo, deadline) = (headers::REQUEST_ID, headers::TIME_LEFT_MS);
+    let request = format!(
+        "GET /browse/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: r-unread\r\n{deadline}: 20000\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).await.unwrap();
+    until("the unread answer has begun", || async {
+        !server.received().is_empty()
+    })
+    .await;
+
+    for _ in 0..REQUESTS {
+        assert_eq!(until_large_answer(&host).await, 1);
+    }
+}
