fix(meshd): the record of a daemon that has just started does not erase its server's departure

Cause: two owners of one state. A started daemon published a record without a server and with a higher epoch; the others put it in place of the departure that they were to hand back. After 4 s the daemon relied on the server's reports, and it read the store only 5 to 10 s after its last failed try.

Ruled out: the order of records and the handling of late reports; both are right once the departure is restored.

Why it works: a record that says "restoring" states nothing about the server, so the copies stay, the host is not used meanwhile, and whoever has read the store keeps the departures of others as well. Without anybody who knows, the daemon waits from its first configuration on, which also ends its backoff of reading the store.

Also: a departure of an earlier incarnation no longer replaces a later one with the same identifier.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -45,6 +45,10 @@
     /// Newest datagram format that the daemon decodes; 0 in records of builds that do not state it.
     #[serde(default)]
     pub datagram_format: u8,
+    /// Whether the daemon has not learned yet which server an earlier process at its address has acknowledged; a
+    /// record without a server then says nothing about the server.
+    #[serde(default)]
+    pub is_restoring: bool,
 }
 
 impl HostRecord {
@@ -66,7 +70,10 @@
     /// The backend server, if requests of `service` may be sent to it.
     pub fn serving(&self, service: &str) -> Option<&ServerRecord> {
         self.server.as_ref().filter(|server| {
-            !self.is_leaving && server.service == service && server.phase == ServerPhase::Ready
+            !self.is_leaving
+                && !self.is_restoring
+                && server.service == service
+                && server.phase == ServerPhase::Ready
         })
     }
 }
@@ -115,7 +122,8 @@
 impl HostDirectory {
     /// Stores `record` if it is newer than the stored one of its host; returns whether it is.
     ///
-    /// A record of a new epoch resets the backoff and the reachability of the store.
+    /// A record of a new epoch resets the backoff and the reachability of the store. A daemon that has just started
+    /// knows no server; its record leaves the known one in place, so that the daemon can learn it from this copy.
     pub fn merge(&mut self, record: &HostRecord) -> bool {
         match self.hosts.get_mut(&record.address) {
             Some(entry) if entry.record.order() >= record.order() => false,
@@ -125,7 +133,11 @@
                     entry.failures = 0;
                     entry.backoff_until_ms = 0;
                 }
+                let known = entry.record.server.take();
                 entry.record = record.clone();
+                if record.is_restoring && record.server.is_none() {
+                    entry.record.server = known;
+                }
                 true
             }
             None => {
@@ -144,6 +156,22 @@
         }
     }
 
+    /// Records that the server `left` departed from the host at `address`, as the store says, unless the daemon there
+    /// reports on its server itself or a later server is known.
+    pub fn restore_departure(&mut self, address: IpAddr, left: &ServerRecord) {
+        let Some(entry) = self.hosts.get_mut(&address) else {
+            return;
+        };
+        let known = entry.record.server.as_ref();
+        let is_superseded = known.is_some_and(|known| {
+            known.born_ms > left.born_ms
+                || known.born_ms == left.born_ms && known.instance != left.instance
+        });
+        if entry.record.is_restoring && !is_superseded {
+            entry.record.server = Some(left.clone());
+        }
+    }
+
     /// Records that a datagram of the daemon at `address` was received; ends its backoff.
     pub fn record_received(&mut self, now_ms: u64, address: IpAddr) {
         if let Some(entry) = self.hosts.get_mut(&address) {
--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -1,8 +1,8 @@
 //! State of the backend server beside the daemon, from its status reports.
 use serde::{Deserialize, Serialize};
 
-/// Phase of a backend server, as it reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Phase of a backend server, as it reports it; a later phase is greater.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ServerPhase {
     /// Accepts requests.
@@ -64,21 +64,23 @@
 }
 
 impl ServerTracker {
-    /// Restores the record that an earlier process at this address has stored.
+    /// Restores the record that an earlier process at this address has stored; returns whether it replaces the known one.
     ///
     /// A restored server is given no requests before it reports again, since it may have left in the meantime.
-    pub fn restore(&mut self, record: ServerRecord) {
+    pub fn restore(&mut self, record: ServerRecord) -> bool {
         let is_newer = match &self.record {
             None => true,
             Some(known) => {
-                known.born_ms < record.born_ms
-                    || (known.instance == record.instance && record.phase != ServerPhase::Ready)
+                let is_same_incarnation = known.instance == record.instance
+                    && (known.born_ms == record.born_ms || record.born_ms == 0);
+                known.born_ms < record.born_ms || is_same_incarnation && known.phase < record.phase
             }
         };
         if is_newer {
             self.is_restored = record.phase == ServerPhase::Ready;
             self.record = Some(record);
         }
+        is_newer
     }
 
     /// Applies a report received at `now_ms`.
--- a/jayrack-mesh/tests/hosts.rs
+++ b/jayrack-mesh/tests/hosts.rs
@@ -27,6 +27,7 @@
         }),
         is_leaving: false,
         datagram_format: 1,
+        is_restoring: false,
     }
 }
 
@@ -107,3 +108,94 @@
         ((1, 1), (2, 2), (3, 3))
     );
 }
+
+fn restoring(epoch: u64) -> HostRecord {
+    HostRecord {
+        server: None,
+        is_restoring: true,
+        ..record(epoch, 0)
+    }
+}
+
+fn departed(instance: &str, born_ms: u64) -> ServerRecord {
+    ServerRecord {
+        instance: instance.to_string(),
+        born_ms,
+        phase: ServerPhase::Gone,
+        ..record(1, 1).server.expect("the record has a server")
+    }
+}
+
+fn server_of(directory: &HostDirectory) -> Option<&ServerRecord> {
+    directory
+        .get(ADDRESS)
+        .expect("known")
+        .record
+        .server
+        .as_ref()
+}
+
+/// Guards against the loss of an acknowledged departure: the first record of a daemon that was killed replaced the copy
+/// of the departure that the other daemons held.
+#[test]
+fn a_daemon_that_has_just_started_does_not_erase_the_departure_of_its_server() {
+    let mut left = record(1, 1);
+    left.server = Some(departed("i-1", 1));
+    let mut directory = directory_with(&left);
+
+    directory.merge(&restoring(2));
+    directory.merge(&restoring(3));
+
+    assert_eq!(server_of(&directory), left.server.as_ref());
+    assert!(directory.get(ADDRESS).expect("known").record.is_restoring);
+}
+
+/// A server that was ready before its daemon was killed may have left meanwhile.
+#[test]
+fn a_host_whose_daemon_has_just_started_serves_nothing() {
+    let mut directory = directory_with(&record(1, 1));
+
+    directory.merge(&restoring(2));
+
+    let entry = directory.get(ADDRESS).expect("known");
+    assert!(entry.record.serving("slots").is_none());
+}
+
+#[test]
+fn a_daemon_that_knows_its_server_replaces_the_record() {
+    let mut directory = directory_with(&record(1, 1));
+    let mut without_server = record(2, 0);
+    without_server.server = None;
+
+    directory.merge(&restoring(2));
+    directory.merge(&HostRecord {
+        revision: 1,
+        ..without_server
+    });
+
+    assert_eq!(server_of(&directory), None);
+}
+
+/// Guards against daemons that have read the store and still cannot tell a restarted one that its server has left.
+#[test]
+fn a_stored_departure_is_kept_for_a_daemon_that_has_just_started() {
+    let mut directory = directory_with(&restoring(2));
+
+    directory.restore_departure(ADDRESS, &departed("i-1", 1));
+
+    assert_eq!(server_of(&directory), Some(&departed("i-1", 1)));
+}
+
+#[test]
+fn a_stored_departure_replaces_neither_a_reported_server_nor_a_later_one() {
+    let reported = record(2, 1);
+    let mut directory = directory_with(&reported);
+    directory.restore_departure(ADDRESS, &departed("i-1", 1));
+    let of_reported = server_of(&directory).cloned();
+
+    directory.merge(&restoring(3));
+    directory.restore_departure(ADDRESS, &departed("i-0", 0));
+
+    assert_eq!(of_reported, reported.server);
+    assert_eq!(server_of(&directory), reported.server.as_ref());
+}
--- a/jayrack-meshd/src/control/datagram.rs
+++ b/jayrack-meshd/src/control/datagram.rs
@@ -197,6 +197,7 @@
         server: record.server.as_ref().map(encode_server),
         leaving: record.is_leaving,
         datagram_format: u32::from(record.datagram_format),
+        restoring: record.is_restoring,
     }
 }
 
@@ -216,6 +217,7 @@
         server: state.server.map(decode_server).transpose()?,
         is_leaving: state.leaving,
         datagram_format: u8::try_from(state.datagram_format).unwrap_or(u8::MAX),
+        is_restoring: state.restoring,
     })
 }
 
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -16,7 +16,7 @@
     hosts::{HostEntry, HostRecord},
     pick::HostReport,
     readers::{ReaderCandidate, is_reader},
-    server::ServerPhase,
+    server::{ServerPhase, ServerRecord},
     status::{DueInput, PeerState, ReceivedStatus, RecordOrder},
 };
 use rand_pcg::{
@@ -52,8 +52,8 @@
 const MAX_PULL_SOURCES: usize = 2;
 /// Maximum number of other daemons that are asked for the state of an earlier process.
 const MAX_RESTORE_SOURCES: u32 = 3;
-/// Time after the start after which the server gets requests although the state of an earlier process could not be
-/// restored, in milliseconds: the interval of two reports and their delay.
+/// Time with a configuration after which the server gets requests although the state of an earlier process could not be
+/// restored, in milliseconds: the interval of two reports and their delay. Without a configuration there are no requests.
 const RESTORE_TIMEOUT_MS: u64 = 4_000;
 
 #[derive(Debug)]
@@ -64,9 +64,21 @@
     announced: AnnouncedConfiguration,
     /// Daemons asked for the state of an earlier process.
     restore_sources: u32,
+    restore: RestoreState,
     random: Pcg32,
 }
 
+/// Whether this process has learned which server an earlier one at this address has acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RestoreState {
+    /// Not yet; the server gets no requests.
+    Pending,
+    /// Nobody held that state in time; the server's reports are relied on.
+    TimedOut,
+    /// The store or another daemon held it.
+    Restored,
+}
+
 /// Receiver of a datagram.
 #[derive(Debug)]
 struct Receiver {
@@ -125,7 +137,6 @@
 pub struct GossipState {
     socket: UdpSocket,
     core: Mutex<GossipCore>,
-    restored: AtomicBool,
     pulling: AtomicBool,
 }
 
@@ -145,6 +156,7 @@
             server: None,
             is_leaving: false,
             datagram_format: datagram::FORMAT,
+            is_restoring: true,
         };
         mesh.directory().merge(&own);
         Self {
@@ -155,9 +167,9 @@
                 reaches_store: true,
                 announced: AnnouncedConfiguration::default(),
                 restore_sources: 0,
+                restore: RestoreState::Pending,
                 random: Pcg32::seed_from_u64(epoch),
             }),
-            restored: AtomicBool::new(false),
             pulling: AtomicBool::new(false),
         }
     }
@@ -185,12 +197,31 @@
     /// Whether the state that an earlier process at this address acknowledged was restored, or the time limit for
     /// that is over.
     pub fn is_restored(&self) -> bool {
-        self.restored.load(Ordering::Acquire)
+        self.lock().restore != RestoreState::Pending
+    }
+
+    /// Whether the store or another daemon held the state that an earlier process at this address acknowledged.
+    pub fn is_state_known(&self) -> bool {
+        self.lock().restore == RestoreState::Restored
     }
 
     /// Ends the restoring of an earlier process's state; from now on the server may get requests.
     pub fn set_restored(&self, mesh: &MeshState) {
-        if !self.restored.swap(true, Ordering::AcqRel) {
+        self.end_restore(mesh, RestoreState::Restored);
+    }
+
+    fn end_restore(&self, mesh: &MeshState, end: RestoreState) {
+        let earlier = std::mem::replace(&mut self.lock().restore, end);
+        if earlier == RestoreState::Pending {
+            self.apply_server(mesh);
+        }
+    }
+
+    /// Restores the record of a server that an earlier process at this address acknowledged.
+    pub fn restore_server(&self, mesh: &MeshState, server: ServerRecord) {
+        let is_changed = mesh.tracker().restore(server);
+        if is_changed && self.is_restored() {
+            log::warn!("an earlier process's record of the server replaces the reported one");
             self.apply_server(mesh);
         }
     }
@@ -213,6 +244,7 @@
                 .is_some_and(|record| record.phase != ServerPhase::Ready);
         let mut core = self.lock();
         core.own.server = record.filter(|_| is_known);
+        core.own.is_restoring = core.restore == RestoreState::Pending;
         core.own.revision += 1;
         mesh.directory().merge(&core.own);
     }
@@ -221,7 +253,7 @@
     /// it is newer than the current record, raises the epoch above it.
     pub fn refute(&self, mesh: &MeshState, known: &HostRecord) {
         if let Some(server) = &known.server {
-            mesh.tracker().restore(server.clone());
+            self.restore_server(mesh, server.clone());
         }
         let mut core = self.lock();
         if known.order() > core.own.order() {
@@ -412,12 +444,18 @@
 
 /// Sends due datagrams for as long as the process runs.
 pub async fn send(control: Arc<ControlState>) {
+    let mut configured_ms = None;
     loop {
         sleep(TICK_INTERVAL).await;
         let mesh = &control.mesh;
-        if !control.gossip.is_restored() && mesh.now_ms() > RESTORE_TIMEOUT_MS {
+        if configured_ms.is_none() && mesh.version() > 0 {
+            configured_ms = Some(mesh.now_ms());
+        }
+        let is_over = configured_ms
+            .is_some_and(|since_ms| mesh.now_ms().saturating_sub(since_ms) > RESTORE_TIMEOUT_MS);
+        if is_over && !control.gossip.is_restored() {
             log::warn!("no state of an earlier process restored; accepting the server's reports");
-            control.gossip.set_restored(mesh);
+            control.gossip.end_restore(mesh, RestoreState::TimedOut);
         }
         for address in control.gossip.due(mesh) {
             control.gossip.send_to(mesh, address, None).await;
@@ -557,14 +595,17 @@
         .announced
         .record(version, holder, is_same_data_centre);
     let is_behind = version > mesh.version();
-    if !is_behind && !gossip.needs_restore() || gossip.pulling.swap(true, Ordering::AcqRel) {
+    // A daemon that has just started itself cannot tell what an earlier process here has acknowledged.
+    let is_restore_source = !sender.is_restoring;
+    let needs_restore = is_restore_source && gossip.needs_restore();
+    if !is_behind && !needs_restore || gossip.pulling.swap(true, Ordering::AcqRel) {
         return;
     }
     let control = control.clone();
     tokio::spawn(async move {
         let gossip = &control.gossip;
         sleep(Duration::from_millis(gossip.jitter_ms(MAX_PULL_JITTER_MS))).await;
-        if gossip.needs_restore() {
+        if is_restore_source && gossip.needs_restore() {
             gossip.lock().restore_sources += 1;
             sync::pull_hosts(&control, source).await;
         }
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -6,7 +6,7 @@
 
 use jayrack_mesh::{hosts::HostRecord, server::ServerRecord};
 use jayrack_platform::store::{Error, KeyedRecord};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::ControlState;
 
@@ -19,6 +19,8 @@
 const INITIAL_BACKOFF_MS: u64 = 150;
 /// Longest backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// Interval between two checks whether the first configuration has arrived.
+const CONFIGURATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Backoff once other daemons have supplied the hosts and the state of an earlier process, in milliseconds.
 const RESTORED_BACKOFF_MS: u64 = 5_000;
 /// Backoff after a departure could not be written; it doubles with each further failure.
@@ -40,20 +42,35 @@
                 return;
             }
             Err(error) => {
-                if control.gossip.is_restored() {
+                if control.gossip.is_state_known() {
                     backoff_ms = RESTORED_BACKOFF_MS;
                 }
                 log::warn!(error:% = error, written = is_written, pause_ms = backoff_ms; "hosts not read");
-                sleep(Duration::from_millis(
-                    backoff_ms + control.gossip.jitter_ms(backoff_ms),
-                ))
-                .await;
+                let jitter_ms = control.gossip.jitter_ms(backoff_ms);
+                back_off(&control, Duration::from_millis(backoff_ms + jitter_ms)).await;
                 backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
             }
         }
     }
 }
 
+/// Waits for `backoff`, or until the first configuration arrives: the store probably answers again then, and the server
+/// gets no requests before the state of an earlier process is known.
+async fn back_off(control: &ControlState, backoff: Duration) {
+    if control.mesh.version() > 0 {
+        return sleep(backoff).await;
+    }
+    let configured = async {
+        while control.mesh.version() == 0 {
+            sleep(CONFIGURATION_CHECK_INTERVAL).await;
+        }
+        let jitter_ms = control.gossip.jitter_ms(INITIAL_BACKOFF_MS);
+        sleep(Duration::from_millis(jitter_ms)).await;
+    };
+    // Ends with the backoff at the latest.
+    let _ = timeout(backoff, configured).await;
+}
+
 /// Reads the hosts, and writes the record of this one unless an earlier process at this address has written it.
 async fn try_register(control: &ControlState, is_written: &mut bool) -> Result<(), Error> {
     if !*is_written && control.mesh.settings.first_start {
@@ -64,7 +81,10 @@
         let newest = control.store.newest(TOPIC).await?;
         let own = control.gossip.own_record();
         let mut is_registered = *is_written;
-        for record in &newest.records {
+        // Departures apply to hosts that are known.
+        let is_departure = |record: &&KeyedRecord| record.key.starts_with(LEFT_PREFIX);
+        let hosts = newest.records.iter().filter(|record| !is_departure(record));
+        for record in hosts.chain(newest.records.iter().filter(is_departure)) {
             match apply_record(control, record, &own) {
                 Ok(is_own) => is_registered |= is_own,
                 Err(error) => {
@@ -87,6 +107,7 @@
 async fn write_record(control: &ControlState) -> Result<(), Error> {
     let record = HostRecord {
         server: None,
+        is_restoring: true,
         ..control.gossip.own_record()
     };
     let key = format!("{HOST_PREFIX}{}", record.address);
@@ -100,12 +121,13 @@
     own: &HostRecord,
 ) -> Result<bool, serde_json::Error> {
     if let Some(address) = record.key.strip_prefix(LEFT_PREFIX) {
+        let left: ServerRecord = serde_json::from_slice(&record.value)?;
         if address == own.address.to_string() {
-            let left: ServerRecord = serde_json::from_slice(&record.value)?;
             log::info!(instance = left.instance.as_str(), phase:? = left.phase; "restored the record of an earlier departure");
-            let mut tracker = control.mesh.tracker();
-            tracker.departure_stored(&left);
-            tracker.restore(left);
+            control.mesh.tracker().departure_stored(&left);
+            control.gossip.restore_server(&control.mesh, left);
+        } else if let Ok(address) = address.parse() {
+            control.mesh.directory().restore_departure(address, &left);
         }
         return Ok(false);
     }
--- a/jayrack-meshd/tests/datagrams.rs
+++ b/jayrack-meshd/tests/datagrams.rs
@@ -40,6 +40,7 @@
         }),
         is_leaving: false,
         datagram_format: FORMAT,
+        is_restoring: false,
     }
 }
 
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -13,7 +13,9 @@
 use jayrack_meshd::traffic::forward::{ForwardHead, SendTime};
 use jayrack_platform::headers;
 use jayrack_testkit::log_standin::{LogBehaviour, Outage};
+use rstest::rstest;
 use support::{DaemonOutput, FleetStore, HostProcess, ServerStandin, configuration, until};
+use tokio::time::sleep;
 
 const NO_DELAY: Duration = Duration::ZERO;
 
@@ -127,6 +129,79 @@
     assert_eq!(server.runs().len(), before);
 }
 
+/// How the daemon that has acknowledged a departure loses its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Restart {
+    /// Its daemon alone, while the store stays silent.
+    Alone,
+    /// All daemons, and the store answers again afterwards.
+    All,
+}
+
+/// Guards against the return of a departed server after a restart without the store: the only copies of the departure
+/// are those of the other daemons, or nobody holds one until the store answers.
+#[rstest]
+#[case::alone(Restart::Alone)]
+#[case::all(Restart::All)]
+#[tokio::test]
+async fn an_acknowledged_departure_survives_a_restart_while_the_store_is_silent(
+    #[case] restart: Restart,
+) {
+    /// Longer than a daemon waits for the state of an earlier process.
+    const LONG_SILENCE: Duration = Duration::from_millis(5_500);
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (mut host, server) = ready_host(&store, NO_DELAY).await;
+    let mut other = HostProcess::start(&store);
+    until_served(&host).await;
+    until_served(&other).await;
+    let leaving = || host.report("i-1", "deregister", serde_json::json!({"born": 1}));
+    until("the departure is acknowledged", leaving).await;
+    sleep(Duration::from_millis(100)).await;
+    let silent = LogBehaviour {
+        outage: Outage::Silent,
+        ..LogBehaviour::default()
+    };
+    store.standin.set_behaviour(silent);
+
+    host.kill();
+    host.restart();
+    if restart == Restart::All {
+        other.kill();
+        other.restart();
+    }
+    let before = server.runs().len();
+    // Each report was sent before the departure and arrives late.
+    let started = std::time::Instant::now();
+    let mut sequence = 1;
+    while started.elapsed() < LONG_SILENCE {
+        sequence += 1;
+        host.report("i-1", "heartbeat", host.status("ready", 1, sequence))
+            .await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    if restart == Restart::All {
+        store.standin.set_behaviour(LogBehaviour::default());
+    }
+    other.until_ready(StatusCode::OK).await;
+    for number in 0..20 {
+        let id = format!("late-{number}");
+        host.report(
+            "i-1",
+            "heartbeat",
+            host.status("ready", 1, sequence + number),
+        )
+        .await;
+        for asked in [&host, &other] {
+            asked.ask(Method::GET, "/browse/1", &id).await;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    let runs = server.runs();
+    assert_eq!(runs.len(), before, "{:?}", &runs[before..]);
+}
+
 /// Guards against a departure that is the first report after a restart, with a report of before behind it.
 #[tokio::test]
 async fn a_departure_right_after_a_restart_holds_against_a_late_report() {
