fix(meshd): bounds in the settings may be fractions

Cause: the allowance was an integer, while the platform's bounds are whole numbers or fractions. A ratio above 1 was refused in the same way.

Ruled out: the template and the reload, which hand on the value unchanged.

Why it works: all bounds are read as numbers that may have a fraction, and the budget rounds down only the number of retries. Nonsense is refused by name as before.

--- a/jayrack-mesh/src/budget.rs
+++ b/jayrack-mesh/src/budget.rs
@@ -3,13 +3,15 @@
 
 /// Share of the per-request allowance that retries may use, in percent; the rest covers requests that are counted by
 /// another host than the one that retries them.
-const ALLOWANCE_PERCENT: u64 = 90;
+const ALLOWANCE_PERCENT: f64 = 90.0;
 /// Share of the per-request allowance that retries of new requests may use at a service that receives nested calls,
 /// in percent: callers of new requests retry by themselves, those of nested calls do not. A service without nested
 /// calls keeps nothing back for them.
-const NEW_REQUEST_PERCENT: u64 = 55;
+const NEW_REQUEST_PERCENT: f64 = 55.0;
 /// Share of the fixed allowance that is used, in percent; the rest covers hosts that join within a window.
-const FIXED_PERCENT: u64 = 50;
+const FIXED_PERCENT: f64 = 50.0;
+/// Rounding error below which an allowance counts as a whole number.
+const ROUNDING_ERROR: f64 = 1e-9;
 
 /// Kind of a request, which decides on its share of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,14 +23,14 @@
 }
 
 /// Bounds on retries that the operator sets for the fleet as a whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
     /// Length of the window, in milliseconds.
     pub window_ms: u64,
-    /// Retries allowed for each thousand requests of a service in the window.
-    pub retries_per_mille: u64,
-    /// Retries allowed for each service in the window in addition, whatever the number of requests.
-    pub fixed_retries: u64,
+    /// Retries allowed for each request of a service in the window; fractions are usual.
+    pub retries_per_request: f64,
+    /// Retries allowed for each service in the window in addition, whatever the number of requests; may be a fraction.
+    pub fixed_retries: f64,
 }
 
 #[derive(Debug, Default)]
@@ -100,7 +102,7 @@
         kind: RequestKind,
     ) -> bool {
         let Options {
-            retries_per_mille,
+            retries_per_request,
             fixed_retries,
             ..
         } = self.options;
@@ -109,9 +111,10 @@
             RequestKind::NewRequest if window.last_call_ms.is_some() => NEW_REQUEST_PERCENT,
             RequestKind::NewRequest | RequestKind::NestedCall => ALLOWANCE_PERCENT,
         };
-        let by_requests = window.requests.len() as u64 * retries_per_mille * percent / 100_000;
-        let by_fixed = fixed_retries * FIXED_PERCENT / (100 * hosts.max(1) as u64);
-        if window.retries.len() as u64 >= by_requests + by_fixed {
+        let requests = window.requests.len() as f64;
+        let by_requests = whole_retries(requests * retries_per_request * percent / 100.0);
+        let by_fixed = whole_retries(fixed_retries * FIXED_PERCENT / 100.0 / hosts.max(1) as f64);
+        if window.retries.len() as u64 >= by_requests.saturating_add(by_fixed) {
             return false;
         }
         window.retries.push_back(now_ms);
@@ -128,3 +131,8 @@
         window
     }
 }
+
+/// Number of whole retries in an allowance.
+fn whole_retries(allowance: f64) -> u64 {
+    (allowance + ROUNDING_ERROR) as u64
+}
--- a/jayrack-meshd/src/settings.rs
+++ b/jayrack-meshd/src/settings.rs
@@ -70,16 +70,16 @@
     pub reports: SocketAddr,
 }
 
-/// Bounds that the operators set for the fleet as a whole.
+/// Bounds that the operators set for the fleet as a whole; each may be a whole number or a fraction.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
     /// Time between the termination signal and the forced end of the process, in seconds.
     pub stop_s: f64,
-    /// Retries allowed for each request of a service in the window, between 0 and 1.
+    /// Retries allowed for each request of a service in the window.
     pub repeat_ratio: f64,
     /// Retries allowed for each service in the window in addition, whatever the number of requests.
-    pub repeat_slack: u64,
+    pub repeat_slack: f64,
     /// Length of the window over which requests and retries are counted, in seconds.
     pub repeat_window_s: f64,
 }
@@ -153,8 +153,14 @@
             return Err(out_of_range(path));
         }
     }
-    if !(0.0..=1.0).contains(&bounds.repeat_ratio) {
-        return Err(out_of_range("bounds.repeat_ratio"));
+    let allowances = [
+        ("bounds.repeat_ratio", bounds.repeat_ratio),
+        ("bounds.repeat_slack", bounds.repeat_slack),
+    ];
+    for (path, allowance) in allowances {
+        if !(allowance >= 0.0 && allowance.is_finite()) {
+            return Err(out_of_range(path));
+        }
     }
     let link_mbps = settings.host.link_mbps;
     if !(link_mbps > 0.0 && link_mbps.is_finite()) {
--- a/jayrack-meshd/src/traffic/router.rs
+++ b/jayrack-meshd/src/traffic/router.rs
@@ -155,7 +155,7 @@
 fn budget_options(bounds: &BoundSettings) -> budget::Options {
     budget::Options {
         window_ms: (bounds.repeat_window_s * 1_000.0) as u64,
-        retries_per_mille: (bounds.repeat_ratio * 1_000.0) as u64,
+        retries_per_request: bounds.repeat_ratio,
         fixed_retries: bounds.repeat_slack,
     }
 }
