fix(meshd): no request follows a refusal that names no request on its connection

Cause: such a refusal carries no identifier, so the copy was taken for the answer to the next request there.

Ruled out: copies with an identifier, copies before the next request. Counting such refusals as unknown on used connections would turn almost every refusal of an overloaded server into 502.

Why it works: the connection is closed, so no request is sent on which the copy could arrive.

--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -282,12 +282,20 @@
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
     let (mut parts, body) = response.into_parts();
     let echoed = parts.headers.get(headers::REQUEST_ID);
-    // Refusals may lack the identifier.
-    if echoed != id.as_ref() && !(is_refusal && echoed.is_none()) {
+    let is_anonymous_refusal = is_refusal && echoed.is_none();
+    if echoed != id.as_ref() && !is_anonymous_refusal {
         log_lost(id.as_ref(), "the answer belongs to another request");
         pool::discard(body);
         return OwnerOutcome::Lost;
     }
+    if is_anonymous_refusal {
+        // A late copy could not be distinguished from the answer to the next request on the connection.
+        pool::discard(body);
+        return OwnerOutcome::NotRun {
+            reason: NotRunReason::ServerRefused,
+            retry_after_ms: 0,
+        };
+    }
     if is_refusal {
         read_refusal(body, id.as_ref()).await;
         return OwnerOutcome::NotRun {
