fix(meshd): a report of another writer does not make the server's own reports outdated

Cause: fields that are not used were not required, and a departure could be outdated by a sequence number.

Ruled out: refusing only the acknowledgement; the server would have stayed in use.

Why it works: a report needs every field of the protocol, the service of the settings and a start that is not in the future; and within one incarnation a later phase counts whatever the numbers are.

--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -1,4 +1,6 @@
 //! State of the backend server beside the daemon, from its status reports.
+use std::cmp::Ordering;
+
 use serde::{Deserialize, Serialize};
 
 /// Phase of a backend server, as it reports it; a later phase is greater.
@@ -186,6 +188,9 @@
 }
 
 /// Whether the reported record `new` replaces `known`.
+///
+/// Within one incarnation a later phase always does, whatever the sequence numbers: an incarnation never returns from
+/// leaving, and its word that it leaves must not be lost because a number of before was too high.
 fn supersedes(known: &ServerRecord, new: &ServerRecord) -> bool {
     if new.born_ms != known.born_ms {
         return new.born_ms > known.born_ms;
@@ -193,6 +198,9 @@
     if new.instance != known.instance {
         return known.phase == ServerPhase::Gone;
     }
-    let is_return = known.phase != ServerPhase::Ready && new.phase == ServerPhase::Ready;
-    new.sequence > known.sequence && !is_return
+    match new.phase.cmp(&known.phase) {
+        Ordering::Greater => true,
+        Ordering::Equal => new.sequence > known.sequence,
+        Ordering::Less => false,
+    }
 }
--- a/jayrack-mesh/tests/server.rs
+++ b/jayrack-mesh/tests/server.rs
@@ -50,6 +50,30 @@
     assert!(tracker.serving().is_none());
 }
 
+/// Guards against a report of another writer whose sequence number is higher than those of the server itself.
+#[test]
+fn a_server_that_drains_is_believed_whatever_its_sequence_number() {
+    let mut tracker = ready_tracker();
+    tracker.handle(0, report(5, 400_000, ServerPhase::Ready));
+
+    let effect = tracker.handle(1, report(5, 3, ServerPhase::Draining));
+
+    assert_eq!(effect, ReportEffect::Changed);
+    assert!(tracker.serving().is_none());
+}
+
+/// Guards against a departure of an earlier incarnation under the same name, which is read after the next one has
+/// reported.
+#[test]
+fn a_restored_departure_of_an_earlier_incarnation_changes_nothing() {
+    let mut tracker = ServerTracker::default();
+    tracker.handle(0, report(9, 1, ServerPhase::Ready));
+
+    let is_changed = tracker.restore(record(5, 4, ServerPhase::Gone));
+
+    assert!(!is_changed && tracker.serving().is_some());
+}
+
 #[test]
 fn a_server_that_left_without_draining_stays_gone() {
     let mut tracker = ready_tracker();
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -13,11 +13,14 @@
     endpoint::{self, SmallResponse},
     hosts,
 };
+use crate::logging::unix_ms;
 
 /// Maximum size of a report's body, in bytes.
 const MAX_REPORT_BYTES: usize = 16 << 10;
 /// Time limit for recording a departure in the store; the server waits one second for the answer to its report.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
+/// Largest lead of a server's clock, in milliseconds; a server that states a later start is not the one beside the daemon.
+const MAX_CLOCK_SKEW_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Serves reports for as long as the process runs.
 pub async fn serve(listener: TcpListener, control: Arc<ControlState>) {
@@ -38,10 +41,7 @@
     };
     let acknowledged = match call {
         ServerCall::Report(instance) => handle_report(&control, &instance, &body).await,
-        ServerCall::Leave(instance) => {
-            handle_leave(&control, &instance, &body).await;
-            true
-        }
+        ServerCall::Leave(instance) => handle_leave(&control, &instance, &body).await,
     };
     if !acknowledged {
         return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
@@ -52,6 +52,7 @@
     endpoint::answer(StatusCode::OK, "{}".to_string())
 }
 
+/// Applies a status report; returns whether it may be acknowledged.
 async fn handle_report(control: &ControlState, instance: &str, body: &Bytes) -> bool {
     let decoded = match report::decode(instance, body) {
         Ok(decoded) => decoded,
@@ -61,10 +62,20 @@
         }
     };
     let mesh = &control.mesh;
-    if decoded.address != mesh.settings.server.address.to_string() {
+    let settings = &mesh.settings.server;
+    if decoded.address != settings.address.to_string() {
         log::warn!(instance = instance, address = decoded.address.as_str(); "ignoring the report of a server at another address");
         return true;
     }
+    let record = &decoded.report.record;
+    if record.service != settings.service {
+        log::warn!(instance = instance, service = record.service.as_str(); "report of another service refused");
+        return false;
+    }
+    if record.born_ms > unix_ms().saturating_add(MAX_CLOCK_SKEW_MS) {
+        log::warn!(instance = instance, born_ms = record.born_ms; "report of a server that starts in the future refused");
+        return false;
+    }
     let now_ms = mesh.now_ms();
     let sequence = decoded.report.record.sequence;
     let (effect, record) = {
@@ -80,8 +91,15 @@
     true
 }
 
-async fn handle_leave(control: &ControlState, instance: &str, body: &Bytes) {
-    let born_ms = report::decode_leave(body);
+/// Applies a departure; returns whether it may be acknowledged.
+async fn handle_leave(control: &ControlState, instance: &str, body: &Bytes) -> bool {
+    let born_ms = match report::decode_leave(body) {
+        Ok(born_ms) => born_ms,
+        Err(error) => {
+            log::warn!(instance = instance, error:% = error; "departure refused as invalid");
+            return false;
+        }
+    };
     let (effect, record) = {
         let mut tracker = control.mesh.tracker();
         let effect = tracker.leave(instance, born_ms);
@@ -94,6 +112,7 @@
         }
         _ => {}
     }
+    true
 }
 
 /// Applies a changed server record to the admission gate and sends it to the other daemons.
