fix(platform): an odd entry of another writer does not stop a daemon from following the store

Reported by another operator; nobody has seen it here. A record that could not be decoded failed the whole batch, which was then read again for ever; a key that is no part of a URI kept the next page from being read; a record of a host with the largest epoch could not be replaced by that host's daemon.

Ruled out: nested values and numbers that are too large end nothing (the decoder refuses them); a port out of range makes a record that is skipped.

--- a/jayrack-mesh/src/hosts.rs
+++ b/jayrack-mesh/src/hosts.rs
@@ -21,6 +21,10 @@
 /// Hosts of the fleet up to which the intervals between datagrams to other data centres do not grow.
 const FLEET_HOSTS: u64 = 30;
 
+/// Latest epoch that a record may state, in milliseconds since the Unix epoch: the end of the year 9999. A daemon raises
+/// its epoch above that of a record of its host, which must leave room for that.
+const MAX_EPOCH_MS: u64 = 253_402_300_799_999;
+
 /// Record of a host and its backend server, published by the daemon there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRecord {
@@ -57,6 +61,11 @@
         (self.epoch, self.revision)
     }
 
+    /// Whether a daemon can have written the record.
+    pub fn is_plausible(&self) -> bool {
+        self.epoch <= MAX_EPOCH_MS
+    }
+
     /// Whether both records describe one host that is reached in the same way, whatever process wrote them.
     pub fn is_same_host(&self, other: &Self) -> bool {
         self.address == other.address
@@ -120,11 +129,14 @@
 }
 
 impl HostDirectory {
-    /// Stores `record` if it is newer than the stored one of its host; returns whether it is.
+    /// Stores `record` if it is plausible and newer than the stored one of its host; returns whether it is.
     ///
     /// A record of a new epoch resets the backoff and the reachability of the store. A daemon that has just started
     /// knows no server; its record leaves the known one in place, so that the daemon can learn it from this copy.
     pub fn merge(&mut self, record: &HostRecord) -> bool {
+        if !record.is_plausible() {
+            return false;
+        }
         match self.hosts.get_mut(&record.address) {
             Some(entry) if entry.record.order() >= record.order() => false,
             Some(entry) => {
--- a/jayrack-mesh/src/split.rs
+++ b/jayrack-mesh/src/split.rs
@@ -52,11 +52,12 @@
 impl RouteAssignments {
     /// Index of the service that lags most behind its share; the first one of several.
     fn next(&mut self) -> Option<usize> {
-        let total_weight: u64 = self.targets.iter().map(|target| target.weight).sum();
+        let weights = self.targets.iter().map(|target| i128::from(target.weight));
+        let total_weight: i128 = weights.sum();
         let total = self.assigned.iter().sum::<u64>() + 1;
         let lag = |index: usize| {
             let expected = i128::from(self.targets[index].weight) * i128::from(total);
-            expected - i128::from(self.assigned[index]) * i128::from(total_weight)
+            expected - i128::from(self.assigned[index]) * total_weight
         };
         let index =
             (0..self.targets.len()).max_by_key(|index| (lag(*index), usize::MAX - index))?;
--- a/jayrack-mesh/tests/hosts.rs
+++ b/jayrack-mesh/tests/hosts.rs
@@ -199,3 +199,14 @@
     assert_eq!(of_reported, reported.server);
     assert_eq!(server_of(&directory), reported.server.as_ref());
 }
+
+/// Guards against an entry of another writer that no record of the host's own daemon could replace.
+#[test]
+fn a_record_of_an_impossible_epoch_is_ignored() {
+    let mut directory = directory_with(&record(1, 1));
+
+    let is_merged = directory.merge(&record(u64::MAX, 0));
+
+    assert!(!is_merged);
+    assert!(directory.merge(&record(2, 0)));
+}
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -252,6 +252,10 @@
     /// Handles a record of this host that another daemon holds from an earlier process: restores its server and, if
     /// it is newer than the current record, raises the epoch above it.
     pub fn refute(&self, mesh: &MeshState, known: &HostRecord) {
+        if !known.is_plausible() {
+            log::warn!(known = known.epoch; "implausible record of this host ignored");
+            return;
+        }
         if let Some(server) = &known.server {
             self.restore_server(mesh, server.clone());
         }
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -119,9 +119,9 @@
     control: &ControlState,
     record: &KeyedRecord,
     own: &HostRecord,
-) -> Result<bool, serde_json::Error> {
+) -> Result<bool, Error> {
     if let Some(address) = record.key.strip_prefix(LEFT_PREFIX) {
-        let left: ServerRecord = serde_json::from_slice(&record.value)?;
+        let left: ServerRecord = decode(&record.value)?;
         if address == own.address.to_string() {
             log::info!(instance = left.instance.as_str(), phase:? = left.phase; "restored the record of an earlier departure");
             control.mesh.tracker().departure_stored(&left);
@@ -134,7 +134,16 @@
     if !record.key.starts_with(HOST_PREFIX) {
         return Ok(false);
     }
-    let host: HostRecord = serde_json::from_slice(&record.value)?;
+    let stated: HostRecord = decode(&record.value)?;
+    if record.key != format!("{HOST_PREFIX}{}", stated.address) || !stated.is_plausible() {
+        return Err(Error::Malformed("not written by that host".to_string()));
+    }
+    // Servers are learned from the daemons beside them.
+    let host = HostRecord {
+        server: None,
+        is_restoring: true,
+        ..stated
+    };
     if host.address != own.address {
         control.mesh.directory().merge(&host);
         return Ok(false);
@@ -178,6 +187,10 @@
     Ok(true)
 }
 
+fn decode<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(value).map_err(|error| Error::Malformed(error.to_string()))
+}
+
 fn encode(record: &impl serde::Serialize) -> Result<Vec<u8>, Error> {
     serde_json::to_vec(record).map_err(|error| Error::Malformed(error.to_string()))
 }
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -226,6 +226,117 @@
     assert_eq!(server.runs().len(), before);
 }
 
+/// Entries that another writer left among those of the hosts: keys and values.
+fn odd_entries(host: &HostProcess) -> Vec<(String, Vec<u8>)> {
+    let address = host.address;
+    let key = format!("host/{address}");
+    let record = |epoch: u64, forward: &str| {
+        serde_json::json!({
+            "address": address, "epoch": epoch, "revision": 1, "data_centre": "z", "link_mbps": 1000,
+            "forward": forward, "gossip": "127.0.0.1:1", "server": null, "is_leaving": false,
+        })
+        .to_string()
+        .into_bytes()
+    };
+    let nested = "[".repeat(100_000).into_bytes();
+    vec![
+        (key.clone(), record(u64::MAX, "127.0.0.1:1")),
+        (
+            "host/127.9.9.9".to_string(),
+            record(u64::MAX, "127.0.0.1:1"),
+        ),
+        ("host/127.9.9.8".to_string(), record(7, "127.0.0.1:99999")),
+        ("host/127.9.9.7".to_string(), nested.clone()),
+        ("host/127.9.9.6".to_string(), record(7, "127.0.0.1:1")),
+        (
+            "host/127.9.9.5".to_string(),
+            br#"{"epoch": 1e400}"#.to_vec(),
+        ),
+        ("left/not an address".to_string(), nested.clone()),
+        (format!("left/{address}"), br#"{"instance": 7}"#.to_vec()),
+        ("host/".to_string(), vec![0, 1, 2, 0xff]),
+        ("\u{e4} b&after=\u{fc}".to_string(), b"{}".to_vec()),
+    ]
+}
+
+/// Guards against daemons that end, or stop following the store, because of an entry of another writer: deeply nested,
+/// with a number too large, with a port out of range, or not readable at all.
+#[tokio::test]
+async fn odd_entries_of_another_writer_neither_end_a_daemon_nor_hide_the_others() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (mut host, server) = ready_host(&store, NO_DELAY).await;
+    let other = HostProcess::start(&store);
+    until_served(&other).await;
+
+    for (key, value) in odd_entries(&host) {
+        store.put("jayrack-hosts", &key, &value).await;
+        store.put("op", &key, &value).await;
+    }
+    for record in [&b""[..], b"\xffshort", b"\x02\xff\xfe?"] {
+        store.append("keyed.op", record).await;
+        store.append("keyed.jayrack-hosts", record).await;
+    }
+    store
+        .put("op", "config", &"[".repeat(100_000).into_bytes())
+        .await;
+    let second = configuration(2, 2.0).replace("/browse/", "/browse-2/");
+    store.put_configuration(&second).await;
+    until("the next configuration is in force", || async {
+        let answer = other.ask(Method::GET, "/browse-2/1", "second").await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    host.kill();
+    host.restart();
+    let before = server.runs().len();
+    host.until_ready(StatusCode::OK).await;
+    host.until_reported("i-1", host.status("ready", 1, 9)).await;
+    until("the server is in use again", || async {
+        let answer = other.ask(Method::GET, "/browse-2/1", "third").await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+
+    assert!(server.runs().len() > before);
+    assert!(host.is_running() && other.is_running());
+}
+
+/// Guards against a report of another writer that makes the server's own ones outdated: a departure after it holds.
+#[rstest]
+#[case::lacks_fields(&["zone", "version"], None)]
+#[case::of_another_service(&[], Some(("service", serde_json::json!("elsewhere"))))]
+#[case::of_the_future(&[], Some(("born", serde_json::json!(u64::MAX))))]
+#[case::of_a_higher_number(&[], None)]
+#[tokio::test]
+async fn a_server_drains_although_another_writer_has_reported_for_it(
+    #[case] missing: &[&str],
+    #[case] changed: Option<(&str, serde_json::Value)>,
+) {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+    until_served(&host).await;
+    let mut odd = host.status("ready", 1, 400_000);
+    let fields = odd.as_object_mut().unwrap();
+    missing.iter().for_each(|field| drop(fields.remove(*field)));
+    if let Some((field, value)) = changed {
+        fields.insert(field.to_string(), value);
+    }
+    host.report("i-1", "heartbeat", odd).await;
+
+    let is_serving = host.ask(Method::GET, "/browse/1", "serves").await.unwrap();
+    let draining = host.status("draining", 1, 6);
+    let is_acknowledged = host.report("i-1", "heartbeat", draining).await;
+    let before = server.runs().len();
+    let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
+
+    assert_eq!(is_serving.status, StatusCode::OK);
+    assert!(is_acknowledged);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.runs().len(), before);
+}
+
 /// Calls to the store are charged, and every host of a large fleet restarts during an upgrade.
 #[tokio::test]
 async fn a_restarted_daemon_does_not_register_again() {
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -78,6 +78,16 @@
         self.try_put_configuration(text).await.unwrap();
     }
 
+    /// Appends a record to a topic as another writer does.
+    pub async fn append(&self, topic: &str, record: &[u8]) {
+        self.client.append(topic, record).await.unwrap();
+    }
+
+    /// Writes the value of a key of a keyed topic as another writer does.
+    pub async fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        self.client.put(topic, key, value).await.unwrap();
+    }
+
     /// Writes a configuration as the operator does; fails if the store does not accept it.
     pub async fn try_put_configuration(&self, text: &str) -> Result<(), store::Error> {
         let put = self.client.put("op", "config", text.as_bytes());
@@ -184,6 +194,13 @@
         peak.unwrap().trim().parse().unwrap()
     }
 
+    /// Whether the process has not ended by itself.
+    pub fn is_running(&self) -> bool {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path);
+        stat.is_ok_and(|stat| !stat.contains(") Z "))
+    }
+
     /// Kills the process with SIGKILL and waits for its end.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
