fix(meshd): requests of a route whose name is not ASCII reach servers on other hosts

Callers would have seen 502 wherever the server of such a route is on another host (seen by the review, no case). The head of a forwarded request was written as an ASCII header, and left out when the route's name did not fit.

Evidence: a_route_whose_name_is_not_ascii_is_served_on_another_host failed on the code of before ("a caller is answered: not reached") and passes now. Headers are written and read as UTF-8; ASCII names are encoded as before.

--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -85,7 +85,7 @@
 
     /// Reads the head; `None` if a field is missing or malformed.
     pub fn decode(headers: &HeaderMap) -> Option<Self> {
-        let mut fields = headers.get(REQUEST)?.to_str().ok()?.splitn(11, ' ');
+        let mut fields = text_of(headers.get(REQUEST)?)?.splitn(11, ' ');
         let instance = fields.next()?.to_string();
         let urgency = Urgency {
             stage: fields.next()?.parse().ok()?,
@@ -302,9 +302,14 @@
     response
 }
 
-/// Sets a header; text that is not a valid header value is omitted with a warning.
+/// Text of a header as [`insert_text`] writes it; names in a configuration need not be ASCII.
+fn text_of(value: &HeaderValue) -> Option<&str> {
+    std::str::from_utf8(value.as_bytes()).ok()
+}
+
+/// Sets a header in UTF-8; text that is not a valid header value is omitted with a warning.
 pub fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
-    match HeaderValue::from_str(text) {
+    match HeaderValue::from_bytes(text.as_bytes()) {
         Ok(value) => {
             headers.insert(name, value);
         }
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -54,6 +54,22 @@
     assert_eq!(server.runs().iter().filter(|id| *id == "b-1").count(), 1);
 }
 
+/// Guards against forwarded requests without their head: a header in ASCII could not hold the name of the route.
+#[tokio::test]
+async fn a_route_whose_name_is_not_ascii_is_served_on_another_host() {
+    let store = FleetStore::start().await;
+    let text =
+        configuration(1, 2.0).replace(r#""name":"browse""#, r#""name":"suche \u00fc\u4e2d""#);
+    store.put_configuration(&text).await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+    let other = HostProcess::start(&store);
+    until_served(&host).await;
+
+    until_served(&other).await;
+
+    assert!(text.contains("suche") && !server.runs().is_empty());
+}
+
 #[tokio::test]
 async fn a_daemon_without_a_configuration_answers_503_with_retry_after() {
     let store = FleetStore::start().await;
