fix(meshd): an answer that trickles does not keep its turn on the link; mutated answers as a test

A turn ended only after 100 ms without any write, so a server that sends a few bytes every 50 ms held up all other large answers until its own deadline. The time for which the link is idle is now added up within a turn.

Evidence: an_answer_that_trickles_makes_way_for_others (virtual time); with the rule of before it fails ("no turn in a minute" by its own limit). no_bytes_of_a_server_reach_another_caller_or_end_the_daemon sends 200 answers mutated from fixed seeds; it was not seen to fail.

--- a/jayrack-meshd/src/traffic/link.rs
+++ b/jayrack-meshd/src/traffic/link.rs
@@ -1,11 +1,11 @@
 //! Pacing of large answers on the host's link.
 use std::{
+    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, ready},
     time::Duration,
 };
 
-use super::body::{AnswerBody, BodyPace};
 use hyper::body::Body;
 use jayrack_mesh::link::{CallerLocation, LinkMeter, LinkReservation};
 use tokio::{
@@ -13,11 +13,13 @@
     time::{Instant, sleep_until},
 };
 
+use super::body::{AnswerBody, BodyPace};
+
 /// Maximum number of large answers that are sent at the same time.
 const MAX_TRANSFERS: usize = 1;
 
-/// Time without a written byte after which a large answer makes way for others: several chunks of a paced answer.
-const STALL_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a large answer may leave the link idle in one turn: several chunks of a paced answer.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(100);
 
 /// Size assumed of a message without its body, in bytes: head and packet headers.
 const HEAD_BYTES: u64 = 400;
@@ -40,22 +42,53 @@
 /// Turn of a large answer on the link.
 ///
 /// A turn is held while the answer is written, until the link has transmitted what was written of it: the length that
-/// the head of an answer states says nothing about what follows. An answer that is not written any further for
-/// [`STALL_TIMEOUT`], because its server sends nothing or its receiver reads nothing, loses its turn and its
+/// the head of an answer states says nothing about what follows. An answer that leaves the link idle for
+/// [`MAX_IDLE_TIME`] in all, because its server sends little or its receiver reads little, loses its turn and its
 /// reservation to others, and waits for another turn when it goes on.
 pub struct LinkTurn {
     link: HostLink,
     state: Arc<Mutex<TurnState>>,
-    waiting: Option<BoxedAcquisition>,
+    waiting: Option<Acquisition>,
 }
 
-type BoxedAcquisition = std::pin::Pin<Box<dyn Future<Output = HeldTurn> + Send>>;
+/// Waits for the permit of another turn.
+type Acquisition = Pin<Box<dyn Future<Output = HeldTurn> + Send>>;
 
 #[derive(Debug)]
 struct TurnState {
     held: Option<HeldTurn>,
     /// When the link has transmitted all that was written.
     transmitted_at: Instant,
+    /// How long the link was idle in this turn before the last write.
+    idle_time: Duration,
+}
+
+impl TurnState {
+    fn new(held: HeldTurn) -> Self {
+        Self {
+            held: Some(held),
+            transmitted_at: Instant::now(),
+            idle_time: Duration::ZERO,
+        }
+    }
+
+    /// When the turn ends unless more is written.
+    fn ends_at(&self) -> Instant {
+        self.transmitted_at + MAX_IDLE_TIME.saturating_sub(self.idle_time)
+    }
+
+    /// Counts the time since the link has transmitted all that was written as idle.
+    fn count_idle_time(&mut self) {
+        let now = Instant::now();
+        self.idle_time += now.saturating_duration_since(self.transmitted_at);
+        self.transmitted_at = self.transmitted_at.max(now);
+    }
+
+    /// Gives the turn up if it has ended; returns what it held.
+    fn take_ended(&mut self) -> Option<HeldTurn> {
+        let ends_at = self.ends_at();
+        self.held.take_if(|_| ends_at <= Instant::now())
+    }
 }
 
 /// What a turn takes from the link; dropping it gives all of it back.
@@ -77,46 +110,46 @@
 
 impl LinkTurn {
     fn new(link: HostLink, held: HeldTurn) -> Self {
-        let turn = Self {
+        Self {
             link,
-            state: Arc::new(Mutex::new(TurnState {
-                held: Some(held),
-                transmitted_at: Instant::now(),
-            })),
+            state: start_turn(held),
             waiting: None,
-        };
-        tokio::spawn(end_stalled_turn(turn.state.clone()));
-        turn
+        }
     }
 
     /// Waits for a turn unless the answer still holds one.
     pub fn poll_held(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.waiting.is_none() {
-            let mut state = lock(&self.state);
-            if state.held.is_some() {
-                state.transmitted_at = state.transmitted_at.max(Instant::now());
-                return Poll::Ready(());
-            }
-            let transfers = self.link.transfers.clone();
-            self.waiting = Some(Box::pin(async move {
+        if self.waiting.is_none() && self.keep() {
+            return Poll::Ready(());
+        }
+        let transfers = &self.link.transfers;
+        let waiting = self.waiting.get_or_insert_with(|| {
+            let transfers = transfers.clone();
+            Box::pin(async move {
                 HeldTurn {
                     // The semaphore is never closed.
                     _permit: transfers.acquire_owned().await.ok(),
                     _ticket: None,
                 }
-            }));
-        }
-        if let Some(waiting) = &mut self.waiting {
-            let held = ready!(waiting.as_mut().poll(cx));
-            self.waiting = None;
-            let mut state = lock(&self.state);
-            state.held = Some(held);
-            state.transmitted_at = Instant::now();
-            tokio::spawn(end_stalled_turn(self.state.clone()));
-        }
+            })
+        });
+        let held = ready!(waiting.as_mut().poll(cx));
+        self.waiting = None;
+        self.state = start_turn(held);
         Poll::Ready(())
     }
 
+    /// Whether the turn goes on for a further write.
+    fn keep(&self) -> bool {
+        let mut state = lock(&self.state);
+        let ended = state.take_ended();
+        state.count_idle_time();
+        let is_held = state.held.is_some();
+        drop(state);
+        drop(ended);
+        is_held
+    }
+
     /// Records that `bytes` of the answer were written.
     pub fn record_written(&self, bytes: u64) {
         let sending_time = Duration::from_millis(self.link.lock().sending_ms(bytes));
@@ -140,21 +173,25 @@
     }
 }
 
-/// Ends a turn whose answer has stalled; returns when the turn has ended.
-async fn end_stalled_turn(state: Arc<Mutex<TurnState>>) {
+fn start_turn(held: HeldTurn) -> Arc<Mutex<TurnState>> {
+    let state = Arc::new(Mutex::new(TurnState::new(held)));
+    tokio::spawn(end_idle_turn(state.clone()));
+    state
+}
+
+/// Ends a turn whose answer leaves the link idle; returns when the turn has ended.
+async fn end_idle_turn(state: Arc<Mutex<TurnState>>) {
     loop {
-        let stalled_at = {
+        let ends_at = {
             let mut state = lock(&state);
-            let stalled_at = state.transmitted_at + STALL_TIMEOUT;
-            if state.held.is_none() || stalled_at <= Instant::now() {
-                let ended = state.held.take();
+            let ended = state.take_ended();
+            if state.held.is_none() {
                 drop(state);
-                drop(ended);
-                return;
+                return drop(ended);
             }
-            stalled_at
+            state.ends_at()
         };
-        sleep_until(stalled_at).await;
+        sleep_until(ends_at).await;
     }
 }
 
@@ -172,7 +209,7 @@
         }
     }
 
-    /// Records a message with a body of `body_bytes` that is sent over the link without a transfer permit.
+    /// Records a message with a body of `body_bytes` that is sent over the link without a turn.
     pub fn record_other(&self, body_bytes: u64) {
         let now_ms = self.started.elapsed().as_millis() as u64;
         self.lock().record_other(now_ms, body_bytes + HEAD_BYTES);
--- a/jayrack-meshd/tests/hostile_server.rs
+++ b/jayrack-meshd/tests/hostile_server.rs
@@ -13,6 +13,10 @@
 
 use hyper::{Method, StatusCode};
 use jayrack_platform::headers;
+use rand_pcg::{
+    Pcg32,
+    rand_core::{Rng, SeedableRng},
+};
 use rstest::rstest;
 use support::{FleetStore, HostProcess, configuration, signature_of, until};
 use tokio::{
@@ -75,6 +79,8 @@
         answer: &'static str,
         end: ConnectionEnd,
     },
+    /// One of several answers, with some bytes changed, inserted or removed; the request's number is the seed.
+    Mutated,
 }
 
 /// How a server ends a connection.
@@ -154,6 +160,10 @@
                     sleep(COPY_DELAY).await;
                     sent
                 }
+                Script::Mutated => {
+                    let seed = self.received().len() as u64;
+                    stream.write_all(&mutated(&id, seed)).await
+                }
                 Script::Large { fault, faulty } => {
                     let is_faulty = self.ran.lock().unwrap().len() < *faulty;
                     self.ran.lock().unwrap().push(id.clone());
@@ -556,3 +566,63 @@
         "taken for whole: {complete:?} bytes of {whole_length}"
     );
 }
+
+/// An answer to the request `id` in which up to three bytes are changed, inserted or removed, or after which other bytes
+/// follow.
+fn mutated(id: &str, seed: u64) -> Vec<u8> {
+    const BYTES: &[u8] = b"\0\t\r\n :;,/019aAzZ\x7f\xc3\xff";
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut below = |limit: usize| random.next_u32() as usize % limit.max(1);
+    let templates = [
+        ANSWER,
+        CHUNKED_ANSWER,
+        UNBOUNDED_ANSWER,
+        REFUSAL,
+        ANONYMOUS_REFUSAL,
+    ];
+    let mut answer = fill(templates[below(templates.len())], id).into_bytes();
+    for _ in 0..=below(3) {
+        let at = below(answer.len());
+        let byte = BYTES[below(BYTES.len())];
+        match below(4) {
+            0 => answer[at] = byte,
+            1 => answer.insert(at, byte),
+            2 => drop(answer.remove(at)),
+            _ => {
+                answer.extend_from_slice(&fill(templates[below(templates.len())], id).into_bytes())
+            }
+        }
+    }
+    answer
+}
+
+/// Each caller gets one complete answer or the end of its connection, whatever bytes a server sends; a success is signed
+/// and none is that of another request; memory stays bounded.
+#[tokio::test]
+async fn no_bytes_of_a_server_reach_another_caller_or_end_the_daemon() {
+    const MUTATED_REQUESTS: usize = 200;
+    let store = FleetStore::start().await;
+    let (host, server) = hostile_host(&store, Script::Mutated).await;
+
+    for number in 0..MUTATED_REQUESTS {
+        let id = format!("r-{number:04}");
+        let Some(answer) = host.ask(Method::POST, "/book/1", &id).await else {
+            continue;
+        };
+        if answer.status.is_success() {
+            assert!(
+                answer.headers.contains_key(headers::ANSWER_SIGNATURE),
+                "{id}: {answer:?}"
+            );
+        }
+        let echo = answer.headers.get(headers::REQUEST_ID);
+        assert!(
+            echo.is_none_or(|echo| echo.as_bytes() == id.as_bytes()),
+            "{id}: {answer:?}"
+        );
+    }
+
+    assert!(server.received().len() > MUTATED_REQUESTS / 2);
+    assert!(host.is_running());
+    assert!(host.peak_memory_kb() < MAX_MEMORY_KB);
+}
--- a/jayrack-meshd/tests/link_turns.rs
+++ b/jayrack-meshd/tests/link_turns.rs
@@ -108,3 +108,26 @@
 
     assert!(reserved.is_ok());
 }
+
+/// Guards against a server that sends a large answer in tiny parts and so holds up all others.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_trickles_makes_way_for_others() {
+    const TRICKLE: Duration = Duration::from_millis(40);
+    let link = link();
+    let mut trickling = ticket(&link).try_acquire().expect("the link is idle");
+    let writing = tokio::spawn(async move {
+        loop {
+            std::future::poll_fn(|cx| trickling.poll_held(cx)).await;
+            trickling.record_written(1);
+            tokio::time::sleep(TRICKLE).await;
+        }
+    });
+
+    let (turn, waited) = wait_for_turn(&link).await;
+    drop(turn);
+    let (_turn, waited_again) = wait_for_turn(&link).await;
+    writing.abort();
+
+    assert!(waited <= STALL_TIME, "{waited:?}");
+    assert!(waited_again <= STALL_TIME, "{waited_again:?}");
+}
