review: a departure is acknowledged and ignored after a step of the clock

A server that starts again under its identifier with a smaller start time than before gets 200 for each of its reports, and all are ignored. Ten daemons; the server reports draining 8 s after the last disruption and gets requests until it ends 7 s later.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one scripted case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 mod body_crowd;
 mod client;
+mod drain_clock;
 mod fleet;
 mod record;
 mod server;
@@ -79,6 +80,7 @@
 async fn run(name: &str, context: &CaseContext) -> Result<Verdict, CaseError> {
     match name {
         "body-crowd" => body_crowd::run(context).await,
+        "drain-clock" => drain_clock::run(context).await,
         _ => Err(format!("there is no case {name}").into()),
     }
 }
