review: a slow lender and its standby lend a tenant's tokens together

One machine of ten, the lender of a tenant that sends 7.5 times its usual, runs for a sixth of each tenth of a second for 6.5 s.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod record;
 mod server;
+mod slow_lender;
 
 use std::{
     path::{Path, PathBuf},
@@ -81,6 +82,7 @@
     match name {
         "body-crowd" => body_crowd::run(context).await,
         "drain-clock" => drain_clock::run(context).await,
+        "slow-lender" => slow_lender::run(context).await,
         _ => Err(format!("there is no case {name}").into()),
     }
 }
