review: an answer without an end in tiny chunks takes a daemon over its memory

Two servers of eight answer with a byte in each chunk until the daemon closes, for 5.5 s, four times. The daemons beside them, with 88 MB each, exceed that within 2 s.

--- a/review/cases-2/src/body_crowd.rs
+++ b/review/cases-2/src/body_crowd.rs
@@ -208,6 +208,7 @@
         reports: machine.reports(),
         work: Duration::from_millis(60),
         clock_error_ms: 0,
+        answer_bytes: 400,
     }
 }
 
--- a/review/cases-2/src/drain_clock.rs
+++ b/review/cases-2/src/drain_clock.rs
@@ -175,6 +175,7 @@
         reports: machine.reports(),
         work: WORK,
         clock_error_ms,
+        answer_bytes: 400,
     }
 }
 
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -2,6 +2,7 @@
 mod body_crowd;
 mod client;
 mod drain_clock;
+mod endless_body;
 mod fleet;
 mod record;
 mod server;
@@ -82,6 +83,7 @@
     match name {
         "body-crowd" => body_crowd::run(context).await,
         "drain-clock" => drain_clock::run(context).await,
+        "endless-body" => endless_body::run(context).await,
         "slow-lender" => slow_lender::run(context).await,
         _ => Err(format!("there is no case {name}").into()),
     }
--- a/review/cases-2/src/server.rs
+++ b/review/cases-2/src/server.rs
@@ -2,18 +2,24 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
+    task::{Context, Poll},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, client, header::HeaderValue,
-    server::conn::http1, service::service_fn,
+    Method, Request, Response, StatusCode,
+    body::{Body, Frame, Incoming},
+    client,
+    header::HeaderValue,
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use jayrack_platform::headers;
@@ -76,6 +82,8 @@
     pub work: Duration,
     /// Difference of its machine's time of day to the true one, in milliseconds.
     pub clock_error_ms: i64,
+    /// Size of its answers, in bytes.
+    pub answer_bytes: usize,
 }
 
 struct ServerCore {
@@ -88,9 +96,28 @@
     slots: tokio::sync::Semaphore,
     is_down: AtomicBool,
     down: Notify,
+    /// Whether its answers have no end.
+    is_endless: AtomicBool,
     record: CaseRecord,
 }
 
+/// Body that goes on until the connection is closed, one byte in each chunk.
+struct EndlessBody;
+
+impl Body for EndlessBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"z")))))
+    }
+}
+
+type ServerBody = Either<Full<Bytes>, EndlessBody>;
+
 /// One incarnation of a backend server; clones share it.
 #[derive(Clone)]
 pub struct BackendServer {
@@ -133,6 +160,7 @@
                 busy: AtomicU32::new(0),
                 slots: tokio::sync::Semaphore::new(SLOTS as usize),
                 is_down: AtomicBool::new(false),
+                is_endless: AtomicBool::new(false),
                 down: Notify::new(),
                 record: record.clone(),
             }),
@@ -170,6 +198,11 @@
         core.down.notify_waiters();
     }
 
+    /// Makes later answers end or have no end.
+    pub fn set_endless(&self, is_endless: bool) {
+        self.core.is_endless.store(is_endless, Ordering::Relaxed);
+    }
+
     /// Reports `draining` until that is acknowledged, for 5 s at most; returns when it was.
     pub async fn drain(&self) -> Option<Instant> {
         *lock(&self.core.state) = ServerState::Draining;
@@ -250,7 +283,7 @@
         }
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<ServerBody>, Infallible> {
         let core = &self.core;
         let text = |name| {
             let value: Option<&HeaderValue> = request.headers().get(name);
@@ -258,7 +291,8 @@
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_string)
         };
-        let mut response = Response::new(Full::from("the server's bytes"));
+        let whole = Bytes::from(vec![b's'; core.options.answer_bytes]);
+        let mut response = Response::new(Either::Left(Full::from(whole)));
         if text(headers::EXPECTED_INSTANCE)
             .is_some_and(|expected| expected != core.options.instance)
         {
@@ -284,6 +318,9 @@
             .note(&format!("run {id} at {}", core.options.name));
         lock(&core.runs).push(run);
         sleep(core.options.work).await;
+        if core.is_endless.load(Ordering::Relaxed) {
+            *response.body_mut() = Either::Right(EndlessBody);
+        }
         let fields = response.headers_mut();
         if let Ok(id) = HeaderValue::from_str(&id) {
             fields.insert(headers::REQUEST_ID, id);
--- a/review/cases-2/src/slow_lender.rs
+++ b/review/cases-2/src/slow_lender.rs
@@ -168,6 +168,7 @@
         reports: machine.reports(),
         work: Duration::from_millis(40),
         clock_error_ms: 0,
+        answer_bytes: 400,
     }
 }
 
