review: a request without a valid key runs under another request's identifier

A request whose identifier extends that of a request which runs at the server beside the daemon is taken for a call of that server: its key is not looked at.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -4,6 +4,7 @@
 mod drain_clock;
 mod endless_body;
 mod fleet;
+mod foreign_call;
 mod record;
 mod server;
 mod slow_lender;
@@ -84,6 +85,7 @@
         "body-crowd" => body_crowd::run(context).await,
         "drain-clock" => drain_clock::run(context).await,
         "endless-body" => endless_body::run(context).await,
+        "foreign-call" => foreign_call::run(context).await,
         "slow-lender" => slow_lender::run(context).await,
         _ => Err(format!("there is no case {name}").into()),
     }
