--- a/review/cases-2/src/body_crowd.rs
+++ b/review/cases-2/src/body_crowd.rs
@@ -15,7 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
@@ -32,16 +32,20 @@
 /// Crowds at each of them, one after the other.
 const ROUNDS: u32 = 3;
 const SERVICE: &str = "huvo11a";
-/// Memory of a machine: the smallest in the sheets.
-const MEMORY_MB: u64 = 88;
+/// Memory of a machine of the sheet, in megabytes.
+const MEMORY_MB: u64 = 110;
 /// Clients of a crowd.
 const CROWD: usize = 600;
 /// Data of the one chunk that each of them begins, in bytes: far below `max_body_bytes`.
 const CHUNK_BYTES: usize = 1 << 20;
 /// Bytes that are missing at its end.
 const MISSING_BYTES: usize = 16;
+/// Bytes that a client sends at a stretch.
+const PIECE_BYTES: usize = 16 << 10;
+/// Time between two pieces of one client: all of them together send 98 MB/s, less than the machine's link of 1,000 Mbit/s.
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time for which a crowd stays.
-const CROWD_TIME: Duration = Duration::from_secs(6);
+const CROWD_TIME: Duration = Duration::from_secs(9);
 /// Time between two looks of the platform at the memory of a process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause before a process that ended is started again.
@@ -73,6 +77,7 @@
         bounds: json!({"stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 182, "repeat_window_s": 10}),
         balancing: None,
         memory_mb: MEMORY_MB,
+        link_mbps: 1000.0,
     };
     let mut machines = Vec::new();
     let mut servers = Vec::new();
@@ -193,7 +198,12 @@
         headers::TIME_LEFT_MS,
     );
     stream.write_all(head.as_bytes()).await?;
-    stream.write_all(&chunk).await?;
+    let mut next = Instant::now();
+    for piece in chunk.chunks(PIECE_BYTES) {
+        next += PIECE_INTERVAL;
+        sleep_until(next).await;
+        stream.write_all(piece).await?;
+    }
     let mut answer = [0; 1_024];
     while stream.read(&mut answer).await? > 0 {}
     Ok(())
--- a/review/cases-2/src/drain_clock.rs
+++ b/review/cases-2/src/drain_clock.rs
@@ -76,6 +76,7 @@
         bounds: json!({"stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 200, "repeat_window_s": 10}),
         balancing: None,
         memory_mb: 260,
+        link_mbps: 1000.0,
     };
     let mut machines = Vec::new();
     let mut servers = Vec::new();
--- a/review/cases-2/src/endless_body.rs
+++ b/review/cases-2/src/endless_body.rs
@@ -20,9 +20,9 @@
     server::{BackendServer, ServerOptions},
 };
 
-const MACHINES: usize = 8;
-/// Servers in trouble: a quarter.
-const FAULTY: usize = 2;
+const MACHINES: usize = 10;
+/// Servers in trouble.
+const FAULTY: usize = 3;
 /// Times that the trouble comes.
 const ROUNDS: u32 = 4;
 /// Ends of one machine's processes in a day, and machines with so many, from which the day counts as a fault.
@@ -33,8 +33,10 @@
 /// Time between two of them.
 const CALM: Duration = Duration::from_secs(4);
 const SERVICE: &str = "wuno96b";
-/// Memory of a machine, in megabytes: the smallest in the sheets.
+/// Memory of the smallest machines of the sheet, in megabytes.
 const MEMORY_MB: u64 = 88;
+/// Rate of their links, in megabits a second.
+const LINK_MBPS: f64 = 18.9;
 /// Usual size of an answer, in bytes.
 const ANSWER_BYTES: usize = 90_000;
 /// Time between two looks of the platform at the memory of the processes.
@@ -68,6 +70,7 @@
         bounds: json!({"stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 182, "repeat_window_s": 10}),
         balancing: None,
         memory_mb: MEMORY_MB,
+        link_mbps: LINK_MBPS,
     };
     let mut machines = Vec::new();
     let mut servers = Vec::new();
--- a/review/cases-2/src/fleet.rs
+++ b/review/cases-2/src/fleet.rs
@@ -94,6 +94,8 @@
     pub balancing: Option<&'a str>,
     /// Memory of each machine, in megabytes.
     pub memory_mb: u64,
+    /// Rate of each machine's link, in megabits a second.
+    pub link_mbps: f64,
 }
 
 impl Machine {
@@ -125,7 +127,7 @@
             "host": {
                 "name": format!("app_host-{number}"), "address": address.to_string(),
                 "data_centre": DATA_CENTRES[number % DATA_CENTRES.len()],
-                "link_mbps": 1000.0, "memory_mb": plan.memory_mb, "max_descriptors": 4100,
+                "link_mbps": plan.link_mbps, "memory_mb": plan.memory_mb, "max_descriptors": 4100,
             },
             "server": { "address": at(SERVER_PORT), "service": service },
             "listen": {
--- a/review/cases-2/src/foreign_call.rs
+++ b/review/cases-2/src/foreign_call.rs
@@ -65,6 +65,7 @@
         bounds: bounds(),
         balancing: Some("estimated"),
         memory_mb: 260,
+        link_mbps: 1000.0,
     };
     let runs = Runs::default();
     let mut machines = Vec::new();
--- a/review/cases-2/src/slow_lender.rs
+++ b/review/cases-2/src/slow_lender.rs
@@ -81,6 +81,7 @@
         bounds: bounds(),
         balancing: Some("estimated"),
         memory_mb: 260,
+        link_mbps: 1000.0,
     };
     let mut machines = Vec::new();
     let mut servers = Vec::new();
