--- a/review/cases-2/src/endless_body.rs
+++ b/review/cases-2/src/endless_body.rs
@@ -24,14 +24,16 @@
 /// Servers in trouble.
 const FAULTY: usize = 3;
 /// Times that the trouble comes.
-const ROUNDS: u32 = 4;
+const ROUNDS: u32 = 9;
 /// Ends of one machine's processes in a day, and machines with so many, from which the day counts as a fault.
 const FAULT_ENDS: u32 = 3;
 const FAULT_MACHINES: usize = 2;
+/// One of so many of their answers has no end: 0.05, `x` of `garble` in the site file.
+const ENDLESS_DIVISOR: u64 = 20;
 /// Length of each, `for_s` of `garble` in the site file.
 const TROUBLE_TIME: Duration = Duration::from_millis(5_500);
 /// Time between two of them.
-const CALM: Duration = Duration::from_secs(4);
+const CALM: Duration = Duration::from_secs(5);
 const SERVICE: &str = "wuno96b";
 /// Memory of the smallest machines of the sheet, in megabytes.
 const MEMORY_MB: u64 = 88;
@@ -44,7 +46,7 @@
 /// Pause before a process that ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
 /// Interval of the requests at each machine.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(65);
 
 fn configuration() -> Value {
     json!({
@@ -111,11 +113,15 @@
             record.say(&format!("trouble {round} at servers 0 to {}", FAULTY - 1));
         }
         for server in &servers[..FAULTY] {
-            server.set_endless(context.has_trouble);
+            server.set_endless(if context.has_trouble {
+                ENDLESS_DIVISOR
+            } else {
+                0
+            });
         }
         watch.run(&mut machines, TROUBLE_TIME).await?;
         for server in &servers[..FAULTY] {
-            server.set_endless(false);
+            server.set_endless(0);
         }
         watch.run(&mut machines, CALM).await?;
         record.say(&format!("peaks so far, in kilobytes: {:?}", watch.peaks_kb));
--- a/review/cases-2/src/server.rs
+++ b/review/cases-2/src/server.rs
@@ -96,8 +96,10 @@
     slots: tokio::sync::Semaphore,
     is_down: AtomicBool,
     down: Notify,
-    /// Whether its answers have no end.
-    is_endless: AtomicBool,
+    /// One of so many answers has no end; 0 for none.
+    endless_divisor: AtomicU64,
+    /// Answers since that was set.
+    answers: AtomicU64,
     record: CaseRecord,
 }
 
@@ -160,7 +162,8 @@
                 busy: AtomicU32::new(0),
                 slots: tokio::sync::Semaphore::new(SLOTS as usize),
                 is_down: AtomicBool::new(false),
-                is_endless: AtomicBool::new(false),
+                endless_divisor: AtomicU64::new(0),
+                answers: AtomicU64::new(0),
                 down: Notify::new(),
                 record: record.clone(),
             }),
@@ -198,9 +201,10 @@
         core.down.notify_waiters();
     }
 
-    /// Makes later answers end or have no end.
-    pub fn set_endless(&self, is_endless: bool) {
-        self.core.is_endless.store(is_endless, Ordering::Relaxed);
+    /// Makes one of `divisor` later answers have no end; 0 for none.
+    pub fn set_endless(&self, divisor: u64) {
+        self.core.answers.store(0, Ordering::Relaxed);
+        self.core.endless_divisor.store(divisor, Ordering::Relaxed);
     }
 
     /// Reports `draining` until that is acknowledged, for 5 s at most; returns when it was.
@@ -318,7 +322,11 @@
             .note(&format!("run {id} at {}", core.options.name));
         lock(&core.runs).push(run);
         sleep(core.options.work).await;
-        if core.is_endless.load(Ordering::Relaxed) {
+        let divisor = core.endless_divisor.load(Ordering::Relaxed);
+        let number = core.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        if divisor > 0 && number.is_multiple_of(divisor) {
+            core.record
+                .note(&format!("answer without an end at {}", core.options.name));
             *response.body_mut() = Either::Right(EndlessBody);
         }
         let fields = response.headers_mut();
--- a/review/cases-2/src/slow_lender.rs
+++ b/review/cases-2/src/slow_lender.rs
@@ -124,7 +124,6 @@
 
     record.say("the tenant sends many times its usual");
     is_hot.store(true, Ordering::Relaxed);
-    sleep(Duration::from_secs(2)).await;
     if context.has_trouble {
         record.say(&format!("machine {slow} turns slow"));
         slow_down(&machines[slow]).await;
@@ -132,7 +131,6 @@
     } else {
         sleep(TROUBLE_TIME).await;
     }
-    sleep(Duration::from_secs(1)).await;
     is_hot.store(false, Ordering::Relaxed);
     sleep(Duration::from_secs(3)).await;
     for client in clients {
