fix(meshd): count what chunks of answers cost, not what they carry

Cause: an answer that is read ahead was kept as the list of its received chunks. An entry takes 32 bytes and more, and keeps the connection's read buffer in use; the limits of 48 KB and 4 MB and the byte budget counted the data only. The first 48 KB of an answer took nothing from the budget at all, on either daemon.

Change: `SegmentBuffer`, split from the reception of request bodies, copies received data into segments and takes each segment's memory, with its bookkeeping, from the budget before it allocates it. Answers use it, too; without room they are not read further and are streamed. Related paths: a refusal's body is dropped as it arrives; the state of other daemons, answers of the store and reports are copied into one buffer.

--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -2,10 +2,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode, body::Incoming};
 use jayrack_mesh::server::{ReportEffect, ServerRecord};
-use jayrack_platform::report::{self, ServerCall};
+use jayrack_platform::{
+    body,
+    report::{self, ServerCall},
+};
 use tokio::{net::TcpListener, time::timeout};
 
 use super::{
@@ -32,8 +34,8 @@
     let Some(call) = ServerCall::decode(&parts.method, &parts.uri) else {
         return endpoint::answer(StatusCode::NOT_FOUND, String::new());
     };
-    let body = match Limited::new(body, MAX_REPORT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match body::read_whole(body, MAX_REPORT_BYTES).await {
+        Ok(body) => body,
         Err(error) => {
             log::warn!(error:% = error; "report not received completely");
             return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -13,7 +13,8 @@
 //! * [`gate`]: admission to that server's slots.
 //! * [`link`]: pacing of large answers on the host's link.
 //! * [`forward`]: headers of requests and answers between daemons.
-//! * [`memory`]: the daemon's byte budget; [`request_body`]: bodies of requests, which use it.
+//! * [`memory`]: the daemon's byte budget; [`segments`]: received bytes in memory of the budget.
+//! * [`request_body`]: bodies of requests.
 //! * [`client_stream`]: sockets of clients, with their time limits; [`connections`]: how many there may be.
 //! * [`state`]: state of the traffic thread.
 //! * [`pool`]: outgoing connections; [`fair_stream`]: their sockets; [`body`]: bodies of answers.
@@ -37,4 +38,5 @@
 pub mod pool;
 pub mod request_body;
 pub mod router;
+pub mod segments;
 pub mod state;
--- a/jayrack-meshd/src/traffic/attempt.rs
+++ b/jayrack-meshd/src/traffic/attempt.rs
@@ -13,6 +13,7 @@
     body::{self, AnswerBody},
     forward::{self, AttemptKind, ForwardHead, NotRunReason, OwnerOutcome, OwnerReply, SendTime},
     intake::CallerRequest,
+    memory::ByteBudget,
     owner::{self, BUFFERED_ANSWER_BYTES, OwnedRequest},
     pool,
     state::{PEER_MAX_IDLE, TrafficState},
@@ -105,7 +106,7 @@
         return Attempt::Lost;
     };
     if let OwnerOutcome::Answered { response, .. } = &mut reply.outcome
-        && let Err(error) = buffer_small_answer(response).await
+        && let Err(error) = buffer_small_answer(response, &state.budget).await
     {
         log::warn!(host:% = candidate.address, error:? = error; "answer of host ended early");
         reply.outcome = OwnerOutcome::Lost;
@@ -136,14 +137,17 @@
 }
 
 /// Reads a small answer completely before it is passed on, so that a truncated one can be retried.
-async fn buffer_small_answer(response: &mut Response<AnswerBody>) -> Result<(), body::Error> {
+async fn buffer_small_answer(
+    response: &mut Response<AnswerBody>,
+    budget: &ByteBudget,
+) -> Result<(), body::Error> {
     let length = forward::number(response.headers(), header::CONTENT_LENGTH);
     if length.is_some_and(|length| length > BUFFERED_ANSWER_BYTES as u64) {
         return Ok(());
     }
     let unread = AnswerBody::buffered(Bytes::new());
     let body = std::mem::replace(response.body_mut(), unread);
-    *response.body_mut() = body.read_ahead(BUFFERED_ANSWER_BYTES).await?;
+    *response.body_mut() = body.read_ahead(BUFFERED_ANSWER_BYTES, budget).await?;
     Ok(())
 }
 
--- a/jayrack-meshd/src/traffic/body.rs
+++ b/jayrack-meshd/src/traffic/body.rs
@@ -1,7 +1,6 @@
 //! Bodies of answers, buffered or streamed.
 use std::{
     any::Any,
-    collections::VecDeque,
     pin::Pin,
     sync::{
         Arc,
@@ -12,14 +11,12 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use jayrack_platform::body as whole_body;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
-use super::{link::LinkTurn, memory::ByteLease};
-
-/// Size up to which the chunks of an answer are joined, in bytes; a larger one would need twice its memory meanwhile.
-const MAX_JOINED_BYTES: usize = 64 << 10;
+use super::{link::LinkTurn, memory::ByteBudget, segments::SegmentBuffer};
 
 /// Value that is dropped when a body has ended.
 pub type BodyGuard = Box<dyn Any + Send>;
@@ -136,10 +133,10 @@
 enum BodySource {
     Buffered(Full<Bytes>),
     Streamed(Incoming),
-    /// All chunks of a body that was read ahead.
-    Read(VecDeque<Bytes>),
-    /// Chunks that were read ahead, and the remaining stream.
-    PartlyRead(VecDeque<Bytes>, Incoming),
+    /// All bytes of a body that was read ahead.
+    Read(Box<SegmentBuffer>),
+    /// Bytes that were read ahead, and the remaining stream.
+    PartlyRead(Box<SegmentBuffer>, Incoming),
 }
 
 /// Error of reading a body to its end.
@@ -168,19 +165,17 @@
 impl AnswerBody {
     /// Creates a body from bytes in memory.
     pub fn buffered(bytes: Bytes) -> Self {
-        Self {
-            source: BodySource::Buffered(Full::new(bytes)),
-            pace: None,
-            deadline: None,
-            progress: None,
-            guards: Vec::new(),
-        }
+        Self::new(BodySource::Buffered(Full::new(bytes)))
     }
 
     /// Creates a body that is still being received.
     pub fn streamed(incoming: Incoming) -> Self {
+        Self::new(BodySource::Streamed(incoming))
+    }
+
+    fn new(source: BodySource) -> Self {
         Self {
-            source: BodySource::Streamed(incoming),
+            source,
             pace: None,
             deadline: None,
             progress: None,
@@ -232,82 +227,65 @@
         matches!(self.source, BodySource::Buffered(_) | BodySource::Read(_))
     }
 
-    /// Reads ahead until the body has ended or is longer than `limit` bytes.
-    ///
-    /// A body that has ended is buffered, and its guards are dropped.
-    ///
-    /// # Errors
+    /// Reads ahead until the body has ended, is longer than `limit` bytes, or `budget` has no room for more of it.
     ///
-    /// Returns [`Error::Broken`] if the body ends early.
-    pub async fn read_ahead(self, limit: usize) -> Result<Self, Error> {
-        self.read_while(limit, |_| true).await
-    }
-
-    /// Reads ahead like [`AnswerBody::read_ahead`] as long as `lease` has room; the body keeps the lease until it ends.
+    /// A body that has ended is buffered, and its guards are dropped. What was read keeps its part of the budget until the
+    /// body has been sent.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Broken`] if the body ends early.
-    pub async fn read_leased(self, limit: usize, lease: ByteLease) -> Result<Self, Error> {
-        let body = self
-            .read_while(limit, |bytes| lease.try_grow(bytes as u64))
-            .await?;
-        Ok(body.with_guard(Box::new(lease)))
-    }
-
-    /// Reads ahead until the body has ended, is longer than `limit` bytes, or `has_room` refuses a chunk's length.
-    async fn read_while(
-        mut self,
-        limit: usize,
-        has_room: impl Fn(usize) -> bool,
-    ) -> Result<Self, Error> {
+    pub async fn read_ahead(mut self, limit: usize, budget: &ByteBudget) -> Result<Self, Error> {
         let (mut read, mut incoming) = match self.source {
             BodySource::Buffered(_) | BodySource::Read(_) => return Ok(self),
-            BodySource::Streamed(incoming) => (VecDeque::new(), incoming),
+            BodySource::Streamed(incoming) => {
+                let stated_bytes = incoming.size_hint().exact();
+                let read = SegmentBuffer::new(budget.lease(), stated_bytes);
+                (Box::new(read), incoming)
+            }
             BodySource::PartlyRead(read, incoming) => (read, incoming),
         };
-        let mut length: usize = read.iter().map(Bytes::len).sum();
-        let mut is_full = !has_room(length);
-        while length <= limit && !is_full {
+        let mut has_room = true;
+        while read.len() <= limit && has_room {
             let Some(frame) = incoming.frame().await else {
-                return Ok(Self::read(read, length));
+                return Ok(Self::new(BodySource::Read(read)));
             };
-            let frame = frame.map_err(|error| Error::Broken(error.to_string()))?;
-            if let Ok(data) = frame.into_data() {
-                length += data.len();
-                is_full = !has_room(data.len());
-                read.push_back(data);
+            let frame = frame.map_err(broken)?;
+            if let Some(data) = frame.data_ref() {
+                has_room = read.try_append(data);
             }
         }
         self.source = BodySource::PartlyRead(read, incoming);
         Ok(self)
     }
 
-    /// Creates a body from its chunks; only those of a small one are copied into one piece.
-    fn read(chunks: VecDeque<Bytes>, length: usize) -> Self {
-        if length <= MAX_JOINED_BYTES {
-            let chunks: Vec<Bytes> = chunks.into();
-            return Self::buffered(Bytes::from(chunks.concat()));
-        }
-        let mut body = Self::buffered(Bytes::new());
-        body.source = BodySource::Read(chunks);
-        body
+    /// Reads the remaining body into one buffer; the guards are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] if the body ends early or exceeds `limit` bytes.
+    pub async fn collect_up_to(self, limit: usize) -> Result<Bytes, Error> {
+        let collected = whole_body::read_whole(self, limit).await;
+        collected.map_err(|error| match error {
+            whole_body::Error::TooLarge => Error::TooLarge,
+            whole_body::Error::Broken(reason) => Error::Broken(reason),
+        })
     }
 
-    /// Reads the remaining body; the guards are dropped.
+    /// Reads and drops the remaining body; the guards are dropped.
     ///
     /// # Errors
     ///
     /// Returns [`Error`] if the body ends early or exceeds `limit` bytes.
-    pub async fn collect_up_to(self, limit: usize) -> Result<Bytes, Error> {
-        match Limited::new(self, limit).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Err(error) => match error.downcast() {
-                Ok(error) => Err(*error),
-                Err(error) => Err(Error::Broken(error.to_string())),
-            },
+    pub async fn discard_up_to(mut self, limit: usize) -> Result<(), Error> {
+        let mut discarded_bytes = 0;
+        while let Some(frame) = self.frame().await {
+            discarded_bytes += frame?.data_ref().map_or(0, Bytes::len);
+            if discarded_bytes > limit {
+                return Err(Error::TooLarge);
+            }
         }
+        Ok(())
     }
 }
 
@@ -426,13 +404,9 @@
         match &self.source {
             BodySource::Buffered(body) => with_read_bytes(&body.size_hint(), unsent),
             BodySource::Streamed(body) => with_read_bytes(&body.size_hint(), unsent),
-            BodySource::Read(read) => {
-                let read: u64 = read.iter().map(|data| data.len() as u64).sum();
-                SizeHint::with_exact(unsent + read)
-            }
+            BodySource::Read(read) => SizeHint::with_exact(unsent + read.len() as u64),
             BodySource::PartlyRead(read, body) => {
-                let read: u64 = read.iter().map(|data| data.len() as u64).sum();
-                with_read_bytes(&body.size_hint(), unsent + read)
+                with_read_bytes(&body.size_hint(), unsent + read.len() as u64)
             }
         }
     }
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -204,7 +204,7 @@
             // Reading the answer releases the slot while the answer waits for the link.
             let (parts, body) = response.into_parts();
             let body = match body
-                .read_leased(MAX_QUEUED_ANSWER_BYTES, state.budget.lease())
+                .read_ahead(MAX_QUEUED_ANSWER_BYTES, &state.budget)
                 .await
             {
                 Ok(body) => body,
@@ -353,11 +353,12 @@
     }
     state.mesh.record_answer();
     let has_refused_call = running.is_some_and(|running| running.has_refused_call());
-    check_answer(answer.response, id, permit, has_refused_call).await
+    check_answer(state, answer.response, id, permit, has_refused_call).await
 }
 
 /// Classifies a backend server's answer; the connection is dropped unless the answer is valid.
 async fn check_answer(
+    state: &TrafficState,
     response: Response<AnswerBody>,
     id: Option<HeaderValue>,
     mut permit: SlotPermit,
@@ -403,7 +404,7 @@
     forward::strip_internal(&mut parts.headers);
     let length = forward::number(&parts.headers, header::CONTENT_LENGTH);
     let body = if length.is_none_or(|length| length <= BUFFERED_ANSWER_BYTES as u64) {
-        match body.read_ahead(BUFFERED_ANSWER_BYTES).await {
+        match body.read_ahead(BUFFERED_ANSWER_BYTES, &state.budget).await {
             Ok(body) => body,
             Err(error) => {
                 log_lost(id.as_ref(), &format!("the answer ended early: {error:?}"));
@@ -427,9 +428,9 @@
 
 /// Reads the body of a refusal to its end, so that the connection can be reused.
 async fn read_refusal(body: AnswerBody, id: Option<&HeaderValue>) {
-    let reading = body.collect_up_to(BUFFERED_ANSWER_BYTES);
+    let reading = body.discard_up_to(BUFFERED_ANSWER_BYTES);
     let error = match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await {
-        Ok(Ok(_)) => return,
+        Ok(Ok(())) => return,
         Ok(Err(error)) => error,
         Err(_) => body::Error::Expired,
     };
--- a/jayrack-meshd/src/traffic/request_body.rs
+++ b/jayrack-meshd/src/traffic/request_body.rs
@@ -1,6 +1,5 @@
 //! Bodies of requests: received into segments that the byte budget covers, and sent from them.
 use std::{
-    collections::VecDeque,
     convert::Infallible,
     pin::Pin,
     sync::Arc,
@@ -8,18 +7,17 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use jayrack_mesh::memory::SMALL_BYTES;
 use tokio::time::{Instant, sleep_until};
 
-use super::memory::{ByteBudget, ByteLease, NoRoom};
+use super::{
+    memory::{ByteBudget, ByteLease, NoRoom},
+    segments::SegmentBuffer,
+};
 
-/// Largest segment, in bytes.
-const MAX_SEGMENT_BYTES: usize = 64 << 10;
-/// First segment of a body without a stated length, in bytes; each further one is twice as large.
-const FIRST_SEGMENT_BYTES: usize = 4 << 10;
 /// Interval at which the rate of a body is checked. Several short intervals, not a long one: after a suspension of the
 /// process, the first one is over before the bytes that arrived meanwhile are read.
 const RATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -134,18 +132,19 @@
     if stated_bytes.is_some_and(|stated_bytes| stated_bytes > max_bytes) {
         return Err(BodyRefusal::TooLarge);
     }
-    let mut gathering = Gathering::new(budget.lease(), stated_bytes);
+    let mut received = SegmentBuffer::new(budget.lease(), stated_bytes);
+    received.lease().record_received();
     if let Some(stated_bytes) = stated_bytes
         && stated_bytes > SMALL_BYTES
     {
-        gathering.lease.check(stated_bytes).await?;
+        received.lease().check(stated_bytes).await?;
     }
     let mut rate = RateMeter::new();
     loop {
         let frame = tokio::select! {
             biased;
             frame = incoming.frame() => frame,
-            () = gathering.lease.until_giving_way() => return Err(BodyRefusal::NoRoom),
+            () = received.lease().until_giving_way() => return Err(BodyRefusal::NoRoom),
             () = sleep_until(rate.interval_ends_at) => {
                 rate.end_interval()?;
                 continue;
@@ -160,89 +159,31 @@
         })?;
         // Trailers are not passed on.
         if let Ok(data) = frame.into_data() {
-            if (gathering.length + data.len()) as u64 > max_bytes {
+            if (received.len() + data.len()) as u64 > max_bytes {
                 return Err(BodyRefusal::TooLarge);
             }
             rate.interval_bytes += data.len() as u64;
-            gathering.append(&data).await?;
+            received.lease().record_received();
+            received.append(&data).await?;
         }
     }
-    Ok(gathering.finish())
-}
-
-/// A body that is being received.
-struct Gathering {
-    lease: ByteLease,
-    stated_bytes: Option<usize>,
-    segments: VecDeque<Bytes>,
-    segment: BytesMut,
-    segment_bytes: usize,
-    length: usize,
+    Ok(finish(received))
 }
 
-impl Gathering {
-    fn new(lease: ByteLease, stated_bytes: Option<u64>) -> Self {
-        lease.record_received();
-        Self {
-            lease,
-            stated_bytes: stated_bytes.and_then(|bytes| usize::try_from(bytes).ok()),
-            segments: VecDeque::new(),
-            segment: BytesMut::new(),
-            segment_bytes: FIRST_SEGMENT_BYTES,
-            length: 0,
-        }
-    }
-
-    /// Copies data into segments, so that small chunks cost no more than their bytes and no buffer of the connection
-    /// stays in use.
-    async fn append(&mut self, mut data: &[u8]) -> Result<(), BodyRefusal> {
-        self.lease.record_received();
-        while !data.is_empty() {
-            let free_bytes = self.segment_bytes.min(self.segment.capacity()) - self.segment.len();
-            if free_bytes == 0 {
-                self.open_segment().await?;
-                continue;
-            }
-            let (taken, rest) = data.split_at(free_bytes.min(data.len()));
-            self.segment.extend_from_slice(taken);
-            self.length += taken.len();
-            data = rest;
-        }
-        Ok(())
-    }
-
-    async fn open_segment(&mut self) -> Result<(), BodyRefusal> {
-        let segment_bytes = match self.stated_bytes {
-            Some(stated_bytes) => (stated_bytes - self.length).min(MAX_SEGMENT_BYTES),
-            None => (self.length + FIRST_SEGMENT_BYTES).min(MAX_SEGMENT_BYTES),
-        };
-        // A body that is longer than stated is malformed; the connection reports that before.
-        let segment_bytes = segment_bytes.max(1);
-        self.lease.grow(segment_bytes as u64).await?;
-        let next = BytesMut::with_capacity(segment_bytes);
-        let full = std::mem::replace(&mut self.segment, next);
-        if !full.is_empty() {
-            self.segments.push_back(full.freeze());
-        }
-        self.segment_bytes = segment_bytes;
-        Ok(())
-    }
-
-    fn finish(mut self) -> RequestBody {
-        self.lease.record_complete();
-        if !self.segment.is_empty() {
-            self.segments.push_back(self.segment.freeze());
-        }
-        let store = BodyStore {
-            segments: self.segments.into(),
-            length: self.length,
-            _lease: self.lease,
-        };
-        RequestBody {
-            store: Some(Arc::new(store)),
-            next_segment: 0,
-            sent_bytes: 0,
-        }
+/// Ends the gathering of a complete body.
+fn finish(received: SegmentBuffer) -> RequestBody {
+    received.lease().record_complete();
+    let length = received.len();
+    let (segments, lease) = received.close();
+    let store = BodyStore {
+        segments,
+        length,
+        _lease: lease,
+    };
+    RequestBody {
+        store: Some(Arc::new(store)),
+        next_segment: 0,
+        sent_bytes: 0,
     }
 }
 
--- a/jayrack-meshd/tests/hostile_server.rs
+++ b/jayrack-meshd/tests/hostile_server.rs
@@ -18,7 +18,7 @@
     rand_core::{Rng, SeedableRng},
 };
 use rstest::rstest;
-use support::{FleetStore, HostProcess, configuration, signature_of, until};
+use support::{FleetStore, HostLimits, HostProcess, configuration, signature_of, until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -27,6 +27,14 @@
 
 /// Memory that a daemon may take, in kilobytes.
 const MAX_MEMORY_KB: u64 = 32 << 10;
+/// Memory of a host whose server answers in chunks of one byte, in megabytes; the bound of the test.
+const SMALL_HOST_MB: u64 = 32;
+/// Time limit of the routes to that server, in seconds: long enough to receive millions of chunks.
+const LONG_TIMEOUT_S: f64 = 8.0;
+/// More requests to that server than it has slots, several times over.
+const CROWD: usize = 12;
+/// Prefix of the identifiers of requests that an endless server answers properly.
+const SOUND_PREFIX: &str = "sound";
 /// Time limit that only ends a body that is never broken off.
 const HANG_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time limit of the routes, in seconds.
@@ -131,6 +139,9 @@
         while let Some(id) = read_id(&mut stream).await {
             self.received.lock().unwrap().push(id.clone());
             let sent = match &script {
+                Script::Endless { .. } if id.starts_with(SOUND_PREFIX) => {
+                    stream.write_all(fill(ANSWER, &id).as_bytes()).await
+                }
                 Script::Endless {
                     start,
                     repeated,
@@ -327,7 +338,7 @@
     let (host, server) = hostile_host(&store, endless(start, repeated, pause)).await;
 
     let asking = (0..REQUESTS).map(|number| {
-        let asking = ask_until_closed(host.callers(), format!("r-{number}"));
+        let asking = ask_until_closed(host.callers(), format!("r-{number}"), TIMEOUT_S);
         tokio::spawn(tokio::time::timeout(HANG_TIMEOUT, asking))
     });
     let mut answers = Vec::new();
@@ -347,13 +358,14 @@
     assert!(host.peak_memory_kb() < MAX_MEMORY_KB);
 }
 
-/// Sends a request with a deadline of half a second and reads until the daemon closes the connection; the caller itself
-/// never closes it. Returns the last bytes received after the status line.
-async fn ask_until_closed(address: std::net::SocketAddr, id: String) -> String {
+/// Sends a request with a deadline of `time_left_s` seconds and reads until the daemon closes the connection; the caller
+/// itself never closes it. Returns the last bytes received after the status line.
+async fn ask_until_closed(address: std::net::SocketAddr, id: String, time_left_s: f64) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let (echo, deadline) = (headers::REQUEST_ID, headers::TIME_LEFT_MS);
+    let time_left_ms = time_left_s * 1_000.0;
     let request = format!(
-        "GET /browse/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: {id}\r\n{deadline}: 500\r\nconnection: close\r\n\r\n"
+        "GET /browse/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: {id}\r\n{deadline}: {time_left_ms:.0}\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
     let (mut first, mut last) = (String::new(), String::new());
@@ -375,6 +387,63 @@
     format!("{first} {last}")
 }
 
+/// Guards against bookkeeping for each chunk of an answer that takes many times the memory of its data, at the daemon beside
+/// the server and at one elsewhere.
+#[rstest]
+#[case::beside_the_callers(false)]
+#[case::at_another_host(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_in_chunks_of_one_byte_stay_within_the_memory_of_the_host(
+    #[case] is_elsewhere: bool,
+) {
+    let store = FleetStore::start().await;
+    store
+        .put_configuration(&configuration(1, LONG_TIMEOUT_S))
+        .await;
+    let limits = HostLimits {
+        memory_mb: Some(SMALL_HOST_MB),
+        max_descriptors: None,
+    };
+    let owner = HostProcess::start_limited(&store, limits);
+    let other = HostProcess::start_limited(&store, limits);
+    let start = format!("{SIGNED_HEAD}transfer-encoding: chunked\r\n\r\n").leak();
+    let _server = RawServer::start(&owner, endless(start, "1\r\nb\r\n", NO_PAUSE)).await;
+    owner
+        .until_reported("i-1", owner.status("ready", 1, 1))
+        .await;
+    let ingress = if is_elsewhere { &other } else { &owner };
+    until_sound_answer(ingress).await;
+
+    let asking = (0..CROWD).map(|number| {
+        let id = format!("r-{number}");
+        tokio::spawn(ask_until_closed(ingress.callers(), id, LONG_TIMEOUT_S))
+    });
+    for asked in asking.collect::<Vec<_>>() {
+        asked.await.unwrap();
+    }
+
+    for host in [&owner, &other] {
+        assert!(host.is_running(), "a process has ended");
+        let peak_kb = host.peak_memory_kb();
+        println!("VmHWM {peak_kb} kB");
+        assert!(peak_kb <= SMALL_HOST_MB * 1_024, "{peak_kb} kB");
+    }
+    // The server reports nothing, so it counts as silent by now.
+    owner
+        .until_reported("i-1", owner.status("ready", 1, 2))
+        .await;
+    until_sound_answer(ingress).await;
+}
+
+/// Waits until the server's daemon and `ingress` serve a request that the server answers properly.
+async fn until_sound_answer(ingress: &HostProcess) {
+    until("a sound answer arrives", || async {
+        let answer = ingress.ask(Method::GET, "/browse/1", SOUND_PREFIX).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
+
 /// The head of a refusal says that the request has not run, whatever its body does.
 #[rstest]
 #[case::fast("bbbbbbbb", NO_PAUSE)]
@@ -509,7 +578,11 @@
     let fault = LargeFault::Stalled;
     let script = Script::Large { fault, faulty: 1 };
     let (host, server) = hostile_host(&store, script).await;
-    let stalled = tokio::spawn(ask_until_closed(host.callers(), "r-stalled".to_string()));
+    let stalled = tokio::spawn(ask_until_closed(
+        host.callers(),
+        "r-stalled".to_string(),
+        TIMEOUT_S,
+    ));
     until("the stalled answer has begun", || async {
         !server.received().is_empty()
     })
