test(meshd): count unread bytes of connections to the server in crowds

The memory bound of the crowds counted what waits in the kernel for accepted connections only. Connections that the daemon opens to its server count as well now; the bounds are unchanged.

The stand-in server's delay can change during a test, and its reports may go on; both serve the tests of stops.

--- a/jayrack-meshd/tests/crowd/fixture.rs
+++ b/jayrack-meshd/tests/crowd/fixture.rs
@@ -29,10 +29,6 @@
 const SETTLE_REPEATS: usize = 10;
 /// Looks after which the checks are made in any case.
 const SETTLE_MAX_CHECKS: usize = 400;
-/// Interval between two reports of the server.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Reports that suffice for the longest test.
-const MAX_REPORTS: u64 = 1_000;
 /// Time left of each request, in milliseconds; no test depends on it.
 const TIME_LEFT_MS: u64 = 20_000;
 /// Timeout of the routes, in seconds; no test depends on it.
@@ -78,8 +74,8 @@
         host.until_reported("i-1", host.status("ready", 1, 1)).await;
         host.until_ready(StatusCode::OK).await;
         until_served(&host).await;
-        keep_reporting(&host);
-        let meter = MemoryMeter::start(&host);
+        host.keep_reporting();
+        let meter = MemoryMeter::start(&host, &[host.server()]);
         Self {
             store,
             host,
@@ -92,15 +88,11 @@
 
     /// Waits until the daemon has taken what the crowd sends, or no longer takes more of it.
     pub async fn settle(&self) {
-        let listeners = [self.host.callers(), self.host.forward()];
+        let sockets = HostSockets::new(&self.host, &[self.host.server()]);
         let probe = self.host.probe();
         let state = || {
             let memory_kb = probe.memory_kb();
-            (
-                memory_kb,
-                probe.open_descriptors(),
-                unread_bytes(&listeners),
-            )
+            (memory_kb, probe.open_descriptors(), sockets.unread_bytes())
         };
         let (mut last, mut repeats) = (state(), 0);
         for _ in 0..SETTLE_MAX_CHECKS {
@@ -146,20 +138,6 @@
     }
 }
 
-/// Reports for the server until the test ends, since a silent server gets no more requests.
-fn keep_reporting(host: &HostProcess) {
-    let reporter = host.reporter();
-    let statuses: Vec<_> = (2..MAX_REPORTS)
-        .map(|sequence| host.status("ready", 1, sequence))
-        .collect();
-    tokio::spawn(async move {
-        for status in statuses {
-            sleep(REPORT_INTERVAL).await;
-            reporter.report("i-1", "heartbeat", status).await;
-        }
-    });
-}
-
 /// Waits until a short request of a caller is answered.
 pub async fn until_served(host: &HostProcess) {
     until("an ordinary request is answered", || async {
@@ -207,7 +185,8 @@
 }
 
 impl MemoryMeter {
-    fn start(host: &HostProcess) -> Self {
+    /// Starts to sample `host`, whose daemon connects to the addresses `dialed`.
+    fn start(host: &HostProcess, dialed: &[SocketAddr]) -> Self {
         let meter = Self {
             peak_kb: Arc::default(),
             most_descriptors: Arc::default(),
@@ -218,12 +197,12 @@
             meter.most_descriptors.clone(),
             meter.is_over.clone(),
         );
-        let listeners = [host.callers(), host.forward()];
+        let sockets = HostSockets::new(host, dialed);
         let probe = host.probe();
         tokio::spawn(async move {
             while !is_over.load(Ordering::Relaxed) {
                 let memory_kb = probe.memory_kb().unwrap_or(0);
-                let unread_kb = unread_bytes(&listeners) / 1_024;
+                let unread_kb = sockets.unread_bytes() / 1_024;
                 peak_kb.fetch_max(memory_kb + unread_kb, Ordering::Relaxed);
                 let descriptors = probe.open_descriptors();
                 most_descriptors.fetch_max(descriptors, Ordering::Relaxed);
@@ -248,25 +227,40 @@
     }
 }
 
-/// Bytes that the kernel has received for the connections of `listeners` and that were not read yet.
-fn unread_bytes(listeners: &[SocketAddr]) -> u64 {
-    let locals: Vec<String> = listeners.iter().map(kernel_text).collect();
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let unread = |line: &str| {
-        let mut fields = line.split_whitespace().skip(1);
-        let is_local = fields
-            .next()
-            .is_some_and(|local| locals.iter().any(|own| own == local));
-        let queues = fields.nth(2).filter(|_| is_local)?;
-        // The state `0A` of a listener counts connections in this column, not bytes.
-        let (_, received) = queues.split_once(':')?;
-        u64::from_str_radix(received, 16).ok()
-    };
-    table
-        .lines()
-        .filter(|line| !line.contains(" 0A "))
-        .filter_map(unread)
-        .sum()
+/// The connections of a daemon in the kernel's table.
+struct HostSockets {
+    listeners: Vec<String>,
+    dialed: Vec<String>,
+}
+
+impl HostSockets {
+    fn new(host: &HostProcess, dialed: &[SocketAddr]) -> Self {
+        let listeners = [host.callers(), host.forward()];
+        Self {
+            listeners: listeners.iter().map(kernel_text).collect(),
+            dialed: dialed.iter().map(kernel_text).collect(),
+        }
+    }
+
+    /// Bytes that the kernel has received for these connections and that were not read yet.
+    fn unread_bytes(&self) -> u64 {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let unread = |line: &str| {
+            let mut fields = line.split_whitespace().skip(1);
+            let (local, remote) = (fields.next()?, fields.next()?);
+            let is_own = self.listeners.iter().any(|own| own == local)
+                || self.dialed.iter().any(|peer| peer == remote);
+            let queues = fields.nth(1).filter(|_| is_own)?;
+            // The state `0A` of a listener counts connections in this column, not bytes.
+            let (_, received) = queues.split_once(':')?;
+            u64::from_str_radix(received, 16).ok()
+        };
+        table
+            .lines()
+            .filter(|line| !line.contains(" 0A "))
+            .filter_map(unread)
+            .sum()
+    }
 }
 
 /// An address as the kernel's table of connections has it.
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -36,6 +36,10 @@
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between two checks of a condition that a test waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval between two reports of a server that keeps reporting.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Reports that suffice for the longest test.
+const MAX_REPORTS: u64 = 1_000;
 const CALLERS_PORT: u16 = 21_001;
 const FORWARD_PORT: u16 = 21_002;
 const READY_PORT: u16 = 21_003;
@@ -387,6 +391,20 @@
         })
     }
 
+    /// Reports `i-1` as ready until the test ends, since a silent server gets no more requests.
+    pub fn keep_reporting(&self) {
+        let reporter = self.reporter();
+        let statuses: Vec<_> = (2..MAX_REPORTS)
+            .map(|sequence| self.status("ready", 1, sequence))
+            .collect();
+        tokio::spawn(async move {
+            for status in statuses {
+                sleep(REPORT_INTERVAL).await;
+                reporter.report("i-1", "heartbeat", status).await;
+            }
+        });
+    }
+
     /// Sends a status report until it is acknowledged.
     pub async fn until_reported(&self, instance: &str, body: serde_json::Value) {
         until("a report is acknowledged", || {
@@ -550,7 +568,7 @@
 #[derive(Clone)]
 pub struct ServerStandin {
     instance: Arc<Mutex<String>>,
-    delay: Duration,
+    delay: Arc<Mutex<Duration>>,
     runs: Arc<Mutex<Vec<ServerRun>>>,
     fails: Arc<AtomicBool>,
 }
@@ -570,7 +588,7 @@
     pub async fn start(address: SocketAddr, instance: &str, delay: Duration) -> Self {
         let standin = Self {
             instance: Arc::new(Mutex::new(instance.to_string())),
-            delay,
+            delay: Arc::new(Mutex::new(delay)),
             runs: Arc::default(),
             fails: Arc::default(),
         };
@@ -599,6 +617,11 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Makes the server answer all later requests after `delay`.
+    pub fn set_delay(&self, delay: Duration) {
+        *self.delay.lock().unwrap() = delay;
+    }
+
     /// Makes the server answer all later requests with an error status.
     pub fn fail_all(&self) {
         self.fails.store(true, Ordering::Relaxed);
@@ -630,7 +653,8 @@
             at: Instant::now(),
             fields: request.headers().clone(),
         });
-        sleep(self.delay).await;
+        let delay = *self.delay.lock().unwrap();
+        sleep(delay).await;
         if self.fails.load(Ordering::Relaxed) {
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         }
