fix(meshd): accept requests during a stop only while they can be answered

Callers saw: with little time between the signal and the forced end (2 s), requests that arrived shortly before the end were passed on and cut off without an answer (LOST).

Cause: requests were accepted for 2.3 s after the signal whatever the time until the end, which came 0.8 s before the forced end; with 2 s, accepting and answering ended at the same moment.

Threads learn the phase from one watch channel instead of two flags and a notification that a busy connection could miss. The process waits until its connections have written what they hold, instead of 60 ms.

--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`budget`]: retry budget of each service.
 //! * [`rollout`]: roll-outs of new software versions.
 //! * [`running`]: requests that the backend server runs, and whether their nested calls were refused.
+//! * [`stop`]: times of a planned stop.
 //! * [`delta`]: deltas between two versions of a text.
 //! * [`readers`]: selection of the hosts that read the store on behalf of the others.
 //! * [`shedding`]: early refusal at the ingress while a service is full.
@@ -48,6 +49,7 @@
 pub mod shedding;
 pub mod split;
 pub mod status;
+pub mod stop;
 pub mod tenants;
 pub mod transit;
 
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -32,6 +32,7 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
+use jayrack_mesh::stop::{StopPhase, StopPlan};
 use jayrack_platform::{
     pool,
     store::{self, StoreClient},
@@ -39,7 +40,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use crate::{
@@ -65,13 +66,9 @@
 const TICKS_PER_CLEANUP: u32 = 100;
 /// Interval between two reads of the settings file.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after the termination signal for which callers are still served: the platform notices after two readiness
-/// checks, one per second.
-const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2_300);
-/// Time reserved between the exit of the process and its forced end.
-const STOP_MARGIN: Duration = Duration::from_millis(800);
-/// Time for the connections to close after the last answer.
-const CONNECTION_CLOSE_TIME: Duration = Duration::from_millis(60);
+/// Fraction of the time between the end of all requests and the forced end of the process in which connections may still
+/// write what they hold.
+const FLUSH_DIVISOR: u32 = 2;
 /// Time without a report or an answer of the backend server after which it gets no more requests, in milliseconds:
 /// the interval of two reports and their delay.
 const SERVER_SILENCE_TIMEOUT_MS: u64 = 4_000;
@@ -275,21 +272,28 @@
 }
 
 /// Stops without aborting requests: first the platform sends callers elsewhere, then requests that still arrive are
-/// refused, and the process exits after the last answer.
+/// refused, and the process exits after the last answer has been written.
 async fn stop(control: &ControlState, traffic: &TrafficState, stop_s: f64) {
     let mesh = &control.mesh;
-    let grace = Duration::from_secs_f64(stop_s).saturating_sub(STOP_MARGIN);
+    let plan = StopPlan::new(Duration::from_secs_f64(stop_s));
     let started = Instant::now();
     log::info!(in_flight = mesh.in_flight(); "stopping");
-    mesh.set_leaving();
+    mesh.start_stop(&plan);
     control.gossip.publish(mesh).await;
-    sleep(CALLER_DRAIN_TIME.min(grace)).await;
-    mesh.set_closing();
+    sleep_until(started + plan.close_after).await;
+    mesh.enter_phase(StopPhase::Closing);
     mesh.gate.suspend();
-    while mesh.in_flight() > 0 && started.elapsed() < grace {
+    while mesh.in_flight() > 0 && started.elapsed() < plan.end_after {
         sleep(TICK_INTERVAL).await;
     }
     log::info!(in_flight = mesh.in_flight(), store_calls = control.store.calls(); "stopped");
-    traffic.closing.notify_waiters();
-    sleep(CONNECTION_CLOSE_TIME).await;
+    mesh.enter_phase(StopPhase::Ending);
+    let flush_time = plan.kill_after.saturating_sub(plan.end_after) / FLUSH_DIVISOR;
+    let flushed_by = Instant::now() + flush_time;
+    while !traffic.connections.is_empty() && Instant::now() < flushed_by {
+        sleep(TICK_INTERVAL).await;
+    }
+    if !traffic.connections.is_empty() {
+        log::warn!(connections = traffic.connections.len(); "connections are cut off");
+    }
 }
--- a/jayrack-meshd/src/shared.rs
+++ b/jayrack-meshd/src/shared.rs
@@ -3,10 +3,10 @@
     collections::BTreeMap,
     net::IpAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -16,9 +16,10 @@
     health::{FailureMeter, ServerHealth},
     pick::HostReport,
     rollout::ExposureBounds,
+    stop::{StopPhase, StopPlan},
 };
 use rustix::time::{ClockId, clock_gettime};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     control::configuration::AcceptedConfiguration,
@@ -66,8 +67,9 @@
     knowledge: Mutex<KnowledgeAge>,
     started: Instant,
     started_boot_ms: u64,
-    leaving: AtomicBool,
-    closing: AtomicBool,
+    stop_phase: watch::Sender<StopPhase>,
+    /// When requests in flight are ended, once the daemon stops.
+    ends_at: OnceLock<Instant>,
     accepted: Mutex<AcceptedConfiguration>,
     reports: Mutex<HostReports>,
     running: Mutex<RunningRequests>,
@@ -99,8 +101,8 @@
             knowledge: Mutex::new(knowledge),
             started: Instant::now(),
             started_boot_ms: boot_ms(),
-            leaving: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            stop_phase: watch::Sender::default(),
+            ends_at: OnceLock::new(),
             accepted: Mutex::default(),
             reports: Mutex::default(),
             running: Mutex::default(),
@@ -206,17 +208,38 @@
 
     /// Whether the daemon is stopping and reports itself as not ready for callers.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        *self.stop_phase.borrow() >= StopPhase::Leaving
     }
 
-    /// Makes the daemon report itself as not ready for callers; requests that arrive all the same are still served.
-    pub fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Begins to stop: the daemon reports itself as not ready for callers.
+    pub fn start_stop(&self, plan: &StopPlan) {
+        self.ends_at.get_or_init(|| Instant::now() + plan.end_after);
+        self.enter_phase(StopPhase::Leaving);
+    }
+
+    /// Enters a phase of a stop.
+    pub fn enter_phase(&self, phase: StopPhase) {
+        self.stop_phase.send_replace(phase);
+    }
+
+    /// Waits until a stop has reached `phase`, which it may have done before.
+    pub async fn until_phase(&self, phase: StopPhase) {
+        let mut phases = self.stop_phase.subscribe();
+        // Fails only if the sender is dropped, which lives as long as this state.
+        let _ = phases.wait_for(|current| *current >= phase).await;
+    }
+
+    /// Whether a request that is sent to a server now may have its answer within `service_time`, before the daemon ends the
+    /// requests in flight.
+    pub fn has_time_for(&self, service_time: Duration) -> bool {
+        self.ends_at
+            .get()
+            .is_none_or(|ends_at| Instant::now() + service_time <= *ends_at)
     }
 
     /// Whether the daemon refuses all new requests, of callers and of other daemons.
     pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Acquire)
+        *self.stop_phase.borrow() >= StopPhase::Closing
     }
 
     /// Counts the request `id` as running at the backend server until the guard is dropped.
@@ -274,11 +297,6 @@
         }
     }
 
-    /// Makes the daemon refuse all new requests, of callers and of other daemons.
-    pub fn set_closing(&self) {
-        self.closing.store(true, Ordering::Release);
-    }
-
     /// Counts a request as in flight until the guard is dropped.
     pub fn track_in_flight(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
--- a/jayrack-meshd/src/traffic/connections.rs
+++ b/jayrack-meshd/src/traffic/connections.rs
@@ -146,6 +146,16 @@
         })
     }
 
+    /// Number of open connections.
+    pub fn len(&self) -> usize {
+        self.lock().connections.len()
+    }
+
+    /// Whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Closes an idle connection: one without any request first, then the one that is idle for the longest time.
     /// Returns whether there was one.
     pub fn close_idle(&self) -> bool {
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -3,6 +3,7 @@
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use jayrack_mesh::stop::StopPhase;
 use jayrack_platform::socket;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -177,7 +178,7 @@
                 }
                 return;
             }
-            () = state.closing.notified() => break,
+            () = state.mesh.until_phase(StopPhase::Ending) => break,
             () = connection_state.close.notified() => break,
             () = tokio::time::sleep(until_check) => {
                 if connection_state.idle_time().is_some_and(|idle| idle >= timeout) {
--- a/jayrack-meshd/src/traffic/state.rs
+++ b/jayrack-meshd/src/traffic/state.rs
@@ -2,7 +2,6 @@
 use std::{sync::Arc, time::Duration};
 
 use jayrack_platform::socket::SocketOptions;
-use tokio::sync::Notify;
 
 use super::{
     connections::ConnectionTable,
@@ -45,8 +44,6 @@
     pub budget: ByteBudget,
     /// Open connections of clients.
     pub connections: ConnectionTable,
-    /// Wakes all connections when the daemon closes them.
-    pub closing: Notify,
 }
 
 impl TrafficState {
@@ -71,7 +68,6 @@
             server_pool: ConnectionPool::new(options(SERVER_CONNECT_TIMEOUT, SERVER_MAX_IDLE)),
             budget,
             connections,
-            closing: Notify::new(),
         }
     }
 }
--- a/jayrack-meshd/tests/stop.rs
+++ b/jayrack-meshd/tests/stop.rs
@@ -19,11 +19,23 @@
 const RUN_TIME: Duration = Duration::from_millis(1_200);
 /// Number of slots that the server reports.
 const SLOTS: usize = 4;
+/// Time limit of the routes, in seconds.
+const TIMEOUT_S: f64 = 4.0;
+/// Time between requests that arrive during a stop.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
 async fn running_host(store: &FleetStore) -> (HostProcess, ServerStandin) {
-    store.put_configuration(&configuration(1, 4.0)).await;
+    running_host_with(store, TIMEOUT_S, RUN_TIME).await
+}
+
+async fn running_host_with(
+    store: &FleetStore,
+    timeout_s: f64,
+    run_time: Duration,
+) -> (HostProcess, ServerStandin) {
+    store.put_configuration(&configuration(1, timeout_s)).await;
     let host = HostProcess::start(store);
-    let server = ServerStandin::start(host.server(), "i-1", RUN_TIME).await;
+    let server = ServerStandin::start(host.server(), "i-1", run_time).await;
     host.until_reported("i-1", host.status("ready", 1, 1)).await;
     host.until_ready(StatusCode::OK).await;
     until("a caller is answered", || async {
@@ -34,10 +46,26 @@
     (host, server)
 }
 
+/// A host without a server, which forwards to the one of another host.
+async fn ingress_host(store: &FleetStore) -> HostProcess {
+    let ingress = HostProcess::start(store);
+    until("the other host forwards", || async {
+        let answer = ingress.ask(Method::GET, "/browse/1", "warm").await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    ingress
+}
+
 fn request(id: &str, body_bytes: usize) -> String {
+    request_within(id, body_bytes, TIMEOUT_S)
+}
+
+fn request_within(id: &str, body_bytes: usize, time_left_s: f64) -> String {
+    let time_left_ms = time_left_s * 1_000.0;
     let (echo, deadline) = (headers::REQUEST_ID, headers::TIME_LEFT_MS);
     format!(
-        "POST /book/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: {id}\r\n{deadline}: 4000\r\ncontent-length: {body_bytes}\r\n\r\n"
+        "POST /book/1 HTTP/1.1\r\nhost: a.example\r\n{echo}: {id}\r\n{deadline}: {time_left_ms:.0}\r\ncontent-length: {body_bytes}\r\n\r\n"
     )
 }
 
@@ -111,6 +139,42 @@
     assert_eq!(host.exit_code().await, Some(0));
 }
 
+/// Guards against a stop that accepts requests until its end when the platform gives it little time.
+#[tokio::test]
+async fn requests_during_a_short_stop_are_answered() {
+    let store = FleetStore::start().await;
+    let run_time = Duration::from_millis(600);
+    let (_owner, server) = running_host_with(&store, TIMEOUT_S, run_time).await;
+    let mut host = ingress_host(&store).await;
+    host.change_settings("\"stop_s\": 6", "\"stop_s\": 2");
+    host.request_settings_reload();
+    sleep(Duration::from_millis(200)).await;
+
+    host.terminate();
+    let callers = host.callers();
+    let asking = (0..11).map(|number| {
+        tokio::spawn(async move {
+            sleep(REQUEST_INTERVAL * number).await;
+            let mut stream = TcpStream::connect(callers).await.ok()?;
+            let text = request(&format!("b-{number}"), 0);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            Some(statuses(&mut stream).await)
+        })
+    });
+    let mut answers = Vec::new();
+    for asked in asking.collect::<Vec<_>>() {
+        answers.extend(asked.await.unwrap());
+    }
+
+    let is_answered = |statuses: &Vec<String>| statuses == &["200"] || statuses == &["503"];
+    assert!(answers.iter().all(is_answered), "{answers:?}");
+    let succeeded = answers.iter().filter(|statuses| statuses[0] == "200");
+    let runs = server.runs();
+    let ran = runs.iter().filter(|id| id.starts_with("b-"));
+    assert_eq!(succeeded.count(), ran.count(), "{answers:?}, {runs:?}");
+    assert_eq!(host.exit_code().await, Some(0));
+}
+
 /// Guards against a request behind another one on the same connection that runs without an answer after the signal.
 #[tokio::test]
 async fn pipelined_requests_are_answered_or_do_not_run_at_a_stop() {
@@ -186,12 +250,7 @@
 async fn a_daemon_that_was_paused_sends_nothing_to_a_server_that_has_left() {
     let store = FleetStore::start().await;
     let (owner, server) = running_host(&store).await;
-    let ingress = HostProcess::start(&store);
-    until("the other host forwards", || async {
-        let answer = ingress.ask(Method::GET, "/browse/1", "warm").await;
-        answer.is_some_and(|answer| answer.status == StatusCode::OK)
-    })
-    .await;
+    let ingress = ingress_host(&store).await;
 
     ingress.suspend();
     let asking = ingress.ask(Method::GET, "/browse/1", "late");
