fix(meshd): pass no request on whose answer the stop would cut off

Callers saw: a request whose body was still arriving when the daemon began to refuse new ones was passed on to a server of another host up to 3 s later, and cut off without an answer at the end of the process (LOST); an operator reported the same of another system.

Cause: whether requests are still accepted was checked once, when the head arrived. The time for its body, for a token of its tenant and for earlier attempts came after that.

Change: the phase is checked again right before the first attempt; an attempt that would outlast the end by the route's usual service time is not made. Such a request has not run and is refused with 503.

Evidence: a_request_whose_body_ends_late_in_a_stop_is_not_cut_off failed before: the request ran, and its connection ended without an answer. Requests for the server beside the daemon did not show it, since the server's gate refuses them from then on.

--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -22,7 +22,7 @@
     body::AnswerBody,
     connections::ConnectionState,
     forward::{self, AttemptKind, ForwardHead, NotRunReason, OwnerOutcome, SendTime},
-    intake::{CallerRequest, NOT_READY_RETRY_AFTER_MS, read_request},
+    intake::{CallerRequest, NOT_READY_RETRY_AFTER_MS, read_request, refuse_for_stop},
     owner::{self, OwnedRequest},
     request_body,
     state::TrafficState,
@@ -207,6 +207,10 @@
     if request.time_left_ms == 0 {
         return CallerAnswer::Refusal(ResultCode::DeadlinePassed, MIN_RETRY_AFTER_MS);
     }
+    // The body or a token may have arrived long after the head, by which the request was accepted.
+    if state.mesh.is_closing() {
+        return refuse_for_stop();
+    }
     state
         .router
         .record_request(&request.service, request.kind(), request.is_parent_retry);
@@ -284,6 +288,11 @@
         let Some(picked) = picked else {
             return give_up(state, request, progress, &candidates);
         };
+        let service_time =
+            Duration::from_millis(state.router.service_ms(&request.route.name) as u64);
+        if !state.mesh.has_time_for(service_time) {
+            return give_up(state, request, progress, &candidates);
+        }
         let is_new = request.kind() == RequestKind::NewRequest;
         let estimates_loads = state.mesh.estimates_loads();
         if estimates_loads
--- a/jayrack-meshd/src/traffic/intake.rs
+++ b/jayrack-meshd/src/traffic/intake.rs
@@ -63,10 +63,7 @@
 ) -> Result<CallerRequest, CallerAnswer> {
     let (mut parts, body) = request.into_parts();
     if state.mesh.is_closing() {
-        return Err(CallerAnswer::Refusal(
-            ResultCode::Draining,
-            RESTART_RETRY_AFTER_MS,
-        ));
+        return Err(refuse_for_stop());
     }
     let routes = state.mesh.routes.load_full().ok_or(CallerAnswer::Refusal(
         ResultCode::NotReady,
@@ -131,6 +128,11 @@
     })
 }
 
+/// Answer to a request that the daemon does not begin to forward because it stops.
+pub(super) fn refuse_for_stop() -> CallerAnswer {
+    CallerAnswer::Refusal(ResultCode::Draining, RESTART_RETRY_AFTER_MS)
+}
+
 /// Answer to a request whose body was not received; it has not run.
 fn refuse_body(state: &TrafficState, route: &MeshRoute, refusal: BodyRefusal) -> CallerAnswer {
     log::info!(route = route.name.as_str(), reason = refusal.name(); "body not received");
--- a/jayrack-meshd/tests/stop.rs
+++ b/jayrack-meshd/tests/stop.rs
@@ -21,6 +21,12 @@
 const SLOTS: usize = 4;
 /// Time limit of the routes, in seconds.
 const TIMEOUT_S: f64 = 4.0;
+/// Time limit of the routes where requests last longer than a stop, in seconds.
+const LONG_TIMEOUT_S: f64 = 15.0;
+/// Parts of a body that arrives until shortly before the end of a stop, their size in bytes, and the time between two.
+const SLOW_PARTS: usize = 9;
+const SLOW_PART_BYTES: usize = 6 << 10;
+const SLOW_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between requests that arrive during a stop.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -139,6 +145,31 @@
     assert_eq!(host.exit_code().await, Some(0));
 }
 
+/// Guards against a request whose body ends shortly before the end of the process: it was passed on to its server and cut
+/// off without an answer.
+#[tokio::test]
+async fn a_request_whose_body_ends_late_in_a_stop_is_not_cut_off() {
+    let store = FleetStore::start().await;
+    let (owner, server) = running_host_with(&store, LONG_TIMEOUT_S, RUN_TIME).await;
+    owner.keep_reporting();
+    let mut host = ingress_host(&store).await;
+    let mut stream = connect(host.callers()).await;
+    let head = request_within("b-1", SLOW_PARTS * SLOW_PART_BYTES, LONG_TIMEOUT_S);
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(REQUEST_INTERVAL).await;
+
+    host.terminate();
+    for _ in 0..SLOW_PARTS {
+        sleep(SLOW_INTERVAL).await;
+        stream.write_all(&[b'x'; SLOW_PART_BYTES]).await.unwrap();
+    }
+    let answered = statuses(&mut stream).await;
+
+    assert_eq!(answered, ["503"]);
+    assert!(!server.runs().contains(&"b-1".to_string()));
+    assert_eq!(host.exit_code().await, Some(0));
+}
+
 /// Guards against a stop that accepts requests until its end when the platform gives it little time.
 #[tokio::test]
 async fn requests_during_a_short_stop_are_answered() {
