fix(meshd): answer requests that are still open at the end of a stop

Callers saw: a request without an answer at the end of a stop, such as one that waited at another host or whose server was silent, had its connection closed without a word.

Cause: the process ended with its requests in flight.

Change: at the end, such a request is answered with 502, since it may have run, or with 503 if no server has it.

Evidence: a_request_without_an_answer_at_the_end_of_a_stop_is_told_so failed before, with no answer at all.

--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -10,6 +10,7 @@
     attempts::{AttemptHistory, AttemptOutcome},
     budget::RequestKind,
     pick::{HostCandidate, PickRequest},
+    stop::StopPhase,
 };
 use jayrack_platform::headers;
 use jayrack_protocol::ResultCode;
@@ -246,24 +247,32 @@
     let stream_ends_at =
         Instant::now() + Duration::from_millis(request.time_left_ms) + STREAM_GRACE;
     let forwarding = try_hosts(state, request, &mut progress, &mut is_sent);
-    if let Ok(answer) = timeout_at(expires_at, forwarding).await {
+    let in_time = tokio::select! {
+        biased;
+        in_time = timeout_at(expires_at, forwarding) => in_time.ok(),
+        () = state.mesh.until_phase(StopPhase::Ending) => None,
+    };
+    if let Some(answer) = in_time {
         return answer.with_deadline(stream_ends_at);
     }
+    let is_expired = Instant::now() >= expires_at;
     log::warn!(
         target: logging::REQUEST,
         id = forward::request_id(&request.parts.headers),
         route = request.route.name.as_str(),
         hosts:? = progress.attempts.hosts(),
         sent = is_sent;
-        "time-out"
+        "{}",
+        if is_expired { "time-out" } else { "ended by a stop" }
     );
     if let Some(failure) = progress.failure {
         return CallerAnswer::Answer(failure);
     }
-    if is_sent || progress.is_lost {
-        CallerAnswer::Code(ResultCode::DeadlineExceeded)
-    } else {
-        CallerAnswer::Refusal(ResultCode::DeadlinePassed, MIN_RETRY_AFTER_MS)
+    match (is_sent || progress.is_lost, is_expired) {
+        (true, true) => CallerAnswer::Code(ResultCode::DeadlineExceeded),
+        (true, false) => CallerAnswer::Code(ResultCode::OutcomeUnknown),
+        (false, true) => CallerAnswer::Refusal(ResultCode::DeadlinePassed, MIN_RETRY_AFTER_MS),
+        (false, false) => refuse_for_stop(),
     }
 }
 
--- a/jayrack-meshd/tests/stop.rs
+++ b/jayrack-meshd/tests/stop.rs
@@ -206,6 +206,24 @@
     assert_eq!(host.exit_code().await, Some(0));
 }
 
+/// Guards against connections that end without any answer at the end of a stop.
+#[tokio::test]
+async fn a_request_without_an_answer_at_the_end_of_a_stop_is_told_so() {
+    let store = FleetStore::start().await;
+    let (mut host, server) = running_host_with(&store, LONG_TIMEOUT_S, RUN_TIME).await;
+    server.set_delay(Duration::from_secs(30));
+    let mut stream = connect(host.callers()).await;
+    let text = request_within("b-1", 0, LONG_TIMEOUT_S);
+    stream.write_all(text.as_bytes()).await.unwrap();
+    until_running(&server, "b-1").await;
+
+    host.terminate();
+    let answered = statuses(&mut stream).await;
+
+    assert_eq!(answered, ["502"]);
+    assert_eq!(host.exit_code().await, Some(0));
+}
+
 /// Guards against a request behind another one on the same connection that runs without an answer after the signal.
 #[tokio::test]
 async fn pipelined_requests_are_answered_or_do_not_run_at_a_stop() {
