fix(meshd): look at the key of a request that extends a running one's identifier

Cause: nested calls of the backend server need no key, and were recognised by their identifier, which clients choose.

Ruled out: telling them apart by address, listener, caller's name or other headers.

Change: a request with an Authorization header is a client's. RequestClaim holds the rule; priority, rank, retries and refused calls of parents are looked up by it only.

Evidence: a_request_with_a_key_is_no_nested_call failed before in its four cases with the parent here and passes. Open: a client without a key that knows a running request's identifier is still taken for the server.

--- a/jayrack-mesh/src/running.rs
+++ b/jayrack-mesh/src/running.rs
@@ -4,6 +4,31 @@
 //! retries of the request or of its other nested calls would only add load.
 use std::collections::BTreeMap;
 
+/// What a request says of itself, from which follows whether it may be a nested call.
+///
+/// Clients choose their identifiers freely, so the form of one proves nothing by itself. Servers send no key with their
+/// nested calls; a request with one is a client's, whatever its identifier.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestClaim<'a> {
+    id: &'a str,
+    has_key: bool,
+}
+
+impl<'a> RequestClaim<'a> {
+    /// Claim of a request with the identifier `id`, with or without any kind of key.
+    pub fn new(id: &'a str, has_key: bool) -> Self {
+        Self { id, has_key }
+    }
+
+    /// Identifier of the parent request if the request is a nested call.
+    ///
+    /// Servers derive the identifier of a nested call from that of its parent request: `PARENT.CALL`.
+    fn parent_id(&self) -> Option<&'a str> {
+        let (parent, _) = self.id.rsplit_once('.')?;
+        (!self.has_key).then_some(parent)
+    }
+}
+
 /// State of one running request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RunningState {
@@ -42,19 +67,16 @@
         self.requests.get(id).copied().unwrap_or_default()
     }
 
-    /// State of the parent request of the nested call `id`; `None` if no running request is its parent.
-    ///
-    /// Servers derive the identifier of a nested call from that of its parent request: `PARENT.CALL`.
-    pub fn parent(&self, id: &str) -> Option<RunningState> {
-        let (parent, _) = id.rsplit_once('.')?;
-        self.requests.get(parent).copied()
+    /// State of the parent request of a nested call; `None` if the request is none, or no running request is its parent.
+    pub fn parent(&self, claim: RequestClaim<'_>) -> Option<RunningState> {
+        self.requests.get(claim.parent_id()?).copied()
     }
 
-    /// Records for the parent request that its nested call `id` was refused.
-    pub fn record_refused_call(&mut self, id: &str) {
-        let state = id
-            .rsplit_once('.')
-            .and_then(|(parent, _)| self.requests.get_mut(parent));
+    /// Records for the parent request that its nested call was refused.
+    pub fn record_refused_call(&mut self, claim: RequestClaim<'_>) {
+        let state = claim
+            .parent_id()
+            .and_then(|parent| self.requests.get_mut(parent));
         if let Some(state) = state {
             state.has_refused_call = true;
         }
--- a/jayrack-mesh/tests/shed_calls.rs
+++ b/jayrack-mesh/tests/shed_calls.rs
@@ -5,12 +5,18 @@
 use jayrack_mesh::{
     RetryBudget, RunningRequests,
     budget::{Options, RequestKind},
+    running::RequestClaim,
 };
 use rand_pcg::{
     Pcg32,
     rand_core::{Rng, SeedableRng},
 };
 
+/// Nested call of a server, which carries no key.
+fn nested(id: &str) -> RequestClaim<'_> {
+    RequestClaim::new(id, false)
+}
+
 const SERVICE: &str = "bookings";
 const HOSTS: usize = 20;
 /// Running requests with two lookups each, per second and host.
@@ -70,7 +76,7 @@
             }
             let is_needed = call
                 .filter(|_| retry_kind == RequestKind::NestedCall)
-                .and_then(|call| self.running.parent(call))
+                .and_then(|id| self.running.parent(nested(id)))
                 .is_none_or(|parent| !parent.has_refused_call);
             if !is_needed || !self.budget.try_retry(now_ms, SERVICE, HOSTS, retry_kind) {
                 return false;
@@ -85,9 +91,9 @@
         let id = format!("p{number}");
         self.running.start(&id, false, None);
         for lookup in ["a", "b"] {
-            let call = format!("{id}.{lookup}");
-            if !self.send(now_ms, retry_kind, Some(&call)) {
-                self.running.record_refused_call(&call);
+            let id = format!("{id}.{lookup}");
+            if !self.send(now_ms, retry_kind, Some(&id)) {
+                self.running.record_refused_call(nested(&id));
             }
         }
         let state = self.running.end(&id);
@@ -171,18 +177,33 @@
     running.start("one", true, None);
     running.start("two", false, None);
 
-    running.record_refused_call("one.a");
-    running.record_refused_call("three.a");
+    running.record_refused_call(nested("one.a"));
+    running.record_refused_call(nested("three.a"));
 
-    let one = running.parent("one.b").expect("it runs");
+    let one = running.parent(nested("one.b")).expect("it runs");
     assert!(one.is_retry && one.has_refused_call);
     assert_eq!(
-        running.parent("two.a").map(|two| two.has_refused_call),
+        running
+            .parent(nested("two.a"))
+            .map(|two| two.has_refused_call),
         Some(false)
     );
-    assert_eq!(running.parent("three.a"), None);
+    assert_eq!(running.parent(nested("three.a")), None);
     assert!(running.end("one").has_refused_call);
-    assert_eq!(running.parent("one.c"), None);
+    assert_eq!(running.parent(nested("one.c")), None);
+}
+
+/// Guards against a client that gets what a nested call gets by choosing its identifier.
+#[test]
+fn a_request_with_a_key_is_no_nested_call() {
+    let mut running = RunningRequests::default();
+    running.start("one", true, None);
+    let claim = RequestClaim::new("one.a", true);
+
+    running.record_refused_call(claim);
+
+    assert_eq!(running.parent(claim), None);
+    assert!(!running.end("one").has_refused_call);
 }
 
 /// The servers of a service that receives no nested calls refuse half of their requests.
--- a/jayrack-meshd/src/traffic/authentication.rs
+++ b/jayrack-meshd/src/traffic/authentication.rs
@@ -8,7 +8,7 @@
 use jayrack_mesh::{
     MeshRoutes,
     routes::MeshRoute,
-    running::RunningState,
+    running::{RequestClaim, RunningState},
     tenants::{Tenant, TenantDirectory},
 };
 use jayrack_platform::headers;
@@ -56,6 +56,12 @@
     pub parent: Option<RunningState>,
 }
 
+/// What a request with these headers says of itself.
+pub fn claim_of(fields: &HeaderMap) -> RequestClaim<'_> {
+    let has_key = fields.contains_key(header::AUTHORIZATION);
+    RequestClaim::new(forward::request_id(fields), has_key)
+}
+
 /// Authenticates a request by its key, removes the key and sets the header with the tenant's name.
 ///
 /// `is_current` tells whether the knowledge of the keys is recent enough; it is called only for a request whose key is
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -10,6 +10,7 @@
     attempts::{AttemptHistory, AttemptOutcome},
     budget::RequestKind,
     pick::{HostCandidate, PickRequest},
+    running::RequestClaim,
     stop::StopPhase,
 };
 use jayrack_platform::headers;
@@ -20,6 +21,7 @@
     allowance,
     answer::{CallerAnswer, to_response},
     attempt::{Attempt, AttemptGuard, log_attempt, send},
+    authentication,
     body::AnswerBody,
     connections::ConnectionState,
     forward::{self, AttemptKind, ForwardHead, NotRunReason, OwnerOutcome, SendTime},
@@ -123,6 +125,7 @@
 ) -> Response<AnswerBody> {
     let started = Instant::now();
     let id = request.headers().get(headers::REQUEST_ID).cloned();
+    let has_key = request.headers().contains_key(header::AUTHORIZATION);
     let answer = match read_request(state, connection, request, started).await {
         Ok(request) => match allowance::admit(state, &request).await {
             Ok(permit) => {
@@ -141,7 +144,8 @@
     };
     let is_refused = matches!(answer, CallerAnswer::Refusal(..));
     if is_refused && let Some(id) = id.as_ref().and_then(|id| id.to_str().ok()) {
-        state.mesh.running().record_refused_call(id);
+        let claim = RequestClaim::new(id, has_key);
+        state.mesh.running().record_refused_call(claim);
     }
     state
         .mesh
@@ -427,8 +431,8 @@
 fn try_retry(state: &TrafficState, request: &CallerRequest) -> bool {
     let kind = request.kind();
     if kind == RequestKind::NestedCall {
-        let id = forward::request_id(&request.parts.headers);
-        let parent = state.mesh.running().parent(id);
+        let claim = authentication::claim_of(&request.parts.headers);
+        let parent = state.mesh.running().parent(claim);
         if parent.is_none_or(|parent| parent.has_refused_call) {
             return false;
         }
--- a/jayrack-meshd/src/traffic/intake.rs
+++ b/jayrack-meshd/src/traffic/intake.rs
@@ -85,10 +85,8 @@
     let time_left_ms = forward::number(&parts.headers, headers::TIME_LEFT_MS)
         .unwrap_or(route.timeout_ms)
         .saturating_sub(started.elapsed().as_millis() as u64);
-    let id = parts.headers.get(headers::REQUEST_ID);
-    let parent = id
-        .and_then(|id| id.to_str().ok())
-        .and_then(|id| state.mesh.running().parent(id));
+    let claim = authentication::claim_of(&parts.headers);
+    let parent = state.mesh.running().parent(claim);
     let identity = authentication::check(state, &mut parts.headers, &route, parent)?;
     let urgency = Urgency {
         stage: u8::from(parent.is_none()),
--- a/jayrack-meshd/tests/authentication.rs
+++ b/jayrack-meshd/tests/authentication.rs
@@ -5,7 +5,7 @@
 };
 use jayrack_mesh::{
     TenantDirectory,
-    running::{RunningRequests, RunningState},
+    running::{RequestClaim, RunningRequests, RunningState},
     tenants::Tenant,
 };
 use jayrack_meshd::traffic::{
@@ -128,7 +128,7 @@
     running.start("r1", false, rank);
     let mut fields = fields(&[]);
     let origin = RequestOrigin {
-        parent: running.parent("r1.1"),
+        parent: running.parent(RequestClaim::new("r1.1", false)),
         ..origin("r1.1")
     };
 
@@ -172,7 +172,10 @@
     let ended = running.end("r1");
 
     assert_eq!(ended.tenant_rank, Some(1));
-    assert_eq!(running.parent("r1.1"), None::<RunningState>);
+    assert_eq!(
+        running.parent(RequestClaim::new("r1.1", false)),
+        None::<RunningState>
+    );
 }
 
 #[rstest]
--- a/jayrack-meshd/tests/keys.rs
+++ b/jayrack-meshd/tests/keys.rs
@@ -202,6 +202,87 @@
     assert!(late.headers.contains_key(header::RETRY_AFTER));
 }
 
+/// Where the parent of a request runs whose identifier has the form of a nested call.
+#[derive(Debug, Clone, Copy)]
+enum ParentPlace {
+    Here,
+    Elsewhere,
+    Ended,
+}
+
+/// Guards against clients that extend the identifier of a running request, upon which their key was not looked at: an
+/// unknown one ran, and a known one ran without its tenant's name.
+#[rstest]
+#[case::unknown_key("key-x", StatusCode::UNAUTHORIZED, None)]
+#[case::key_of_another_tenant("key-s", StatusCode::OK, Some("south"))]
+#[case::same_key("key-n", StatusCode::OK, Some("north"))]
+#[case::revoked_key("key-r", StatusCode::UNAUTHORIZED, None)]
+#[tokio::test]
+async fn a_request_with_a_key_is_no_nested_call(
+    #[case] key: &str,
+    #[case] expected: StatusCode,
+    #[case] tenant: Option<&str>,
+    #[values(ParentPlace::Here, ParentPlace::Elsewhere, ParentPlace::Ended)] place: ParentPlace,
+) {
+    let store = FleetStore::start().await;
+    let mut with_revoked = both_keys();
+    with_revoked[0]["api_keys"] = json!(["key-n", "key-r"]);
+    store
+        .put_configuration(&configuration(1, with_revoked))
+        .await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+    let other = HostProcess::start(&store);
+    other.until_ready(StatusCode::OK).await;
+    until_key_answered(&other, "key-r", StatusCode::OK).await;
+    store
+        .put_configuration(&configuration(2, both_keys()))
+        .await;
+    until_key_answered(&host, "key-r", StatusCode::UNAUTHORIZED).await;
+    until_key_answered(&other, "key-r", StatusCode::UNAUTHORIZED).await;
+    server.set_delay(LONG_DELAY);
+    let asked = match place {
+        ParentPlace::Here | ParentPlace::Ended => &host,
+        ParentPlace::Elsewhere => &other,
+    };
+
+    let parent = book(&host, "parent", with_key("key-n"));
+    let extended = async {
+        let is_running = || async { server.runs().contains(&"parent".to_string()) };
+        until("the parent runs", is_running).await;
+        if matches!(place, ParentPlace::Ended) {
+            sleep(LONG_DELAY).await;
+        }
+        book(asked, "parent.1", with_key(key)).await
+    };
+    let (parent, extended) = tokio::join!(parent, extended);
+
+    assert_eq!([parent.status, extended.status], [StatusCode::OK, expected]);
+    let run = server
+        .server_runs()
+        .into_iter()
+        .find(|run| run.id == "parent.1");
+    let received = run.and_then(|run| run.fields.get(headers::TENANT).cloned());
+    assert_eq!(
+        received.as_ref().map(HeaderValue::as_bytes),
+        tenant.map(str::as_bytes)
+    );
+}
+
+/// Guards against requests that are refused because of the form that their client chose for their identifier.
+#[tokio::test]
+async fn a_client_may_choose_the_form_of_a_nested_call_on_a_public_route() {
+    let store = FleetStore::start().await;
+    store
+        .put_configuration(&configuration(1, both_keys()))
+        .await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+
+    let answer = host.ask(Method::GET, "/browse/1", "nobody.1").await;
+
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    assert!(!fields_at(&server, "nobody.1").contains_key(headers::TENANT));
+}
+
 #[rstest]
 #[case::refuses(Outage::Refuse)]
 #[case::is_silent(Outage::Silent)]
