fix(meshd): take the buffers of connections from the byte budget

Cause: the budget counted 16 KB for a connection. The HTTP library's read buffer grows to 64 KB while a body arrives and stays so; the kernel's receive queue holds up to 64 KB (callers) or 256 KB (daemons) more; outgoing connections were not counted.

Change: no read fills a buffer of 16 KB, so it does not grow. Receive buffers are 16 KB for callers, 32 KB for daemons and outgoing connections, and the budget counts buffers and queue of each connection. A long head's memory is kept until its connection ends, as its buffer is.

--- a/jayrack-mesh/src/memory.rs
+++ b/jayrack-mesh/src/memory.rs
@@ -184,6 +184,11 @@
         has_room
     }
 
+    /// Takes `bytes` for a connection that is opened in any case.
+    pub fn add_connection(&mut self, bytes: u64) {
+        self.connection_bytes += bytes;
+    }
+
     /// Gives back the `bytes` of a connection.
     pub fn close_connection(&mut self, bytes: u64) {
         self.connection_bytes = self.connection_bytes.saturating_sub(bytes);
--- a/jayrack-meshd/src/control/sync.rs
+++ b/jayrack-meshd/src/control/sync.rs
@@ -195,6 +195,7 @@
         },
         max_idle: Duration::ZERO,
         max_idle_connections: 0,
+        budget: None,
     });
     let mut request = Request::new(RequestBody::default());
     request.headers_mut().insert(SYNC, kind);
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -15,6 +15,7 @@
 //! * [`forward`]: headers of requests and answers between daemons.
 //! * [`memory`]: the daemon's byte budget; [`segments`]: received bytes in memory of the budget.
 //! * [`request_body`]: bodies of requests.
+//! * [`bounded_read`]: reads that keep the buffers of connections small.
 //! * [`client_stream`]: sockets of clients, with their time limits; [`connections`]: how many there may be.
 //! * [`state`]: state of the traffic thread.
 //! * [`pool`]: outgoing connections; [`fair_stream`]: their sockets; [`body`]: bodies of answers.
@@ -23,6 +24,7 @@
 mod attempt;
 pub mod authentication;
 pub mod body;
+pub mod bounded_read;
 pub mod client_stream;
 pub mod connections;
 mod evidence;
--- a/jayrack-meshd/src/traffic/client_stream.rs
+++ b/jayrack-meshd/src/traffic/client_stream.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{
+    bounded_read,
     connections::ConnectionState,
     memory::{ByteBudget, ByteLease},
 };
@@ -32,7 +33,7 @@
 const LINGER_BUFFER_BYTES: usize = 16 << 10;
 
 /// Bytes of a head that the memory of a connection covers; those of ordinary requests have a few kilobytes.
-const COVERED_HEAD_BYTES: usize = 8 << 10;
+const COVERED_HEAD_BYTES: usize = bounded_read::MAX_BUFFER_BYTES;
 /// Memory of a longer head, in bytes: its buffer grows to twice the largest head.
 const LONG_HEAD_BYTES: u64 = 40 << 10;
 
@@ -46,7 +47,7 @@
     head_began: Option<Instant>,
     head_timer: Option<Pin<Box<Sleep>>>,
     head_bytes: usize,
-    /// Memory of a long head.
+    /// Memory of a long head; the buffer stays as large while the connection is open.
     head_lease: Option<ByteLease>,
     budget: ByteBudget,
     write_timer: Option<Pin<Box<Sleep>>>,
@@ -114,7 +115,6 @@
         if self.head_began.take().is_some() {
             self.head_timer = None;
             self.head_bytes = 0;
-            self.head_lease = None;
         }
     }
 
@@ -157,7 +157,7 @@
         }
         let mut discarded = [0; LINGER_BUFFER_BYTES];
         let mut buffer = ReadBuf::new(&mut discarded);
-        match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer)) {
+        match ready!(bounded_read::poll_read(&mut self.stream, cx, &mut buffer)) {
             Ok(()) if !buffer.filled().is_empty() => {
                 self.lingered_bytes += buffer.filled().len();
                 // Other tasks of the thread run between two reads.
@@ -176,7 +176,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_bytes = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let polled = bounded_read::poll_read(&mut self.stream, cx, buffer);
         if self.state.is_busy() {
             self.end_head();
             return polled;
--- a/jayrack-meshd/src/traffic/fair_stream.rs
+++ b/jayrack-meshd/src/traffic/fair_stream.rs
@@ -10,23 +10,28 @@
     net::TcpStream,
 };
 
+use super::{bounded_read, memory::ConnectionLease};
+
 /// Bytes that are read at a stretch before other tasks run: a thousand interim answers.
 const MAX_BURST_BYTES: usize = 32 << 10;
 
-/// TCP connection whose reads pause after [`MAX_BURST_BYTES`], so that a peer that sends without end, such as interim
+/// Outgoing TCP connection whose reads pause after [`MAX_BURST_BYTES`], so that a peer that sends without end, such as interim
 /// answers that are skipped one after the other, does not stall the thread.
 #[derive(Debug)]
 pub struct FairStream {
     stream: TcpStream,
     burst_bytes: usize,
+    /// Memory of the connection, unless it is not in the budget.
+    _lease: Option<ConnectionLease>,
 }
 
 impl FairStream {
-    /// Wraps an open connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps an open connection whose memory `lease` covers.
+    pub fn new(stream: TcpStream, lease: Option<ConnectionLease>) -> Self {
         Self {
             stream,
             burst_bytes: 0,
+            _lease: lease,
         }
     }
 }
@@ -43,7 +48,7 @@
             return Poll::Pending;
         }
         let filled = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let polled = bounded_read::poll_read(&mut self.stream, cx, buffer);
         if polled.is_pending() {
             self.burst_bytes = 0;
         }
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -54,12 +54,12 @@
         }
     }
 
-    /// Receive buffer of a connection, in bytes; the kernel uses up to twice as much. Callers are on this host; for
-    /// other daemons it exceeds what a link of 200 Mbit/s carries in the longest round trip.
+    /// Receive buffer of a connection, in bytes; the kernel uses up to twice as much, which is in the byte budget. An
+    /// ordinary request fits into it; for other daemons it is what a link of 100 Mbit/s carries in a round trip of 5 ms.
     fn receive_buffer_bytes(self) -> usize {
         match self {
-            PeerKind::Caller => 32 << 10,
-            PeerKind::Daemon => 128 << 10,
+            PeerKind::Caller => 16 << 10,
+            PeerKind::Daemon => 32 << 10,
         }
     }
 }
@@ -95,7 +95,7 @@
 /// Makes room for a connection, at the cost of an idle one if need be; `None` if it must be closed.
 async fn admit(state: &TrafficState, kind: PeerKind) -> Option<(ConnectionEntry, ConnectionLease)> {
     for _ in 0..=ADMISSION_RETRIES {
-        let lease = state.budget.connect();
+        let lease = state.budget.accept(kind.receive_buffer_bytes());
         let entry = lease.as_ref().and_then(|_| state.connections.open(kind));
         if let (Some(entry), Some(lease)) = (entry, lease) {
             return Some((entry, lease));
--- a/jayrack-meshd/src/traffic/memory.rs
+++ b/jayrack-meshd/src/traffic/memory.rs
@@ -10,8 +10,9 @@
 
 use crate::metrics::MeshMetrics;
 
-/// Memory of a connection in bytes: its state and the buffers of head and answer.
-pub const CONNECTION_BYTES: u64 = 16 << 10;
+/// Memory of a connection without its receive queue, in bytes: its state, the buffer that it reads into, and the one of
+/// the latest head, which lives as long as the request.
+const CONNECTION_BYTES: u64 = 24 << 10;
 /// Interval between two attempts to take room from a body that gives way.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Attempts before a body is refused.
@@ -37,6 +38,11 @@
     inner: Arc<BudgetInner>,
 }
 
+/// Memory of a connection whose socket has a receive buffer of `receive_buffer_bytes`; the kernel uses up to twice as much.
+fn connection_bytes(receive_buffer_bytes: usize) -> u64 {
+    CONNECTION_BYTES + 2 * receive_buffer_bytes as u64
+}
+
 /// The budget has no room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoRoom;
@@ -71,13 +77,33 @@
         }
     }
 
-    /// Takes the memory of a connection; `None` if there is no room.
-    pub fn connect(&self) -> Option<ConnectionLease> {
+    /// Takes the memory of an accepted connection with a receive buffer of this size; `None` if there is no room.
+    pub fn accept(&self, receive_buffer_bytes: usize) -> Option<ConnectionLease> {
+        let bytes = connection_bytes(receive_buffer_bytes);
         let mut core = self.lock();
-        let is_open = core.budget.open_connection(CONNECTION_BYTES);
+        let is_open = core.budget.open_connection(bytes);
         self.record(&core.budget);
         drop(core);
-        is_open.then(|| ConnectionLease(self.clone()))
+        is_open.then(|| ConnectionLease {
+            budget: self.clone(),
+            bytes,
+        })
+    }
+
+    /// Takes the memory of an outgoing connection with a receive buffer of this size.
+    ///
+    /// It is taken without regard to room, since a request that was accepted needs the connection; fewer connections are
+    /// accepted meanwhile.
+    pub fn dial(&self, receive_buffer_bytes: usize) -> ConnectionLease {
+        let bytes = connection_bytes(receive_buffer_bytes);
+        let mut core = self.lock();
+        core.budget.add_connection(bytes);
+        self.record(&core.budget);
+        drop(core);
+        ConnectionLease {
+            budget: self.clone(),
+            bytes,
+        }
     }
 
     fn now_ms(&self) -> u64 {
@@ -187,12 +213,15 @@
 
 /// Memory of one connection; dropping the lease gives it back.
 #[derive(Debug)]
-pub struct ConnectionLease(ByteBudget);
+pub struct ConnectionLease {
+    budget: ByteBudget,
+    bytes: u64,
+}
 
 impl Drop for ConnectionLease {
     fn drop(&mut self) {
-        let mut core = self.0.lock();
-        core.budget.close_connection(CONNECTION_BYTES);
-        self.0.record(&core.budget);
+        let mut core = self.budget.lock();
+        core.budget.close_connection(self.bytes);
+        self.budget.record(&core.budget);
     }
 }
--- a/jayrack-meshd/src/traffic/pool.rs
+++ b/jayrack-meshd/src/traffic/pool.rs
@@ -14,10 +14,15 @@
 use hyper_util::rt::TokioIo;
 use jayrack_platform::socket::{self, SocketOptions};
 
-use super::{body::AnswerBody, fair_stream::FairStream, request_body::RequestBody};
+use super::{
+    body::AnswerBody, fair_stream::FairStream, memory::ByteBudget, request_body::RequestBody,
+};
 
 /// Buffer size of a connection, in bytes: holds the largest head that the platform allows.
 const BUFFER_BYTES: usize = 64 << 10;
+/// Receive buffer of a connection, in bytes: what a link of 100 Mbit/s carries in a round trip of 5 ms, as the kernel uses up
+/// to twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Header with the time after which the peer closes an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Safety margin to that time, since the peer counts from an earlier moment.
@@ -33,7 +38,7 @@
 }
 
 /// Limits of a pool.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Options {
     /// Options of new sockets.
     pub socket: SocketOptions,
@@ -41,6 +46,8 @@
     pub max_idle: Duration,
     /// Maximum number of idle connections for each address.
     pub max_idle_connections: usize,
+    /// Budget that counts the connections, if any.
+    pub budget: Option<ByteBudget>,
 }
 
 type Sender = SendRequest<RequestBody>;
@@ -132,12 +139,15 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
-        let stream = socket::dial(address, self.core.options.socket)
-            .await
-            .map_err(|error| not_sent(&error))?;
+        let stream =
+            socket::dial_with_buffer(address, self.core.options.socket, RECEIVE_BUFFER_BYTES)
+                .await
+                .map_err(|error| not_sent(&error))?;
+        let lease = self.core.options.budget.as_ref();
+        let lease = lease.map(|budget| budget.dial(RECEIVE_BUFFER_BYTES));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(FairStream::new(stream)))
+            .handshake(TokioIo::new(FairStream::new(stream, lease)))
             .await
             .map_err(|error| not_sent(&error))?;
         tokio::spawn(async move {
--- a/jayrack-meshd/src/traffic/state.rs
+++ b/jayrack-meshd/src/traffic/state.rs
@@ -49,6 +49,8 @@
 impl TrafficState {
     /// Creates the state; `seed` determines random choices.
     pub fn new(mesh: Arc<MeshState>, seed: u64) -> Self {
+        let host = &mesh.settings.host;
+        let budget = ByteBudget::new(host.memory_mb, mesh.metrics.clone());
         let options = |connect_timeout, max_idle| pool::Options {
             socket: SocketOptions {
                 connect_timeout,
@@ -56,9 +58,8 @@
             },
             max_idle,
             max_idle_connections: MAX_IDLE_CONNECTIONS,
+            budget: Some(budget.clone()),
         };
-        let host = &mesh.settings.host;
-        let budget = ByteBudget::new(host.memory_mb, mesh.metrics.clone());
         let connections = ConnectionTable::new(host.max_descriptors, mesh.metrics.clone());
         Self {
             router: IngressRouter::new(mesh.clone(), seed),
--- a/jayrack-meshd/tests/crowd/main.rs
+++ b/jayrack-meshd/tests/crowd/main.rs
@@ -25,6 +25,11 @@
 const BODY_BYTES: usize = 4 << 20;
 /// Callers that send large bodies: twice the host's memory.
 const LARGE_CALLERS: usize = 24;
+/// Callers whose connections cost more than their bodies, and the size of these.
+const STALLED_CALLERS: usize = 500;
+const STALLED_BYTES: usize = 200 << 10;
+/// Bytes that are missing at the end of such a body.
+const MISSING_BYTES: usize = 16;
 /// Callers that send one byte in each chunk.
 const TINY_CHUNK_CALLERS: usize = 12;
 /// Bytes that each of them sends.
@@ -149,6 +154,19 @@
     check_crowd("bodies that stop short", door, LARGE_CALLERS, plan).await;
 }
 
+/// Guards against buffers of connections that grow while a body arrives, stay as large while it stalls, and are not in the
+/// byte budget.
+#[rstest]
+#[case(Door::Callers)]
+#[case(Door::Daemons)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_crowd_of_bodies_that_stop_short(#[case] door: Door) {
+    let framing = BodyFraming::Length(STALLED_BYTES);
+    let plan = stalled(framing, STALLED_BYTES - MISSING_BYTES);
+
+    check_crowd("large crowd", door, STALLED_CALLERS, plan).await;
+}
+
 /// Guards against chunked bodies that are kept for as long as their callers keep the connection open.
 #[rstest]
 #[case(Door::Callers)]
