fix(mesh): believe a server that states an earlier start, once the known one is silent

Callers saw: requests went to a server after it had left, and some were lost at its end.

Cause: incarnations were ordered by their stated start alone, which may be wrong by seconds, and reports were acknowledged whether they were believed or not.

Change: an incarnation with an earlier start is the present one when it has reported for 2 s while the known one was silent; what replaced incarnations said of their leaving is remembered.

Evidence: a_server_that_states_an_earlier_start_is_told_the_truth_and_drains failed before.

Three tests of restarts waited until a report that arrives after a departure was acknowledged. It is not in force, so they wait until it is refused now, and check as before that nothing runs.

--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -1,5 +1,5 @@
 //! State of the backend server beside the daemon, from its status reports.
-use std::cmp::Ordering;
+use std::{cmp::Ordering, collections::VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -49,19 +49,52 @@
 pub enum ReportEffect {
     /// The server, its phase or its number of slots has changed; other daemons must receive the new record.
     Changed,
-    /// Only the sequence number is new.
+    /// What it says was known before; at most the sequence number is new.
     Repeated,
-    /// The report is older than the record and was ignored.
+    /// The incarnation has said since that it leaves; the report was ignored.
     Outdated,
+    /// It is not certain that the incarnation is the present one; the report was ignored.
+    Unproven,
+}
+
+impl ReportEffect {
+    /// Whether what the server said is in force, so that it may be told so.
+    pub fn is_in_force(self) -> bool {
+        match self {
+            ReportEffect::Changed | ReportEffect::Repeated => true,
+            ReportEffect::Outdated | ReportEffect::Unproven => false,
+        }
+    }
+}
+
+/// Time for which an incarnation with an earlier start must go on reporting, while the known one is silent, until it counts as
+/// the present one, in milliseconds: longer than the interval of two reports, in which a living server would be heard.
+const PROOF_MS: u64 = 2_000;
+/// Number of earlier incarnations that are remembered; reports are delayed by seconds, in which few servers start.
+const MAX_PAST: usize = 8;
+
+/// An incarnation that may be the present one although it states an earlier start than the known one.
+#[derive(Debug)]
+struct Candidate {
+    record: ServerRecord,
+    /// When it was first heard, with the known one silent since.
+    since_ms: u64,
 }
 
 /// Record of the backend server beside the daemon, updated by its reports.
 ///
 /// Guarantees that an incarnation that was reported as leaving never counts as ready again, in whatever order
 /// reports arrive, and also if the departure is the first report of it that this process receives.
+///
+/// Incarnations are ordered by their stated starts only as long as nothing contradicts that: the time of day may jump, so
+/// that a later incarnation states an earlier start. It counts as the present one once it has reported for [`PROOF_MS`]
+/// while the known one was silent.
 #[derive(Debug, Default)]
 pub struct ServerTracker {
     record: Option<ServerRecord>,
+    candidate: Option<Candidate>,
+    /// Latest records of incarnations that another one has replaced, the oldest first.
+    past: VecDeque<ServerRecord>,
     reported_ms: u64,
     is_restored: bool,
     /// Instance and start of the incarnation whose departure is stored durably.
@@ -97,9 +130,9 @@
                 // The departure did not state which incarnation left; it applies to the first one that reports.
                 known.born_ms = record.born_ms;
             }
-            if !supersedes(known, &record) {
-                return ReportEffect::Outdated;
-            }
+        }
+        if let Some(effect) = self.reject(now_ms, &record) {
+            return effect;
         }
         self.reported_ms = now_ms;
         let is_changed = self.is_restored
@@ -111,7 +144,7 @@
                     || known.version != record.version
             });
         self.is_restored = false;
-        self.record = Some(record);
+        self.replace(record);
         if is_changed {
             ReportEffect::Changed
         } else {
@@ -119,12 +152,97 @@
         }
     }
 
-    /// Records that the server leaves at once; `born_ms` is zero if the server did not state it, and matches any
+    /// Effect of a report that does not replace the record; `None` if it does.
+    fn reject(&mut self, now_ms: u64, record: &ServerRecord) -> Option<ReportEffect> {
+        let known = self.record.as_ref()?;
+        if is_same_incarnation(known, record) {
+            return match record.phase.cmp(&known.phase) {
+                // Whatever the sequence numbers: an incarnation never returns from leaving, and its word that it leaves
+                // must not be lost because a number of before was too high.
+                Ordering::Greater => None,
+                Ordering::Equal if record.sequence > known.sequence => None,
+                Ordering::Equal => Some(ReportEffect::Repeated),
+                Ordering::Less => Some(ReportEffect::Outdated),
+            };
+        }
+        let past = self
+            .past
+            .iter()
+            .find(|past| is_same_incarnation(past, record));
+        if past.is_some_and(|past| past.phase > record.phase) {
+            return Some(ReportEffect::Outdated);
+        }
+        let is_later = match record.born_ms.cmp(&known.born_ms) {
+            Ordering::Greater => past.is_none(),
+            Ordering::Equal => known.phase == ServerPhase::Gone,
+            Ordering::Less => false,
+        };
+        let is_present = is_later || self.prove(now_ms, record);
+        (!is_present).then_some(ReportEffect::Unproven)
+    }
+
+    /// Whether `record`, which states no later start than the known one, is of the present incarnation.
+    fn prove(&mut self, now_ms: u64, record: &ServerRecord) -> bool {
+        let reported_ms = self.reported_ms;
+        let candidate = self.candidate.take().filter(|candidate| {
+            is_same_incarnation(&candidate.record, record) && reported_ms <= candidate.since_ms
+        });
+        let since_ms = candidate
+            .as_ref()
+            .map_or(now_ms, |candidate| candidate.since_ms);
+        // A report that was delayed proves nothing of the time at which it arrives.
+        let is_new = candidate.is_some_and(|candidate| {
+            record.sequence > candidate.record.sequence || record.phase > candidate.record.phase
+        });
+        if is_new && now_ms.saturating_sub(since_ms) >= PROOF_MS {
+            return true;
+        }
+        self.candidate = Some(Candidate {
+            record: record.clone(),
+            since_ms,
+        });
+        false
+    }
+
+    /// Makes `record` the present one and remembers the incarnation before it.
+    fn replace(&mut self, record: ServerRecord) {
+        self.past.retain(|past| !is_same_incarnation(past, &record));
+        let before = self.record.replace(record);
+        let Some(before) = before else {
+            return;
+        };
+        if self
+            .record
+            .as_ref()
+            .is_some_and(|record| is_same_incarnation(record, &before))
+        {
+            return;
+        }
+        self.candidate = None;
+        self.past.push_back(before);
+        if self.past.len() > MAX_PAST {
+            self.past.pop_front();
+        }
+    }
+
+    /// Records at `now_ms` that the server leaves at once; `born_ms` is zero if the server did not state it, and matches any
     /// incarnation then.
     ///
     /// A departure of a server without a record, as after a restart of the daemon, is kept as well: reports of before
     /// may still be on their way.
-    pub fn leave(&mut self, instance: &str, born_ms: u64) -> ReportEffect {
+    pub fn leave(&mut self, now_ms: u64, instance: &str, born_ms: u64) -> ReportEffect {
+        let departure = ServerRecord {
+            instance: instance.to_string(),
+            born_ms,
+            sequence: 0,
+            service: String::new(),
+            slots: 0,
+            phase: ServerPhase::Gone,
+            version: String::new(),
+        };
+        let past = self.past.iter_mut();
+        let past = past.filter(|past| is_same_incarnation(past, &departure));
+        let is_past = past.map(|past| past.phase = ServerPhase::Gone).count() > 0;
         match &mut self.record {
             Some(record)
                 if record.instance == instance && (born_ms == 0 || record.born_ms == born_ms) =>
@@ -134,23 +252,17 @@
                 }
                 record.phase = ServerPhase::Gone;
             }
-            Some(record) if !self.is_restored && born_ms <= record.born_ms => {
-                return ReportEffect::Outdated;
-            }
-            Some(record) if born_ms != 0 && born_ms < record.born_ms => {
-                return ReportEffect::Outdated;
-            }
-            _ => {
-                self.record = Some(ServerRecord {
-                    instance: instance.to_string(),
-                    born_ms,
-                    sequence: 0,
-                    service: String::new(),
-                    slots: 0,
-                    phase: ServerPhase::Gone,
-                    version: String::new(),
-                });
+            Some(record)
+                if (!self.is_restored && born_ms <= record.born_ms)
+                    || (born_ms != 0 && born_ms < record.born_ms) =>
+            {
+                match (self.prove(now_ms, &departure), is_past) {
+                    (true, _) => self.replace(departure),
+                    (false, true) => return ReportEffect::Outdated,
+                    (false, false) => return ReportEffect::Unproven,
+                }
             }
+            _ => self.replace(departure),
         }
         self.is_restored = false;
         ReportEffect::Changed
@@ -192,20 +304,7 @@
     }
 }
 
-/// Whether the reported record `new` replaces `known`.
-///
-/// Within one incarnation a later phase always does, whatever the sequence numbers: an incarnation never returns from
-/// leaving, and its word that it leaves must not be lost because a number of before was too high.
-fn supersedes(known: &ServerRecord, new: &ServerRecord) -> bool {
-    if new.born_ms != known.born_ms {
-        return new.born_ms > known.born_ms;
-    }
-    if new.instance != known.instance {
-        return known.phase == ServerPhase::Gone;
-    }
-    match new.phase.cmp(&known.phase) {
-        Ordering::Greater => true,
-        Ordering::Equal => new.sequence > known.sequence,
-        Ordering::Less => false,
-    }
+/// Whether two records are of the same start of a server.
+fn is_same_incarnation(one: &ServerRecord, other: &ServerRecord) -> bool {
+    one.instance == other.instance && one.born_ms == other.born_ms
 }
--- a/jayrack-mesh/tests/server.rs
+++ b/jayrack-mesh/tests/server.rs
@@ -79,7 +79,7 @@
 fn a_server_that_left_without_draining_stays_gone() {
     let mut tracker = ready_tracker();
 
-    let effect = tracker.leave("i-1", 5);
+    let effect = tracker.leave(1, "i-1", 5);
     tracker.handle(2, report(5, 3, ServerPhase::Ready));
 
     assert_eq!(effect, ReportEffect::Changed);
@@ -94,7 +94,7 @@
 fn a_departure_of_a_server_without_a_record_holds(#[case] born_ms: u64) {
     let mut tracker = ServerTracker::default();
 
-    let effect = tracker.leave("i-1", born_ms);
+    let effect = tracker.leave(1, "i-1", born_ms);
     let late_effect = tracker.handle(1, report(5, 20, ServerPhase::Ready));
 
     assert_eq!(effect, ReportEffect::Changed);
@@ -107,7 +107,7 @@
     let mut tracker = ServerTracker::default();
     tracker.restore(record(5, 7, ServerPhase::Ready));
 
-    tracker.leave("i-1", 6);
+    tracker.leave(1, "i-1", 6);
     tracker.handle(1, report(6, 3, ServerPhase::Ready));
 
     assert!(tracker.serving().is_none());
@@ -116,7 +116,7 @@
 #[test]
 fn a_server_started_after_a_departure_without_a_record_serves() {
     let mut tracker = ServerTracker::default();
-    tracker.leave("i-1", 5);
+    tracker.leave(1, "i-1", 5);
 
     let effect = tracker.handle(1, report(6, 1, ServerPhase::Ready));
 
@@ -133,7 +133,7 @@
 
     match drains {
         true => tracker.handle(1, report(5, 2, ServerPhase::Draining)),
-        false => tracker.leave("i-1", 5),
+        false => tracker.leave(1, "i-1", 5),
     };
     let departure = tracker.unstored_departure().cloned();
     assert!(departure.is_some(), "acknowledged without a stored record");
@@ -160,7 +160,7 @@
     let mut tracker = ready_tracker();
     tracker.handle(1, report(6, 1, ServerPhase::Ready));
 
-    let effect = tracker.leave("i-1", 5);
+    let effect = tracker.leave(1, "i-1", 5);
 
     assert_eq!(effect, ReportEffect::Outdated);
     assert!(tracker.serving().is_some());
@@ -207,6 +207,55 @@
     assert!(tracker.serving().is_some());
 }
 
+/// Guards against a server that started again with an earlier time of day: its word that it leaves was acknowledged and
+/// ignored.
+#[rstest]
+#[case::drains(false)]
+#[case::leaves_at_once(true)]
+fn a_server_with_an_earlier_start_is_believed_once_the_known_one_is_silent(#[case] leaves: bool) {
+    let mut tracker = ready_tracker();
+
+    let reports = [1_500, 3_000, 4_500].map(|now_ms| {
+        let sequence = now_ms / 1_500;
+        tracker.handle(now_ms, report(2, sequence, ServerPhase::Ready))
+    });
+    let is_serving = tracker.serving().map(|server| server.born_ms) == Some(2);
+    let leaving = match leaves {
+        true => tracker.leave(6_000, "i-1", 2),
+        false => tracker.handle(6_000, report(2, 4, ServerPhase::Draining)),
+    };
+
+    assert_eq!(
+        reports,
+        [
+            ReportEffect::Unproven,
+            ReportEffect::Unproven,
+            ReportEffect::Changed
+        ]
+    );
+    assert!(is_serving);
+    assert_eq!(leaving, ReportEffect::Changed);
+    assert!(tracker.serving().is_none());
+}
+
+/// Guards against late reports of an earlier incarnation that take the place of the present one.
+#[test]
+fn reports_of_an_earlier_incarnation_prove_nothing_while_the_present_one_reports() {
+    let mut tracker = ready_tracker();
+
+    for sequence in 1..10 {
+        let late = tracker.handle(sequence * 1_000, report(2, sequence, ServerPhase::Ready));
+        tracker.handle(
+            sequence * 1_000 + 1,
+            report(5, sequence + 1, ServerPhase::Ready),
+        );
+
+        assert_eq!(late, ReportEffect::Unproven);
+    }
+
+    assert_eq!(tracker.serving().map(|server| server.born_ms), Some(5));
+}
+
 proptest! {
     /// An incarnation that was reported as leaving is never ready again, whatever the order and duplicates of reports.
     #[test]
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -66,8 +66,8 @@
     let mesh = &control.mesh;
     let settings = &mesh.settings.server;
     if decoded.address != settings.address.to_string() {
-        log::warn!(instance = instance, address = decoded.address.as_str(); "ignoring the report of a server at another address");
-        return true;
+        log::warn!(instance = instance, address = decoded.address.as_str(); "report of a server at another address refused");
+        return false;
     }
     let record = &decoded.report.record;
     if record.service != settings.service {
@@ -79,22 +79,22 @@
         return false;
     }
     let now_ms = mesh.now_ms();
-    let sequence = decoded.report.record.sequence;
+    let (born_ms, sequence) = (record.born_ms, record.sequence);
     let warmup_left_ms = decoded.report.warmup_left_ms;
     let (effect, record) = {
         let mut tracker = mesh.tracker();
         let effect = tracker.handle(now_ms, decoded.report);
         (effect, tracker.record().cloned())
     };
-    if effect != ReportEffect::Outdated {
+    if effect.is_in_force() {
         mesh.record_warmup(warmup_left_ms);
+    } else {
+        log::info!(instance = instance, born_ms = born_ms, sequence = sequence, effect:? = effect; "report ignored");
     }
     if let (ReportEffect::Changed, Some(record)) = (effect, record) {
         propagate_change(control, &record).await;
-    } else if effect == ReportEffect::Outdated {
-        log::info!(instance = instance, sequence = sequence; "outdated report ignored");
     }
-    true
+    effect.is_in_force()
 }
 
 /// Applies a departure; returns whether it may be acknowledged.
@@ -108,17 +108,16 @@
     };
     let (effect, record) = {
         let mut tracker = control.mesh.tracker();
-        let effect = tracker.leave(instance, born_ms);
+        let effect = tracker.leave(control.mesh.now_ms(), instance, born_ms);
         (effect, tracker.record().cloned())
     };
-    match (effect, record) {
-        (ReportEffect::Changed, Some(record)) => propagate_change(control, &record).await,
-        (ReportEffect::Outdated, _) => {
-            log::info!(instance = instance, born_ms = born_ms; "outdated departure ignored");
-        }
-        _ => {}
+    if !effect.is_in_force() {
+        log::info!(instance = instance, born_ms = born_ms, effect:? = effect; "departure ignored");
+    }
+    if let (ReportEffect::Changed, Some(record)) = (effect, record) {
+        propagate_change(control, &record).await;
     }
-    true
+    effect.is_in_force()
 }
 
 /// Applies a changed server record to the admission gate and sends it to the other daemons.
--- a/jayrack-meshd/tests/process.rs
+++ b/jayrack-meshd/tests/process.rs
@@ -17,6 +17,8 @@
 use support::{DaemonOutput, FleetStore, HostProcess, ServerStandin, configuration, until};
 use tokio::time::sleep;
 
+/// Time between two reports of a server that is not believed yet.
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
 const NO_DELAY: Duration = Duration::ZERO;
 
 /// Starts a host and its server; waits until the server has reported and a configuration is in force.
@@ -109,7 +111,8 @@
     host.restart();
     host.until_ready(StatusCode::OK).await;
     // A report that was sent before the departure and arrives late.
-    host.until_reported("i-1", host.status("ready", 1, 4)).await;
+    host.until_report_refused("i-1", host.status("ready", 1, 4))
+        .await;
     let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
 
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -135,7 +138,8 @@
     let before = server.runs().len();
     host.kill();
     host.restart();
-    host.until_reported("i-1", host.status("ready", 1, 4)).await;
+    host.until_report_refused("i-1", host.status("ready", 1, 4))
+        .await;
     host.until_ready(StatusCode::OK).await;
     let later = host.ask(Method::GET, "/browse/1", "later").await.unwrap();
 
@@ -233,7 +237,7 @@
         host.report("i-1", "deregister", serde_json::json!({"born": 1}))
     })
     .await;
-    host.until_reported("i-1", host.status("ready", 1, 20))
+    host.until_report_refused("i-1", host.status("ready", 1, 20))
         .await;
     host.until_ready(StatusCode::OK).await;
     let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
@@ -353,6 +357,39 @@
     assert_eq!(server.runs().len(), before);
 }
 
+/// Guards against a departure that is acknowledged and ignored, since the server has started again with an earlier time of
+/// day.
+#[tokio::test]
+async fn a_server_that_states_an_earlier_start_is_told_the_truth_and_drains() {
+    let store = FleetStore::start().await;
+    store.put_configuration(&configuration(1, 2.0)).await;
+    let (host, server) = ready_host(&store, NO_DELAY).await;
+    host.until_reported("i-1", host.status("ready", 9, 7)).await;
+    until_served(&host).await;
+
+    let first = host
+        .report("i-1", "heartbeat", host.status("ready", 5, 1))
+        .await;
+    let mut sequence = 1;
+    while !host
+        .report("i-1", "heartbeat", host.status("ready", 5, sequence))
+        .await
+    {
+        sequence += 1;
+        sleep(REPORT_PAUSE).await;
+    }
+    until_served(&host).await;
+    let drained = host.report("i-1", "heartbeat", host.status("draining", 5, sequence + 1));
+    let is_acknowledged = drained.await;
+    let before = server.runs().len();
+    let answer = host.ask(Method::GET, "/browse/1", "late").await.unwrap();
+
+    assert!(!first, "a report was acknowledged and not believed");
+    assert!(is_acknowledged);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.runs().len(), before);
+}
+
 /// Calls to the store are charged, and every host of a large fleet restarts during an upgrade.
 #[tokio::test]
 async fn a_restarted_daemon_does_not_register_again() {
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -391,6 +391,16 @@
         })
     }
 
+    /// Sends a status report until the daemon answers that it is not in force.
+    pub async fn until_report_refused(&self, instance: &str, body: serde_json::Value) {
+        let reporter = self.reporter();
+        until("a report is refused", || async {
+            let answer = reporter.answer(instance, "heartbeat", body.clone()).await;
+            answer.is_some_and(|answer| !answer.status.is_success())
+        })
+        .await;
+    }
+
     /// Reports `i-1` as ready until the test ends, since a silent server gets no more requests.
     pub fn keep_reporting(&self) {
         let reporter = self.reporter();
@@ -460,6 +470,17 @@
 impl ServerReporter {
     /// Sends a status report or a departure of the server `instance`; returns whether it was acknowledged in time.
     pub async fn report(&self, instance: &str, call: &str, body: serde_json::Value) -> bool {
+        let answer = self.answer(instance, call, body).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// As [`ServerReporter::report`]; returns the answer, if one arrived in time.
+    async fn answer(
+        &self,
+        instance: &str,
+        call: &str,
+        body: serde_json::Value,
+    ) -> Option<CompleteAnswer> {
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("/jayrack/rpc?call=instances.{call}&of={instance}"))
@@ -467,8 +488,7 @@
         let body = Full::from(body.to_string());
         let exchanging = exchange(self.address, request.body(body).unwrap());
         let answer = tokio::time::timeout(ACKNOWLEDGEMENT_TIMEOUT, exchanging).await;
-        let answer = answer.ok().flatten();
-        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        answer.ok().flatten()
     }
 }
 
