fix(mesh): charge what a standby lends to the lender before it

Cause: a borrower asks a standby after 25 ms without an answer. The slow lender answered some requests in time and lent the whole rate, the standby 70 % of it to the others, and neither knew of the other.

Change: after each lease, a standby sends the hosts before it in the tenant's order the sum of what it has lent; they charge the difference to their buckets, which may owe 0.2 s of the rate.

--- a/jayrack-mesh/src/allowance.rs
+++ b/jayrack-mesh/src/allowance.rs
@@ -95,13 +95,24 @@
     pub wait_ms: u32,
 }
 
-/// Message between a borrower and a lender.
+/// Notice of a standby to the hosts before it in the tenant's order, which may be lending as well.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StandbyNotice {
+    /// Name of the tenant.
+    pub tenant: String,
+    /// Tokens that the standby has lent since it began to: a sum, so that no lost, repeated or late notice falsifies it.
+    pub lent: u64,
+}
+
+/// Message between daemons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AllowanceMessage {
     /// From a borrower.
     Request(LeaseRequest),
     /// From a lender.
     Lease(TokenLease),
+    /// From a standby to a lender.
+    Notice(StandbyNotice),
 }
 
 /// The hosts with the highest rendezvous hashes for a tenant, the lender first, at most [`LENDER_CANDIDATES`].
--- a/jayrack-mesh/src/allowance/lender.rs
+++ b/jayrack-mesh/src/allowance/lender.rs
@@ -1,12 +1,12 @@
 //! Token buckets of the tenants that a daemon lends for.
 use std::{collections::BTreeMap, net::IpAddr};
 
-use super::{LeaseRequest, OverrunBounds, TokenLease};
+use super::{LeaseRequest, OverrunBounds, StandbyNotice, TokenLease};
 use crate::tenants::TenantAllowance;
 
 /// Fraction of the rate that is lent by a standby, and by a lender that has just taken over: another lender may still
 /// serve some of the hosts. It covers the usual rate of a tenant whose limit is 1.6 times that rate.
-const CAUTIOUS_FRACTION: f64 = 0.7;
+const CAUTIOUS_FRACTION: f64 = 0.75;
 /// Part of the slack that a cautious lender may lend in a window beyond [`CAUTIOUS_FRACTION`], so that small tenants
 /// get their whole rate.
 const CAUTIOUS_EXTRA_FRACTION: f64 = 0.15;
@@ -22,6 +22,9 @@
 const STANDBY_MEMORY_MS: u64 = 10_000;
 /// Longest time until a token is available that is stated, in milliseconds.
 const MAX_WAIT_MS: f64 = 1_000.0;
+/// Time of the rate that standbys may have lent beyond a lender's level, in seconds: a lender that is slow or comes back owes
+/// no more than that.
+const MAX_DEBT_S: f64 = 0.2;
 /// Rounding error of sums that must not cost a token.
 const EPSILON: f64 = 1e-9;
 
@@ -54,6 +57,8 @@
     lease: Option<TokenLease>,
     /// Identifier of the last message that only gave tokens back.
     returned_id: u64,
+    /// Tokens that this host has lent as a standby, by its latest notice.
+    standby_lent: Option<u64>,
     updated_ms: u64,
 }
 
@@ -69,6 +74,8 @@
     role_since_ms: u64,
     updated_ms: u64,
     asked_ms: u64,
+    /// Tokens lent since the bucket was created.
+    lent: u64,
     borrowers: BTreeMap<IpAddr, BorrowerRecord>,
 }
 
@@ -145,6 +152,7 @@
         bucket.put_back(request.returned);
         let tokens = request.tokens.min((bucket.level + EPSILON).max(0.0) as u32);
         bucket.level -= f64::from(tokens);
+        bucket.lent += u64::from(tokens);
         let missing = (1.0 - bucket.level).max(0.0);
         let wait_ms = match tokens < request.tokens {
             true => (missing * 1_000.0 / bucket.lent_per_s).clamp(1.0, MAX_WAIT_MS) as u32,
@@ -164,6 +172,28 @@
         Some(lease)
     }
 
+    /// Charges the tokens that the standby at `sender` has lent since its last notice, so that both together lend no more
+    /// than the rate.
+    ///
+    /// The first notice only states where the sum begins.
+    pub fn record_standby(&mut self, sender: IpAddr, notice: &StandbyNotice, terms: &LendingTerms) {
+        if !self.buckets.contains_key(&notice.tenant) {
+            return;
+        }
+        let bucket = self.refill(&notice.tenant, terms);
+        let record = bucket.borrowers.entry(sender).or_default();
+        record.updated_ms = terms.now_ms;
+        let known = record.standby_lent.replace(notice.lent);
+        let charged = known.map_or(0, |known| notice.lent.saturating_sub(known));
+        let floor = -bucket.rate_per_s * MAX_DEBT_S;
+        bucket.level = (bucket.level - charged as f64).max(floor.min(bucket.level));
+    }
+
+    /// Tokens of a tenant that were lent since its bucket was created; 0 without a bucket.
+    pub fn lent_for(&self, tenant: &str) -> u64 {
+        self.buckets.get(tenant).map_or(0, |bucket| bucket.lent)
+    }
+
     /// Ends the role of lender for the tenants that `is_lender` does not hold for.
     pub fn step_down(&mut self, now_ms: u64, is_lender: impl Fn(&str) -> bool) {
         let start_tokens = self.bounds.start_tokens();
@@ -232,6 +262,7 @@
                 role_since_ms: now_ms,
                 updated_ms: now_ms,
                 asked_ms: now_ms,
+                lent: 0,
                 borrowers: BTreeMap::new(),
             };
             self.buckets.insert(tenant.to_string(), bucket);
--- a/jayrack-mesh/src/allowance/node.rs
+++ b/jayrack-mesh/src/allowance/node.rs
@@ -2,7 +2,7 @@
 use std::{collections::BTreeMap, net::IpAddr};
 
 use super::{
-    AllowanceMessage, LeaseRequest, OverrunBounds, TokenLease,
+    AllowanceMessage, LeaseRequest, OverrunBounds, StandbyNotice, TokenLease,
     borrower::{
         AllowanceDecision, BorrowInput, BorrowOutcome, BorrowerCounts, BorrowerOutput,
         ReceivedLease, TokenBorrower, TokenPermit,
@@ -178,6 +178,11 @@
                 self.borrow(now_ms, sender, lease);
             }
             AllowanceMessage::Lease(_) => {}
+            AllowanceMessage::Notice(notice) => {
+                if let Some(terms) = self.terms(now_ms, &notice.tenant) {
+                    self.lender.record_standby(sender, notice, &terms);
+                }
+            }
         }
     }
 
@@ -287,8 +292,13 @@
                 wait_ms: 0,
             })
         } else {
+            let lent_before = self.lender.lent_for(&request.tenant);
             let terms = self.terms(now_ms, &request.tenant);
-            terms.and_then(|terms| self.lender.lend(borrower, request, &terms))
+            let lease = terms.and_then(|terms| self.lender.lend(borrower, request, &terms));
+            if self.lender.lent_for(&request.tenant) > lent_before {
+                self.notify_earlier_lenders(&request.tenant);
+            }
+            lease
         };
         let Some(lease) = lease else {
             return;
@@ -301,6 +311,18 @@
         }
     }
 
+    /// Tells the hosts before this one in the tenant's order what it has lent; none if it is the lender.
+    fn notify_earlier_lenders(&mut self, tenant: &str) {
+        let order = self.lenders(tenant);
+        let earlier = order.into_iter().take_while(|host| *host != self.local);
+        let notice = StandbyNotice {
+            tenant: tenant.to_string(),
+            lent: self.lender.lent_for(tenant),
+        };
+        let notices = earlier.map(|host| (host, AllowanceMessage::Notice(notice.clone())));
+        self.outgoing.extend(notices);
+    }
+
     fn borrow(&mut self, now_ms: u64, lender: IpAddr, lease: &TokenLease) {
         let lenders = self.lenders(&lease.tenant);
         let mut out = BorrowerOutput::default();
--- a/jayrack-mesh/tests/allowance.rs
+++ b/jayrack-mesh/tests/allowance.rs
@@ -12,6 +12,8 @@
 const END_MS: u64 = 18_000;
 /// Fraction of the requests within the limit that must run where nothing is broken.
 const MIN_ADMITTED: f64 = 0.97;
+/// The same while a lender is slow.
+const MIN_ADMITTED_SLOW: f64 = 0.85;
 
 fn all_hosts() -> Vec<usize> {
     (0..HOSTS).collect()
@@ -237,3 +239,31 @@
         assert!(buckets <= 1, "{buckets}");
     }
 }
+
+/// Guards against a lender that is too slow for some of its answers, while a standby lends for those who did not get one:
+/// together they lent 1.7 times the rate.
+#[rstest]
+fn a_slow_lender_and_its_standby_keep_the_limit_together(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(5, 16, 40)] running_ms: u64,
+) {
+    let allowance = TenantAllowance {
+        rate_per_s: 60.0,
+        burst: 20.0,
+    };
+    let hot = SimTenant {
+        allowance,
+        ..SimTenant::usual("hot", 60.0 / LIMIT_RATIO)
+    };
+    let hot = hot.then(SETTLED_MS, 7.5 * 60.0 / LIMIT_RATIO, all_hosts());
+    let mut fleet = SimFleet::new(vec![hot], seed);
+    let lender = fleet.lender_of(0);
+
+    fleet.run_until(SETTLED_MS);
+    fleet.slow_down(lender, 6_500, running_ms);
+    fleet.run_until(END_MS);
+
+    fleet.assert_bounds();
+    let fraction = fleet.admitted_fraction(SETTLED_MS, END_MS);
+    assert!(fraction >= MIN_ADMITTED_SLOW, "{fraction}");
+}
--- a/jayrack-mesh/tests/allowance_fleet/mod.rs
+++ b/jayrack-mesh/tests/allowance_fleet/mod.rs
@@ -26,6 +26,8 @@
 /// Interval of status datagrams, and of the update of the view of the fleet.
 const STATUS_INTERVAL_MS: u64 = 2_000;
 const VIEW_INTERVAL_MS: u64 = 250;
+/// Period in which a slow host runs and pauses.
+const SLOW_PERIOD_MS: u64 = 100;
 /// Silence after which a host is not chosen as a lender, as in the daemon.
 const SILENCE_MS: u64 = 5_000;
 /// Ratio of the limits to the usual rates.
@@ -74,6 +76,13 @@
     }
 }
 
+/// Until when a host is slow, and for how long it runs in each period meanwhile.
+#[derive(Debug, Clone, Copy, Default)]
+struct SlowTime {
+    until_ms: u64,
+    running_ms: u64,
+}
+
 #[derive(Debug)]
 enum Event {
     Arrival(usize),
@@ -106,6 +115,7 @@
     limits_version: u64,
     /// Version of the limits that each host holds.
     known_limits: Vec<u64>,
+    slow: Vec<SlowTime>,
     frozen_until_ms: Vec<u64>,
     is_dead: Vec<bool>,
     heard_ms: Vec<Vec<Option<u64>>>,
@@ -145,6 +155,7 @@
             limits_version: 1,
             known_limits: vec![0; HOSTS],
             frozen_until_ms: vec![0; HOSTS],
+            slow: vec![SlowTime::default(); HOSTS],
             is_dead: vec![false; HOSTS],
             heard_ms: vec![vec![Some(0); HOSTS]; HOSTS],
             events: BTreeMap::new(),
@@ -225,7 +236,8 @@
                 if self.is_dead[host] {
                     return;
                 }
-                if let Some(left_ms) = self.frozen_ms(host) {
+                let left_ms = self.frozen_ms(host).or_else(|| self.paused_ms(host));
+                if let Some(left_ms) = left_ms {
                     self.push(left_ms, Event::Deliver(from, host, message));
                     return;
                 }
@@ -233,6 +245,10 @@
                 self.nodes[host].receive(self.now_ms, from, &message);
                 self.settle(host);
             }
+            Event::Tick(host) | Event::Wake(host) if self.paused_ms(host).is_some() => {
+                let left_ms = self.paused_ms(host).unwrap();
+                self.push(left_ms, event);
+            }
             Event::Tick(host) => {
                 if self.is_running(host) {
                     self.nodes[host].tick(self.now_ms);
@@ -264,6 +280,17 @@
         (left_ms > 0).then_some(left_ms)
     }
 
+    /// Time until a slow host goes on, if it is paused.
+    fn paused_ms(&self, host: usize) -> Option<u64> {
+        let SlowTime {
+            until_ms,
+            running_ms,
+        } = self.slow[host];
+        let phase_ms = self.now_ms % SLOW_PERIOD_MS;
+        let is_paused = self.now_ms < until_ms && phase_ms >= running_ms;
+        is_paused.then_some(SLOW_PERIOD_MS - phase_ms)
+    }
+
     fn is_running(&self, host: usize) -> bool {
         !self.is_dead[host] && self.frozen_ms(host).is_none()
     }
@@ -380,6 +407,14 @@
         self.frozen_until_ms[host] = self.now_ms + for_ms;
     }
 
+    /// Lets a daemon run for `running_ms` of each tenth of a second only.
+    pub fn slow_down(&mut self, host: usize, for_ms: u64, running_ms: u64) {
+        self.slow[host] = SlowTime {
+            until_ms: self.now_ms + for_ms,
+            running_ms,
+        };
+    }
+
     pub fn lender_of(&self, tenant: usize) -> usize {
         let hosts: Vec<IpAddr> = (0..HOSTS).map(address).collect();
         let order = jayrack_mesh::allowance::lender_order(&self.tenants[tenant].name, &hosts);
--- a/jayrack-meshd/src/control/allowance.rs
+++ b/jayrack-meshd/src/control/allowance.rs
@@ -11,7 +11,7 @@
 use jayrack_mesh::{
     HostDirectory,
     allowance::{
-        AllowanceMessage, LeaseRequest, TokenLease,
+        AllowanceMessage, LeaseRequest, StandbyNotice, TokenLease,
         node::{AllowanceCounts, AllowanceEvent, FleetView, TICK_INTERVAL_MS},
     },
     hosts::HostEntry,
@@ -58,6 +58,14 @@
                     id: request.id,
                     tokens: request.tokens,
                     returned: request.returned,
+                    standby_lent: 0,
+                });
+            }
+            AllowanceMessage::Notice(notice) => {
+                status.allowance_requests.push(wire::AllowanceRequest {
+                    tenant: notice.tenant.clone(),
+                    standby_lent: notice.lent,
+                    ..wire::AllowanceRequest::default()
                 });
             }
             AllowanceMessage::Lease(lease) => status.allowance_leases.push(wire::AllowanceLease {
@@ -78,14 +86,7 @@
     if status.allowance_requests.is_empty() && status.allowance_leases.is_empty() {
         return None;
     }
-    let requests = status.allowance_requests.into_iter().map(|request| {
-        AllowanceMessage::Request(LeaseRequest {
-            tenant: request.tenant,
-            id: request.id,
-            tokens: request.tokens,
-            returned: request.returned,
-        })
-    });
+    let requests = status.allowance_requests.into_iter().map(decode_request);
     let leases = status.allowance_leases.into_iter().map(|lease| {
         AllowanceMessage::Lease(TokenLease {
             tenant: lease.tenant,
@@ -97,6 +98,21 @@
     Some(requests.chain(leases).collect())
 }
 
+fn decode_request(request: wire::AllowanceRequest) -> AllowanceMessage {
+    if request.standby_lent > 0 {
+        return AllowanceMessage::Notice(StandbyNotice {
+            tenant: request.tenant,
+            lent: request.standby_lent,
+        });
+    }
+    AllowanceMessage::Request(LeaseRequest {
+        tenant: request.tenant,
+        id: request.id,
+        tokens: request.tokens,
+        returned: request.returned,
+    })
+}
+
 /// Handles a datagram if it carries messages of the rate limits; returns whether it does.
 pub(super) fn handle(control: &ControlState, bytes: &[u8], sender: SocketAddr) -> bool {
     let mesh = &control.mesh;
--- a/jayrack-meshd/tests/allowance.rs
+++ b/jayrack-meshd/tests/allowance.rs
@@ -9,7 +9,9 @@
 
 use jayrack_mesh::{
     HostDirectory, HostRecord,
-    allowance::{AllowanceMessage, LeaseRequest, TokenLease, lender_order, node::FleetView},
+    allowance::{
+        AllowanceMessage, LeaseRequest, StandbyNotice, TokenLease, lender_order, node::FleetView,
+    },
     tenants::TenantAllowance,
 };
 use jayrack_meshd::{
@@ -239,6 +241,19 @@
     assert_eq!(decoded.collect::<Vec<_>>(), messages);
 }
 
+/// Guards against notices of a standby that reach the lender as requests for tokens.
+#[test]
+fn a_notice_of_a_standby_is_decoded_as_one() {
+    let notice = AllowanceMessage::Notice(StandbyNotice {
+        tenant: "clinic".to_string(),
+        lent: 1 << 40,
+    });
+
+    let datagrams = encode((1, 1), std::slice::from_ref(&notice));
+
+    assert_eq!(decode(&datagrams[0]), Some(vec![notice]));
+}
+
 /// Guards against status datagrams taken for messages of the rate limits, whatever their format.
 #[test]
 fn a_status_datagram_carries_no_messages() {
