--- a/jayrack-mesh/tests/uneven_load/main.rs
+++ b/jayrack-mesh/tests/uneven_load/main.rs
@@ -80,6 +80,7 @@
 
     println!("{hosts} hosts\nbaseline: {baseline}\nproduct:  {product}");
     assert!(product.refused <= baseline.refused, "{product}");
+    assert!(product.in_time >= baseline.in_time, "{product}");
     assert!(product.usual_missed <= baseline.usual_missed, "{product}");
     assert!(product.mean_ms() <= baseline.mean_ms(), "{product}");
 }
