--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -207,22 +207,17 @@
     /// Makes `record` the present one and remembers the incarnation before it.
     fn replace(&mut self, record: ServerRecord) {
         self.past.retain(|past| !is_same_incarnation(past, &record));
-        let before = self.record.replace(record);
-        let Some(before) = before else {
-            return;
-        };
-        if self
+        let before = self
             .record
-            .as_ref()
-            .is_some_and(|record| is_same_incarnation(record, &before))
-        {
-            return;
-        }
-        self.candidate = None;
-        self.past.push_back(before);
-        if self.past.len() > MAX_PAST {
-            self.past.pop_front();
+            .take_if(|known| !is_same_incarnation(known, &record));
+        if let Some(before) = before {
+            self.candidate = None;
+            self.past.push_back(before);
+            if self.past.len() > MAX_PAST {
+                self.past.pop_front();
+            }
         }
+        self.record = Some(record);
     }
 
     /// Records at `now_ms` that the server leaves at once; `born_ms` is zero if the server did not state it, and matches any
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -260,14 +260,17 @@
         return answer.with_deadline(stream_ends_at);
     }
     let is_expired = Instant::now() >= expires_at;
+    let event = match is_expired {
+        true => "time-out",
+        false => "ended by a stop",
+    };
     log::warn!(
         target: logging::REQUEST,
         id = forward::request_id(&request.parts.headers),
         route = request.route.name.as_str(),
         hosts:? = progress.attempts.hosts(),
         sent = is_sent;
-        "{}",
-        if is_expired { "time-out" } else { "ended by a stop" }
+        "{event}"
     );
     if let Some(failure) = progress.failure {
         return CallerAnswer::Answer(failure);
