--- a/jayrack-mesh/src/allowance/lender.rs
+++ b/jayrack-mesh/src/allowance/lender.rs
@@ -6,7 +6,7 @@
 
 /// Fraction of the rate that is lent by a standby, and by a lender that has just taken over: another lender may still
 /// serve some of the hosts. It covers the usual rate of a tenant whose limit is 1.6 times that rate.
-const CAUTIOUS_FRACTION: f64 = 0.75;
+const CAUTIOUS_FRACTION: f64 = 0.78;
 /// Part of the slack that a cautious lender may lend in a window beyond [`CAUTIOUS_FRACTION`], so that small tenants
 /// get their whole rate.
 const CAUTIOUS_EXTRA_FRACTION: f64 = 0.15;
