test(meshd): let the server of the key tests go on reporting

The stand-in server reported once, at its start. A server without a report or an answer for 4 s gets no more requests, as it should, and the test takes 3.2 s to its first request on an idle machine. With a pause of 4.3 s before the restart it fails every time, and the daemon's log says `server is silent, no more work`. A server reports every 1.5 s by the users' interface, so the stand-in goes on reporting now; what the tests check is unchanged. The product is unchanged.

--- a/jayrack-meshd/tests/keys.rs
+++ b/jayrack-meshd/tests/keys.rs
@@ -47,6 +47,7 @@
     let host = HostProcess::start_with_output(store.standin.address(), DaemonOutput::Collected);
     let server = ServerStandin::start(host.server(), "i-1", delay).await;
     host.until_reported("i-1", host.status("ready", 1, 1)).await;
+    host.keep_reporting();
     host.until_ready(StatusCode::OK).await;
     until("a caller is answered", || async {
         let answer = host.ask(Method::GET, "/browse/1", "warm").await;
