--- a/jayrack-mesh/src/memory.rs
+++ b/jayrack-mesh/src/memory.rs
@@ -1,59 +1,39 @@
 //! Byte budget of a daemon: which bodies, queued answers and connections may use memory.
 //!
 //! Holdings grow as bytes arrive, not by the length that a sender announces. A part of the budget is kept for small
-//! holdings, so that large bodies do not shut out ordinary requests. When room is short, the body that has received
-//! nothing for the longest time gives way.
+//! holdings, so that large bodies do not shut out ordinary requests. When room is short, the body or the connection that
+//! makes least use of its place gives way: stalled bodies first, then the slowest one.
+//!
+//! * [`sizes`]: sizes of the budget of a host, and costs of connections.
+//! * [`connections`]: places of connections, and which connection gives way to a new one.
+//! * [`progress`]: rate at which a connection or a body moves bytes.
+pub mod connections;
+pub mod progress;
+pub mod sizes;
+
 use std::collections::BTreeMap;
 
+use connections::{ClientKind, ConnectionId, ConnectionLedger, ConnectionLimits, ConnectionPhase};
+use progress::ProgressMeter;
+pub use sizes::{BudgetSizes, ConnectionCost};
+
 /// Largest holding that may use the reserve, in bytes: bodies of ordinary requests have up to 24 KB.
 pub const SMALL_BYTES: u64 = 64 << 10;
-/// Memory of the process itself, in megabytes: it needs 6 to 15 MB under ordinary load, without large bodies.
-const PROCESS_MB: u64 = 18;
-/// Part of the budget that only small holdings and connections may use, in bytes: 64 of the largest small ones. With
-/// it, a host of 88 MB still has room for one body of 64 MB.
-const RESERVE_BYTES: u64 = 4 << 20;
-/// Smallest budget, in bytes: a host whose memory is stated too low still serves small requests.
-const MIN_BUDGET_BYTES: u64 = 8 << 20;
-/// Budget where the host's memory is not limited, in bytes.
-const DEFAULT_BUDGET_BYTES: u64 = 256 << 20;
 /// Share of the budget that connections may use, in percent.
 const CONNECTION_PERCENT: u64 = 50;
 /// Time without a received byte after which a body may give way to others, in milliseconds: a body that fits into few
 /// packets arrives much faster.
 const STALL_MS: u64 = 250;
+/// Age up to which a large body counts as one of this rate, in milliseconds and bytes per second: the slowest link carries
+/// ten times as much.
+const FRESH_MS: u64 = 250;
+const FRESH_BYTES_PER_S: u64 = 128 << 10;
+/// A body gives way only to one that is this many times faster, so that two of them do not exchange places.
+const GIVING_FACTOR: u64 = 2;
 
 /// Number of a holding in a [`MemoryBudget`].
 pub type HoldingId = u64;
 
-/// Sizes of a budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BudgetSizes {
-    /// The whole budget, in bytes.
-    pub total_bytes: u64,
-    /// Part of it for small holdings, in bytes.
-    pub reserve_bytes: u64,
-}
-
-impl BudgetSizes {
-    /// Sizes for a host with `memory_mb` megabytes for the process; `None` if they are not limited.
-    pub fn for_host(memory_mb: Option<u64>) -> Self {
-        let total_bytes = match memory_mb {
-            Some(memory_mb) => memory_mb.saturating_sub(PROCESS_MB).saturating_mul(1 << 20),
-            None => DEFAULT_BUDGET_BYTES,
-        };
-        let total_bytes = total_bytes.max(MIN_BUDGET_BYTES);
-        Self {
-            total_bytes,
-            reserve_bytes: RESERVE_BYTES.min(total_bytes / 2),
-        }
-    }
-
-    /// Largest holding that can ever fit, in bytes.
-    pub fn largest_bytes(&self) -> u64 {
-        self.total_bytes - self.reserve_bytes
-    }
-}
-
 /// Result of asking for room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
@@ -65,14 +45,43 @@
     Refused,
 }
 
+/// Result of asking for the place of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The connection is open.
+    Admitted(ConnectionId),
+    /// This connection gives way; the place may be asked for again when it is closed.
+    GivesWay(ConnectionId),
+    /// There is no place.
+    Refused,
+}
+
 #[derive(Debug)]
 struct Holding {
     bytes: u64,
-    /// When the last byte of a body was received; `None` if nothing is being received.
-    received_ms: Option<u64>,
+    /// Progress of a body; `None` if nothing is being received.
+    arrival: Option<BodyArrival>,
     is_giving_way: bool,
 }
 
+/// Progress of a body that is being received.
+#[derive(Debug)]
+struct BodyArrival {
+    began_ms: u64,
+    received_ms: u64,
+    meter: ProgressMeter,
+}
+
+impl BodyArrival {
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.received_ms) >= STALL_MS
+    }
+
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.began_ms) < FRESH_MS
+    }
+}
+
 /// Accounting of the memory that clients' data use.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -81,19 +90,25 @@
     next_id: HoldingId,
     taken_bytes: u64,
     large_bytes: u64,
-    connection_bytes: u64,
+    connections: ConnectionLedger,
+    outgoing_bytes: u64,
 }
 
 impl MemoryBudget {
-    /// Creates an unused budget.
-    pub fn new(sizes: BudgetSizes) -> Self {
+    /// Creates an unused budget for at most `max_connections` connections of callers and daemons.
+    pub fn new(sizes: BudgetSizes, max_connections: u64) -> Self {
+        let limits = ConnectionLimits {
+            connections: max_connections,
+            bytes: sizes.total_bytes * CONNECTION_PERCENT / 100,
+        };
         Self {
             sizes,
             holdings: BTreeMap::new(),
             next_id: 0,
             taken_bytes: 0,
             large_bytes: 0,
-            connection_bytes: 0,
+            connections: ConnectionLedger::new(limits),
+            outgoing_bytes: 0,
         }
     }
 
@@ -104,7 +119,12 @@
 
     /// Bytes in use, those of connections included.
     pub fn taken_bytes(&self) -> u64 {
-        self.taken_bytes + self.connection_bytes
+        self.taken_bytes + self.outgoing_bytes + self.connections.bytes()
+    }
+
+    /// Open connections of clients.
+    pub fn connections(&self) -> &ConnectionLedger {
+        &self.connections
     }
 
     /// Opens an empty holding.
@@ -112,7 +132,7 @@
         self.next_id += 1;
         let holding = Holding {
             bytes: 0,
-            received_ms: None,
+            arrival: None,
             is_giving_way: false,
         };
         self.holdings.insert(self.next_id, holding);
@@ -130,17 +150,23 @@
         }
     }
 
-    /// Records that a body receives bytes at `now_ms`.
-    pub fn record_received(&mut self, id: HoldingId, now_ms: u64) {
+    /// Records that a body receives `bytes` at `now_ms`.
+    pub fn record_received(&mut self, id: HoldingId, now_ms: u64, bytes: u64) {
         if let Some(holding) = self.holdings.get_mut(&id) {
-            holding.received_ms = Some(now_ms);
+            let arrival = holding.arrival.get_or_insert_with(|| BodyArrival {
+                began_ms: now_ms,
+                received_ms: now_ms,
+                meter: ProgressMeter::new(now_ms),
+            });
+            arrival.received_ms = now_ms;
+            arrival.meter.record(now_ms, bytes);
         }
     }
 
     /// Records that a body has been received completely; it no longer gives way.
     pub fn record_complete(&mut self, id: HoldingId) {
         if let Some(holding) = self.holdings.get_mut(&id) {
-            holding.received_ms = None;
+            holding.arrival = None;
         }
     }
 
@@ -154,12 +180,7 @@
         if room == Room::Granted {
             self.taken_bytes += more_bytes;
             if bytes > SMALL_BYTES {
-                let counted_bytes = if held_bytes > SMALL_BYTES {
-                    held_bytes
-                } else {
-                    0
-                };
-                self.large_bytes += bytes - counted_bytes;
+                self.large_bytes += bytes - counted_as_large(held_bytes);
             }
             if let Some(holding) = self.holdings.get_mut(&id) {
                 holding.bytes = bytes;
@@ -173,38 +194,66 @@
         self.room(id, now_ms, 0, bytes)
     }
 
-    /// Takes `bytes` for a connection; returns whether there was room.
-    pub fn open_connection(&mut self, bytes: u64) -> bool {
-        let limit_bytes = self.sizes.total_bytes * CONNECTION_PERCENT / 100;
-        let has_room = self.connection_bytes + bytes <= limit_bytes
-            && self.taken_bytes() + bytes <= self.sizes.total_bytes;
-        if has_room {
-            self.connection_bytes += bytes;
+    /// Opens a connection of a client that costs `cost`, if there is a place for it.
+    pub fn open_connection(
+        &mut self,
+        kind: ClientKind,
+        cost: ConnectionCost,
+        now_ms: u64,
+    ) -> Admission {
+        let bytes = cost.bytes();
+        let has_place = self.connections.has_place(kind, bytes, self.outgoing_bytes);
+        let has_room = self.taken_bytes() + bytes <= self.sizes.total_bytes;
+        if !has_place || !has_room {
+            return match self.connections.give_way(kind, bytes, now_ms) {
+                Some(id) => Admission::GivesWay(id),
+                None => Admission::Refused,
+            };
         }
-        has_room
+        Admission::Admitted(self.connections.open(kind, bytes, now_ms))
+    }
+
+    /// Chooses the connection that gives way where a new one of `kind` cannot even be accepted.
+    pub fn make_place(
+        &mut self,
+        kind: ClientKind,
+        cost: ConnectionCost,
+        now_ms: u64,
+    ) -> Option<ConnectionId> {
+        self.connections.give_way(kind, cost.bytes(), now_ms)
+    }
+
+    /// Closes a connection of a client.
+    pub fn close_connection(&mut self, id: ConnectionId) {
+        self.connections.close(id);
     }
 
-    /// Takes `bytes` for a connection that is opened in any case.
-    pub fn add_connection(&mut self, bytes: u64) {
-        self.connection_bytes += bytes;
+    /// Records what happens on a connection from now on.
+    pub fn enter_phase(&mut self, id: ConnectionId, phase: ConnectionPhase, now_ms: u64) {
+        self.connections.enter(id, phase, now_ms);
     }
 
-    /// Gives back the `bytes` of a connection.
-    pub fn close_connection(&mut self, bytes: u64) {
-        self.connection_bytes = self.connection_bytes.saturating_sub(bytes);
+    /// Records that `bytes` were received or sent on a connection.
+    pub fn record_progress(&mut self, id: ConnectionId, now_ms: u64, bytes: u64) {
+        self.connections.record_progress(id, now_ms, bytes);
+    }
+
+    /// Takes the memory of an outgoing connection, without regard to room.
+    pub fn add_outgoing(&mut self, cost: ConnectionCost) {
+        self.outgoing_bytes += cost.bytes();
+    }
+
+    /// Gives back the memory of an outgoing connection.
+    pub fn remove_outgoing(&mut self, cost: ConnectionCost) {
+        self.outgoing_bytes = self.outgoing_bytes.saturating_sub(cost.bytes());
     }
 
     fn room(&mut self, id: HoldingId, now_ms: u64, held_bytes: u64, bytes: u64) -> Room {
         let is_large = bytes > SMALL_BYTES;
-        let after_bytes = self.taken_bytes() + bytes - held_bytes;
-        let counted_bytes = if held_bytes > SMALL_BYTES {
-            held_bytes
-        } else {
-            0
-        };
-        let large_after_bytes = self.large_bytes + bytes - counted_bytes;
+        let more_bytes = bytes - held_bytes;
+        let large_after_bytes = self.large_bytes + bytes - counted_as_large(held_bytes);
         let has_large_room = !is_large || large_after_bytes <= self.sizes.largest_bytes();
-        if has_large_room && after_bytes <= self.sizes.total_bytes {
+        if has_large_room && self.taken_bytes() + more_bytes <= self.sizes.total_bytes {
             return Room::Granted;
         }
         if bytes > self.sizes.largest_bytes() {
@@ -213,7 +262,8 @@
         self.give_way(id, now_ms, is_large)
     }
 
-    /// Chooses the body that gives way: the one that has stalled for the longest time, large ones first.
+    /// Chooses the body that gives way: the one that has stalled for the longest time, large ones first, otherwise the
+    /// slowest one.
     fn give_way(&mut self, id: HoldingId, now_ms: u64, is_large: bool) -> Room {
         let leaving = self
             .holdings
@@ -222,20 +272,51 @@
         if let Some((leaving, _)) = leaving {
             return Room::GivesWay(*leaving);
         }
-        let stalled = self.holdings.iter_mut().filter_map(|(other, holding)| {
-            let received_ms = holding.received_ms?;
-            let is_stalled = now_ms.saturating_sub(received_ms) >= STALL_MS;
+        let candidates = self.holdings.iter().filter_map(|(other, holding)| {
+            let arrival = holding.arrival.as_ref()?;
             let is_candidate = holding.bytes > SMALL_BYTES || !is_large;
-            (is_stalled && is_candidate && *other != id).then_some((*other, received_ms, holding))
+            (is_candidate && *other != id).then_some((*other, holding, arrival))
         });
-        let chosen = stalled
-            .min_by_key(|(_, received_ms, holding)| (holding.bytes <= SMALL_BYTES, *received_ms));
-        match chosen {
-            Some((chosen, _, holding)) => {
-                holding.is_giving_way = true;
-                Room::GivesWay(chosen)
-            }
-            None => Room::Refused,
+        let stalled = candidates
+            .clone()
+            .filter(|(_, _, arrival)| arrival.is_stalled(now_ms))
+            .min_by_key(|(_, holding, arrival)| (holding.bytes <= SMALL_BYTES, arrival.received_ms))
+            .map(|(other, ..)| other);
+        let slowest = || {
+            let max_bytes_per_s = self.rate_of(id, now_ms, is_large)? / GIVING_FACTOR;
+            candidates
+                .filter(|(_, _, arrival)| !arrival.is_fresh(now_ms))
+                .map(|(other, _, arrival)| (arrival.meter.bytes_per_s(now_ms), other))
+                .min()
+                .filter(|(bytes_per_s, _)| *bytes_per_s <= max_bytes_per_s)
+                .map(|(_, other)| other)
+        };
+        let Some(chosen) = stalled.or_else(slowest) else {
+            return Room::Refused;
+        };
+        if let Some(holding) = self.holdings.get_mut(&chosen) {
+            holding.is_giving_way = true;
         }
+        Room::GivesWay(chosen)
+    }
+
+    /// Rate of a body that asks for room, in bytes per second; `None` if nothing is being received.
+    ///
+    /// A small body that has just begun is taken for the fastest, since most of them are complete at once.
+    fn rate_of(&self, id: HoldingId, now_ms: u64, is_large: bool) -> Option<u64> {
+        let arrival = self.holdings.get(&id)?.arrival.as_ref()?;
+        Some(match (arrival.is_fresh(now_ms), is_large) {
+            (true, false) => u64::MAX,
+            (true, true) => FRESH_BYTES_PER_S,
+            (false, _) => arrival.meter.bytes_per_s(now_ms),
+        })
+    }
+}
+
+/// Part of a holding of `bytes` that counts as large, in bytes.
+fn counted_as_large(bytes: u64) -> u64 {
+    match bytes > SMALL_BYTES {
+        true => bytes,
+        false => 0,
     }
 }
--- /dev/null
+++ b/jayrack-mesh/src/memory/sizes.rs
@@ -0,0 +1,76 @@
+//! Sizes of the byte budget of a host.
+
+use super::connections::ClientKind;
+
+/// Memory of the process itself, in megabytes: it needs 6 to 15 MB under ordinary load, without large bodies.
+const PROCESS_MB: u64 = 18;
+/// Part of the budget that only small holdings and connections may use, in bytes: 64 of the largest small ones. With
+/// it, a host of 88 MB still has room for one body of 64 MB.
+const RESERVE_BYTES: u64 = 4 << 20;
+/// Smallest budget, in bytes: a host whose memory is stated too low still serves small requests.
+const MIN_BUDGET_BYTES: u64 = 8 << 20;
+/// Budget where the host's memory is not limited, in bytes.
+const DEFAULT_BUDGET_BYTES: u64 = 256 << 20;
+/// Memory of a connection without its receive queue, in bytes: its state, the buffer that it reads into, and the one of
+/// the latest head, which lives as long as the request.
+const CONNECTION_BYTES: u64 = 24 << 10;
+/// The kernel uses up to this many times the size of a receive buffer.
+const RECEIVE_BUFFER_FACTOR: u64 = 2;
+
+/// Memory of one connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionCost {
+    /// Memory of the process, in bytes.
+    pub heap_bytes: u64,
+    /// Receive queue in the kernel, in bytes.
+    pub queue_bytes: u64,
+}
+
+impl ConnectionCost {
+    /// Cost of a connection whose receive buffer has a fixed size.
+    pub fn new(receive_buffer_bytes: usize) -> Self {
+        Self {
+            heap_bytes: CONNECTION_BYTES,
+            queue_bytes: RECEIVE_BUFFER_FACTOR * receive_buffer_bytes as u64,
+        }
+    }
+
+    /// Cost of a connection of a client.
+    pub fn of(kind: ClientKind) -> Self {
+        Self::new(kind.receive_buffer_bytes())
+    }
+
+    /// The whole cost, in bytes.
+    pub fn bytes(&self) -> u64 {
+        self.heap_bytes + self.queue_bytes
+    }
+}
+
+/// Sizes of a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BudgetSizes {
+    /// The whole budget, in bytes.
+    pub total_bytes: u64,
+    /// Part of it for small holdings, in bytes.
+    pub reserve_bytes: u64,
+}
+
+impl BudgetSizes {
+    /// Sizes for a host with `memory_mb` megabytes for the process; `None` if they are not limited.
+    pub fn for_host(memory_mb: Option<u64>) -> Self {
+        let total_bytes = match memory_mb {
+            Some(memory_mb) => memory_mb.saturating_sub(PROCESS_MB).saturating_mul(1 << 20),
+            None => DEFAULT_BUDGET_BYTES,
+        };
+        let total_bytes = total_bytes.max(MIN_BUDGET_BYTES);
+        Self {
+            total_bytes,
+            reserve_bytes: RESERVE_BYTES.min(total_bytes / 2),
+        }
+    }
+
+    /// Largest holding that can ever fit, in bytes.
+    pub fn largest_bytes(&self) -> u64 {
+        self.total_bytes - self.reserve_bytes
+    }
+}
--- a/jayrack-mesh/tests/memory.rs
+++ b/jayrack-mesh/tests/memory.rs
@@ -1,5 +1,8 @@
 //! Accounting of the byte budget.
-use jayrack_mesh::memory::{BudgetSizes, MemoryBudget, Room, SMALL_BYTES};
+use jayrack_mesh::memory::{
+    Admission, BudgetSizes, ConnectionCost, MemoryBudget, Room, SMALL_BYTES,
+    connections::{ClientKind, ConnectionPhase},
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -8,12 +11,17 @@
 const LARGE_BYTES: u64 = TOTAL_BYTES - RESERVE_BYTES;
 /// Longer than the time after which a body counts as stalled.
 const LATER_MS: u64 = 10_000;
+/// A segment of a body with its bookkeeping, in bytes.
+const SEGMENT_BYTES: u64 = (64 << 10) + 128;
+/// More connections than the budget has room for.
+const MAX_CONNECTIONS: u64 = 1_000;
 
 fn budget() -> MemoryBudget {
-    MemoryBudget::new(BudgetSizes {
+    let sizes = BudgetSizes {
         total_bytes: TOTAL_BYTES,
         reserve_bytes: RESERVE_BYTES,
-    })
+    };
+    MemoryBudget::new(sizes, MAX_CONNECTIONS)
 }
 
 /// Guards against a host of the smallest size that has no room for the largest legal body.
@@ -51,7 +59,7 @@
     let [first, second, newcomer] = [budget.open(), budget.open(), budget.open()];
     for (id, at_ms) in [(first, 5), (second, 1)] {
         assert_eq!(budget.grow(id, at_ms, LARGE_BYTES / 2), Room::Granted);
-        budget.record_received(id, at_ms);
+        budget.record_received(id, at_ms, LARGE_BYTES / 2);
     }
 
     let asked = budget.grow(newcomer, LATER_MS, LARGE_BYTES / 2);
@@ -68,7 +76,7 @@
     let mut budget = budget();
     let [complete, newcomer] = [budget.open(), budget.open()];
     budget.grow(complete, 0, LARGE_BYTES);
-    budget.record_received(complete, 0);
+    budget.record_received(complete, 0, LARGE_BYTES);
     budget.record_complete(complete);
 
     let asked = budget.grow(newcomer, LATER_MS, LARGE_BYTES);
@@ -81,11 +89,108 @@
 fn connections_use_half_of_the_budget_at_most() {
     let mut budget = budget();
 
-    let is_open = budget.open_connection(TOTAL_BYTES / 2);
-    let is_more_open = budget.open_connection(1);
+    let mut opened_bytes = 0;
+    for kind in [ClientKind::Caller, ClientKind::Daemon] {
+        let cost = ConnectionCost::of(kind);
+        while let Admission::Admitted(id) = budget.open_connection(kind, cost, 0) {
+            opened_bytes += cost.bytes();
+            budget.enter_phase(id, ConnectionPhase::Running, 0);
+        }
+    }
+
+    let last_bytes = ConnectionCost::of(ClientKind::Daemon).bytes();
+    assert!(opened_bytes <= TOTAL_BYTES / 2);
+    assert!(opened_bytes + last_bytes > TOTAL_BYTES / 2);
+    assert_eq!(budget.taken_bytes(), opened_bytes);
+}
+
+/// Guards against a host that has room for the largest legal body only while nobody is connected.
+#[test]
+fn the_largest_legal_body_fits_beside_connections() {
+    let sizes = BudgetSizes::for_host(Some(88));
+    let mut budget = MemoryBudget::new(sizes, MAX_CONNECTIONS);
+    for kind in [ClientKind::Caller, ClientKind::Daemon] {
+        for _ in 0..5 {
+            let admission = budget.open_connection(kind, ConnectionCost::of(kind), 0);
+            assert!(matches!(admission, Admission::Admitted(_)));
+        }
+    }
+    let body = budget.open();
+
+    let segments = (0..1_024).all(|_| budget.grow(body, 0, SEGMENT_BYTES) == Room::Granted);
+
+    assert!(segments);
+}
+
+/// Guards against small bodies that trickle and use up the room of ordinary requests.
+#[test]
+fn slow_bodies_give_way_to_one_that_has_just_begun() {
+    let mut budget = budget();
+    let slow: Vec<_> = (0..TOTAL_BYTES / SMALL_BYTES)
+        .map(|_| budget.open())
+        .collect();
+    for (index, id) in slow.iter().enumerate() {
+        assert_eq!(budget.grow(*id, 0, SMALL_BYTES), Room::Granted);
+        trickle(&mut budget, *id, index as u64 + 1);
+    }
+    let ordinary = budget.open();
+    budget.record_received(ordinary, LATER_MS, 0);
+
+    let asked = budget.grow(ordinary, LATER_MS, SMALL_BYTES);
 
-    assert!(is_open && !is_more_open);
-    assert_eq!(budget.taken_bytes(), TOTAL_BYTES / 2);
+    assert_eq!(asked, Room::GivesWay(slow[0]));
+}
+
+/// Guards against bodies on slow links, or as fast as others, that are refused for a newcomer.
+#[test]
+fn a_body_does_not_give_way_to_one_that_is_as_fast() {
+    let mut budget = budget();
+    let [first, second] = [budget.open(), budget.open()];
+    for id in [first, second] {
+        assert_eq!(budget.grow(id, 0, LARGE_BYTES / 2), Room::Granted);
+        trickle(&mut budget, id, 1_250);
+    }
+    let newcomer = budget.open();
+    budget.record_received(newcomer, LATER_MS, 0);
+
+    let grown = budget.grow(first, LATER_MS, SEGMENT_BYTES);
+    let begun = budget.grow(newcomer, LATER_MS, LARGE_BYTES / 2);
+
+    assert_eq!(grown, Room::Refused);
+    assert_eq!(begun, Room::Refused);
+}
+
+/// Guards against an order in which callers lose more than they must.
+#[test]
+fn connections_give_way_by_what_they_do() {
+    let mut budget = budget();
+    let kind = ClientKind::Caller;
+    let cost = ConnectionCost::of(kind);
+    let mut open = |phase| {
+        let Admission::Admitted(id) = budget.open_connection(kind, cost, 0) else {
+            panic!("no place");
+        };
+        budget.enter_phase(id, phase, 0);
+        (id, phase)
+    };
+    use ConnectionPhase::{Discarding, Idle, Receiving, Running, Sending};
+    let opened = [Running, Sending, Receiving, Idle, Discarding].map(&mut open);
+    let order = [Discarding, Idle, Receiving, Sending];
+
+    for expected in order {
+        let chosen = budget.make_place(kind, cost, LATER_MS).unwrap();
+        budget.close_connection(chosen);
+        let (_, phase) = opened.iter().find(|(id, _)| *id == chosen).unwrap();
+        assert_eq!(*phase, expected);
+    }
+    assert_eq!(budget.make_place(kind, cost, LATER_MS), None);
+}
+
+/// Lets a body receive `bytes_per_ms` up to [`LATER_MS`].
+fn trickle(budget: &mut MemoryBudget, id: u64, bytes_per_ms: u64) {
+    for at_ms in LATER_MS - 1_000..=LATER_MS {
+        budget.record_received(id, at_ms, bytes_per_ms);
+    }
 }
 
 proptest! {
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -32,7 +32,10 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
-use jayrack_mesh::stop::{StopPhase, StopPlan};
+use jayrack_mesh::{
+    memory::connections::ClientKind,
+    stop::{StopPhase, StopPlan},
+};
 use jayrack_platform::{
     pool,
     store::{self, StoreClient},
@@ -46,10 +49,7 @@
 use crate::{
     settings::{self, MeshSettings},
     shared::MeshState,
-    traffic::{
-        listener::{self, PeerKind},
-        state::TrafficState,
-    },
+    traffic::{listener, state::TrafficState},
 };
 
 /// Time limit for connecting to the store, in milliseconds.
@@ -206,8 +206,8 @@
         }
     };
     let _ = result_sender.send(Ok(()));
-    tokio::spawn(listener::accept(callers, PeerKind::Caller, state.clone()));
-    tokio::spawn(listener::accept(daemons, PeerKind::Daemon, state.clone()));
+    tokio::spawn(listener::accept(callers, ClientKind::Caller, state.clone()));
+    tokio::spawn(listener::accept(daemons, ClientKind::Daemon, state.clone()));
     let mut ticks = 0_u32;
     loop {
         sleep(TICK_INTERVAL).await;
@@ -290,10 +290,10 @@
     mesh.enter_phase(StopPhase::Ending);
     let flush_time = plan.kill_after.saturating_sub(plan.end_after) / FLUSH_DIVISOR;
     let flushed_by = Instant::now() + flush_time;
-    while !traffic.connections.is_empty() && Instant::now() < flushed_by {
+    while traffic.budget.connections() > 0 && Instant::now() < flushed_by {
         sleep(TICK_INTERVAL).await;
     }
-    if !traffic.connections.is_empty() {
-        log::warn!(connections = traffic.connections.len(); "connections are cut off");
+    if traffic.budget.connections() > 0 {
+        log::warn!(connections = traffic.budget.connections(); "connections are cut off");
     }
 }
--- a/jayrack-meshd/src/traffic.rs
+++ b/jayrack-meshd/src/traffic.rs
@@ -15,8 +15,9 @@
 //! * [`forward`]: headers of requests and answers between daemons.
 //! * [`memory`]: the daemon's byte budget; [`segments`]: received bytes in memory of the budget.
 //! * [`request_body`]: bodies of requests.
+//! * [`signals`]: signals that tell a connection to give way.
 //! * [`bounded_read`]: reads that keep the buffers of connections small.
-//! * [`client_stream`]: sockets of clients, with their time limits; [`connections`]: how many there may be.
+//! * [`client_stream`]: sockets of clients, with their time limits; [`connections`]: their admission and state.
 //! * [`state`]: state of the traffic thread.
 //! * [`pool`]: outgoing connections; [`fair_stream`]: their sockets; [`body`]: bodies of answers.
 pub mod allowance;
@@ -41,4 +42,5 @@
 pub mod request_body;
 pub mod router;
 pub mod segments;
+pub mod signals;
 pub mod state;
--- a/jayrack-meshd/src/traffic/client_stream.rs
+++ b/jayrack-meshd/src/traffic/client_stream.rs
@@ -7,17 +7,14 @@
     time::Duration,
 };
 
+use jayrack_mesh::memory::connections::ConnectionPhase;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::{Instant, Sleep, sleep, sleep_until},
 };
 
-use super::{
-    bounded_read,
-    connections::ConnectionState,
-    memory::{ByteBudget, ByteLease},
-};
+use super::{bounded_read, connections::ConnectionState, memory::ByteLease};
 
 /// Interval in which a client must read some of an answer that fills the socket's buffer. Callers on the slowest link
 /// read several megabytes in this time.
@@ -49,7 +46,8 @@
     head_bytes: usize,
     /// Memory of a long head; the buffer stays as large while the connection is open.
     head_lease: Option<ByteLease>,
-    budget: ByteBudget,
+    /// Whether the client has not read all that was written.
+    is_sending: bool,
     write_timer: Option<Pin<Box<Sleep>>>,
     written_bytes: usize,
     linger_timer: Option<Pin<Box<Sleep>>>,
@@ -58,12 +56,7 @@
 
 impl ClientStream {
     /// Wraps an accepted connection; a head must arrive within `head_timeout` after its first byte.
-    pub fn new(
-        stream: TcpStream,
-        state: Arc<ConnectionState>,
-        head_timeout: Duration,
-        budget: ByteBudget,
-    ) -> Self {
+    pub fn new(stream: TcpStream, state: Arc<ConnectionState>, head_timeout: Duration) -> Self {
         Self {
             stream,
             state,
@@ -72,7 +65,7 @@
             head_timer: None,
             head_bytes: 0,
             head_lease: None,
-            budget,
+            is_sending: false,
             write_timer: None,
             written_bytes: 0,
             linger_timer: None,
@@ -98,10 +91,13 @@
         if bytes == 0 {
             return Ok(());
         }
-        self.head_began.get_or_insert_with(Instant::now);
+        if self.head_began.is_none() {
+            self.head_began = Some(Instant::now());
+            self.state.enter(ConnectionPhase::Receiving);
+        }
         self.head_bytes += bytes;
         if self.head_bytes > COVERED_HEAD_BYTES && self.head_lease.is_none() {
-            let lease = self.budget.lease();
+            let lease = self.state.budget().lease();
             if !lease.try_grow(LONG_HEAD_BYTES) {
                 return Err(io::ErrorKind::OutOfMemory.into());
             }
@@ -140,10 +136,17 @@
         match polled {
             Poll::Ready(Ok(bytes)) => {
                 self.written_bytes += bytes;
+                self.state.record_progress(bytes);
                 Poll::Ready(Ok(bytes))
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => self.poll_unread(cx),
+            Poll::Pending => {
+                if !self.is_sending {
+                    self.is_sending = true;
+                    self.state.enter(ConnectionPhase::Sending);
+                }
+                self.poll_unread(cx)
+            }
         }
     }
 
@@ -177,14 +180,17 @@
     ) -> Poll<io::Result<()>> {
         let filled_bytes = buffer.filled().len();
         let polled = bounded_read::poll_read(&mut self.stream, cx, buffer);
+        let read_bytes = buffer.filled().len() - filled_bytes;
         if self.state.is_busy() {
             self.end_head();
+            self.state.record_progress(read_bytes);
             return polled;
         }
         match polled {
             Poll::Ready(Ok(())) => {
-                let read_bytes = buffer.filled().len() - filled_bytes;
-                Poll::Ready(self.record_head(read_bytes))
+                let recorded = self.record_head(read_bytes);
+                self.state.record_progress(read_bytes);
+                Poll::Ready(recorded)
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => self.poll_head(cx),
@@ -206,6 +212,9 @@
         // All of the connection's buffer was written.
         self.write_timer = None;
         self.written_bytes = 0;
+        if std::mem::take(&mut self.is_sending) {
+            self.state.record_sent();
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/jayrack-meshd/src/traffic/connections.rs
+++ b/jayrack-meshd/src/traffic/connections.rs
@@ -1,56 +1,77 @@
-//! Open connections of clients and their number, which descriptors and memory limit.
+//! Open connections of clients: their admission, what happens on them, and how they are told to give way to others.
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use rustix::process::{Resource, getrlimit};
+use jayrack_mesh::memory::{
+    Admission,
+    connections::{ClientKind, ConnectionId, ConnectionPhase},
+};
 use tokio::sync::Notify;
 
-use super::listener::PeerKind;
-use crate::metrics::MeshMetrics;
-
-/// Descriptors for files, listeners, the store and datagrams.
-const RESERVED_DESCRIPTORS: u64 = 200;
-/// A request of a client may need an outgoing connection as well.
-const DESCRIPTORS_PER_CONNECTION: u64 = 2;
-/// Smallest number of connections, where the limit of descriptors is stated too low.
-const MIN_CONNECTIONS: u64 = 16;
-/// Limit of descriptors where neither settings nor system state one.
-const DEFAULT_DESCRIPTORS: u64 = 8_192;
+use super::{memory::ByteBudget, signals::ConnectionSignals};
+
+/// Times that a task lets others run before a new connection is closed, so that another one can give way.
+const ADMISSION_TURNS: u32 = 64;
+
+/// Takes the place and the memory of an accepted connection, at the cost of another one if need be; `None` if there is
+/// none.
+pub async fn admit(budget: &ByteBudget, kind: ClientKind) -> Option<Arc<ConnectionState>> {
+    let signals = Arc::<ConnectionSignals>::default();
+    for _ in 0..ADMISSION_TURNS {
+        match budget.open_connection(kind, &signals) {
+            Admission::Admitted(id) => {
+                let connection_state = ConnectionState::new(budget.clone(), kind, id, signals);
+                return Some(Arc::new(connection_state));
+            }
+            Admission::Refused => break,
+            // Lets the task of the connection that gives way close it.
+            Admission::GivesWay(_) => tokio::task::yield_now().await,
+        }
+    }
+    budget.record_refused_connection(kind);
+    None
+}
 
-/// State of one accepted connection.
+/// State of one accepted connection, which has a place in the budget until it is dropped.
 #[derive(Debug)]
 pub struct ConnectionState {
     /// Kind of the client.
-    pub kind: PeerKind,
-    /// Wakes the connection's task to close it.
-    pub close: Notify,
-    in_flight: AtomicUsize,
-    has_served: AtomicBool,
-    is_closing: AtomicBool,
+    pub kind: ClientKind,
+    budget: ByteBudget,
+    id: ConnectionId,
+    signals: Arc<ConnectionSignals>,
     /// Whether a request's body was not read to its end.
     has_unread_body: AtomicBool,
     idle_since: Mutex<Instant>,
 }
 
 impl ConnectionState {
-    fn new(kind: PeerKind) -> Self {
+    fn new(
+        budget: ByteBudget,
+        kind: ClientKind,
+        id: ConnectionId,
+        signals: Arc<ConnectionSignals>,
+    ) -> Self {
         Self {
             kind,
-            close: Notify::new(),
-            in_flight: AtomicUsize::new(0),
-            has_served: AtomicBool::new(false),
-            is_closing: AtomicBool::new(false),
+            budget,
+            id,
+            signals,
             has_unread_body: AtomicBool::new(false),
             idle_since: Mutex::new(Instant::now()),
         }
     }
 
+    /// The budget that the connection has its place in.
+    pub fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
     /// Time for which no request was in flight; `None` if one is.
     pub fn idle_time(&self) -> Option<Duration> {
         (!self.is_busy()).then(|| self.idle_since().elapsed())
@@ -58,7 +79,43 @@
 
     /// Whether a request is in flight.
     pub fn is_busy(&self) -> bool {
-        self.in_flight.load(Ordering::Relaxed) > 0
+        self.signals.is_busy()
+    }
+
+    /// What happens on the connection; `None` if it is closed.
+    pub fn phase(&self) -> Option<ConnectionPhase> {
+        self.budget.phase(self.id)
+    }
+
+    /// Records what happens on the connection from now on.
+    pub fn enter(&self, phase: ConnectionPhase) {
+        self.budget.enter_phase(self.id, phase);
+        self.signals.reset();
+    }
+
+    /// Records that `bytes` were received or sent.
+    pub fn record_progress(&self, bytes: usize) {
+        self.budget.record_progress(self.id, bytes);
+    }
+
+    /// Waits until the connection must be closed for another one.
+    pub async fn until_closing(&self) {
+        self.until_leaving(&self.signals.close).await;
+    }
+
+    /// Waits until the request whose body is being received must be refused for another connection.
+    pub async fn until_refusing(&self) {
+        self.until_leaving(&self.signals.refuse).await;
+    }
+
+    /// Waits for `signal`; one that was meant for an earlier phase is ignored.
+    async fn until_leaving(&self, signal: &Notify) {
+        loop {
+            signal.notified().await;
+            if self.budget.is_leaving(self.id) {
+                return;
+            }
+        }
     }
 
     /// Records that the body of a request is not read to its end.
@@ -71,6 +128,22 @@
         self.has_unread_body.load(Ordering::Relaxed)
     }
 
+    /// Phase between two requests.
+    fn resting_phase(&self) -> ConnectionPhase {
+        match self.has_unread_body() {
+            true => ConnectionPhase::Discarding,
+            false => ConnectionPhase::Idle,
+        }
+    }
+
+    /// Records that the client has read all that was written.
+    pub fn record_sent(&self) {
+        self.enter(match self.is_busy() {
+            true => ConnectionPhase::Running,
+            false => self.resting_phase(),
+        });
+    }
+
     fn idle_since(&self) -> MutexGuard<'_, Instant> {
         self.idle_since
             .lock()
@@ -78,124 +151,35 @@
     }
 }
 
+impl Drop for ConnectionState {
+    fn drop(&mut self) {
+        self.budget.close_connection(self.id, self.kind);
+    }
+}
+
 /// Counts a request of a connection as in flight; held by the body of its answer.
 pub struct BusyGuard(Arc<ConnectionState>);
 
 impl BusyGuard {
-    /// Counts a request that begins.
-    pub fn new(connection_state: &Arc<ConnectionState>) -> Self {
-        connection_state.in_flight.fetch_add(1, Ordering::Relaxed);
-        connection_state.has_served.store(true, Ordering::Relaxed);
+    /// Counts a request that begins; `has_body` says whether its body is still to be received.
+    pub fn new(connection_state: &Arc<ConnectionState>, has_body: bool) -> Self {
+        let in_flight = &connection_state.signals.in_flight;
+        in_flight.fetch_add(1, Ordering::Relaxed);
+        connection_state.enter(match has_body {
+            true => ConnectionPhase::Receiving,
+            false => ConnectionPhase::Running,
+        });
         Self(connection_state.clone())
     }
 }
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.signals.in_flight.fetch_sub(1, Ordering::Relaxed);
         *self.0.idle_since() = Instant::now();
-    }
-}
-
-#[derive(Debug, Default)]
-struct TableCore {
-    connections: BTreeMap<u64, Arc<ConnectionState>>,
-    next_id: u64,
-}
-
-/// Open connections of clients; clones share the table.
-#[derive(Debug, Clone)]
-pub struct ConnectionTable {
-    core: Arc<Mutex<TableCore>>,
-    max_connections: usize,
-    metrics: MeshMetrics,
-}
-
-impl ConnectionTable {
-    /// Creates an empty table for a process with `max_descriptors`; `None` for the system's limit.
-    pub fn new(max_descriptors: Option<u64>, metrics: MeshMetrics) -> Self {
-        let system = || getrlimit(Resource::Nofile).current;
-        let descriptors = max_descriptors
-            .or_else(system)
-            .unwrap_or(DEFAULT_DESCRIPTORS);
-        let max_connections =
-            descriptors.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CONNECTION;
-        let max_connections = max_connections.max(MIN_CONNECTIONS);
-        Self {
-            core: Arc::default(),
-            max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
-            metrics,
+        // The end of the answer may still wait for the client to read it.
+        if self.0.phase() != Some(ConnectionPhase::Sending) {
+            self.0.enter(self.0.resting_phase());
         }
     }
-
-    /// Adds a connection; `None` if there are too many.
-    pub fn open(&self, kind: PeerKind) -> Option<ConnectionEntry> {
-        let mut core = self.lock();
-        if core.connections.len() >= self.max_connections {
-            return None;
-        }
-        core.next_id += 1;
-        let id = core.next_id;
-        let state = Arc::new(ConnectionState::new(kind));
-        core.connections.insert(id, state.clone());
-        self.metrics.add_connections(kind.name(), 1);
-        Some(ConnectionEntry {
-            table: self.clone(),
-            id,
-            state,
-        })
-    }
-
-    /// Number of open connections.
-    pub fn len(&self) -> usize {
-        self.lock().connections.len()
-    }
-
-    /// Whether no connection is open.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Closes an idle connection: one without any request first, then the one that is idle for the longest time.
-    /// Returns whether there was one.
-    pub fn close_idle(&self) -> bool {
-        let core = self.lock();
-        let idle = core
-            .connections
-            .values()
-            .filter(|state| !state.is_busy() && !state.is_closing.load(Ordering::Relaxed));
-        let oldest = idle.min_by_key(|state| {
-            let has_served = state.has_served.load(Ordering::Relaxed);
-            (has_served, *state.idle_since())
-        });
-        let Some(oldest) = oldest else {
-            return false;
-        };
-        oldest.is_closing.store(true, Ordering::Relaxed);
-        oldest.close.notify_one();
-        self.metrics.count_limit("idle-closed");
-        true
-    }
-
-    fn lock(&self) -> MutexGuard<'_, TableCore> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// A connection in the table; dropping the entry removes it.
-#[derive(Debug)]
-pub struct ConnectionEntry {
-    table: ConnectionTable,
-    id: u64,
-    /// State of the connection.
-    pub state: Arc<ConnectionState>,
-}
-
-impl Drop for ConnectionEntry {
-    fn drop(&mut self) {
-        self.table.lock().connections.remove(&self.id);
-        self.table
-            .metrics
-            .add_connections(self.state.kind.name(), -1);
-    }
 }
--- a/jayrack-meshd/src/traffic/fair_stream.rs
+++ b/jayrack-meshd/src/traffic/fair_stream.rs
@@ -10,7 +10,7 @@
     net::TcpStream,
 };
 
-use super::{bounded_read, memory::ConnectionLease};
+use super::{bounded_read, memory::OutgoingLease};
 
 /// Bytes that are read at a stretch before other tasks run: a thousand interim answers.
 const MAX_BURST_BYTES: usize = 32 << 10;
@@ -22,12 +22,12 @@
     stream: TcpStream,
     burst_bytes: usize,
     /// Memory of the connection, unless it is not in the budget.
-    _lease: Option<ConnectionLease>,
+    _lease: Option<OutgoingLease>,
 }
 
 impl FairStream {
     /// Wraps an open connection whose memory `lease` covers.
-    pub fn new(stream: TcpStream, lease: Option<ConnectionLease>) -> Self {
+    pub fn new(stream: TcpStream, lease: Option<OutgoingLease>) -> Self {
         Self {
             stream,
             burst_bytes: 0,
--- a/jayrack-meshd/src/traffic/ingress.rs
+++ b/jayrack-meshd/src/traffic/ingress.rs
@@ -70,7 +70,7 @@
         .load()
         .as_ref()
         .map_or(DEFAULT_MAX_BODY_BYTES, |routes| routes.limits().body_bytes);
-    let body = match request_body::receive(&state.budget, body, max_bytes).await {
+    let body = match request_body::receive(connection, body, max_bytes).await {
         Ok(body) => body,
         Err(refusal) => {
             log::info!(peer:% = peer, reason = refusal.name(); "body of a forwarded request not received");
--- a/jayrack-meshd/src/traffic/intake.rs
+++ b/jayrack-meshd/src/traffic/intake.rs
@@ -76,7 +76,7 @@
         .ok_or(CallerAnswer::Code(ResultCode::RouteUnknown))?
         .clone();
     let max_bytes = routes.limits().body_bytes;
-    let body = request_body::receive(&state.budget, body, max_bytes)
+    let body = request_body::receive(connection, body, max_bytes)
         .await
         .map_err(|refusal| {
             connection.record_unread_body();
--- a/jayrack-meshd/src/traffic/memory.rs
+++ b/jayrack-meshd/src/traffic/memory.rs
@@ -5,24 +5,36 @@
     time::{Duration, Instant},
 };
 
-use jayrack_mesh::memory::{BudgetSizes, HoldingId, MemoryBudget, Room};
+use jayrack_mesh::memory::{
+    Admission, BudgetSizes, ConnectionCost, HoldingId, MemoryBudget, Room,
+    connections::{ClientKind, ConnectionId, ConnectionPhase},
+};
+use rustix::process::{Resource, getrlimit};
 use tokio::{sync::Notify, time::sleep};
 
+use super::signals::ConnectionSignals;
 use crate::metrics::MeshMetrics;
 
-/// Memory of a connection without its receive queue, in bytes: its state, the buffer that it reads into, and the one of
-/// the latest head, which lives as long as the request.
-const CONNECTION_BYTES: u64 = 24 << 10;
 /// Interval between two attempts to take room from a body that gives way.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Attempts before a body is refused.
 const MAX_RETRIES: u32 = 20;
+/// Descriptors for files, listeners, the store and datagrams.
+const RESERVED_DESCRIPTORS: u64 = 200;
+/// A request of a client may need an outgoing connection as well.
+const DESCRIPTORS_PER_CONNECTION: u64 = 2;
+/// Smallest number of connections, where the limit of descriptors is stated too low.
+const MIN_CONNECTIONS: u64 = 16;
+/// Limit of descriptors where neither settings nor system state one.
+const DEFAULT_DESCRIPTORS: u64 = 8_192;
 
 #[derive(Debug)]
 struct BudgetCore {
     budget: MemoryBudget,
     /// Wakes the readers of bodies, which then give way.
     readers: BTreeMap<HoldingId, Arc<Notify>>,
+    /// Wakes the tasks of connections, which then give way.
+    connections: BTreeMap<ConnectionId, Arc<ConnectionSignals>>,
 }
 
 #[derive(Debug)]
@@ -38,9 +50,27 @@
     inner: Arc<BudgetInner>,
 }
 
-/// Memory of a connection whose socket has a receive buffer of `receive_buffer_bytes`; the kernel uses up to twice as much.
-fn connection_bytes(receive_buffer_bytes: usize) -> u64 {
-    CONNECTION_BYTES + 2 * receive_buffer_bytes as u64
+/// Limits of a host for the process; `None` if they are not stated.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProcessLimits {
+    /// Memory, in megabytes.
+    pub memory_mb: Option<u64>,
+    /// File descriptors.
+    pub max_descriptors: Option<u64>,
+}
+
+impl ProcessLimits {
+    /// Largest number of connections of callers and daemons.
+    fn max_connections(&self) -> u64 {
+        let system = || getrlimit(Resource::Nofile).current;
+        let descriptors = self
+            .max_descriptors
+            .or_else(system)
+            .unwrap_or(DEFAULT_DESCRIPTORS);
+        let connections =
+            descriptors.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CONNECTION;
+        connections.max(MIN_CONNECTIONS)
+    }
 }
 
 /// The budget has no room.
@@ -48,12 +78,13 @@
 pub struct NoRoom;
 
 impl ByteBudget {
-    /// Creates the unused budget of a host with `memory_mb` megabytes for the process.
-    pub fn new(memory_mb: Option<u64>, metrics: MeshMetrics) -> Self {
-        let budget = MemoryBudget::new(BudgetSizes::for_host(memory_mb));
+    /// Creates the unused budget of a process with `limits`.
+    pub fn new(limits: ProcessLimits, metrics: MeshMetrics) -> Self {
+        let sizes = BudgetSizes::for_host(limits.memory_mb);
         let core = Mutex::new(BudgetCore {
-            budget,
+            budget: MemoryBudget::new(sizes, limits.max_connections()),
             readers: BTreeMap::new(),
+            connections: BTreeMap::new(),
         });
         Self {
             inner: Arc::new(BudgetInner {
@@ -77,32 +108,106 @@
         }
     }
 
-    /// Takes the memory of an accepted connection with a receive buffer of this size; `None` if there is no room.
-    pub fn accept(&self, receive_buffer_bytes: usize) -> Option<ConnectionLease> {
-        let bytes = connection_bytes(receive_buffer_bytes);
+    /// Tells a connection of `kind` to give way, where the process has no descriptors for a new one.
+    pub fn free_descriptor(&self, kind: ClientKind) {
+        let now_ms = self.now_ms();
         let mut core = self.lock();
-        let is_open = core.budget.open_connection(bytes);
-        self.record(&core.budget);
-        drop(core);
-        is_open.then(|| ConnectionLease {
-            budget: self.clone(),
-            bytes,
-        })
+        let leaving = core
+            .budget
+            .make_place(kind, ConnectionCost::of(kind), now_ms);
+        if let Some(id) = leaving {
+            self.notify_leaving(&core, id);
+        }
     }
 
     /// Takes the memory of an outgoing connection with a receive buffer of this size.
     ///
     /// It is taken without regard to room, since a request that was accepted needs the connection; fewer connections are
     /// accepted meanwhile.
-    pub fn dial(&self, receive_buffer_bytes: usize) -> ConnectionLease {
-        let bytes = connection_bytes(receive_buffer_bytes);
+    pub fn dial(&self, receive_buffer_bytes: usize) -> OutgoingLease {
+        let cost = ConnectionCost::new(receive_buffer_bytes);
         let mut core = self.lock();
-        core.budget.add_connection(bytes);
+        core.budget.add_outgoing(cost);
         self.record(&core.budget);
         drop(core);
-        ConnectionLease {
+        OutgoingLease {
             budget: self.clone(),
-            bytes,
+            cost,
+        }
+    }
+
+    /// Number of open connections of callers and daemons.
+    pub fn connections(&self) -> usize {
+        self.lock().budget.connections().len()
+    }
+
+    /// What happens on a connection.
+    pub(super) fn phase(&self, id: ConnectionId) -> Option<ConnectionPhase> {
+        self.lock().budget.connections().phase(id)
+    }
+
+    /// Records what happens on a connection from now on.
+    pub(super) fn enter_phase(&self, id: ConnectionId, phase: ConnectionPhase) {
+        let now_ms = self.now_ms();
+        self.lock().budget.enter_phase(id, phase, now_ms);
+    }
+
+    /// Records that `bytes` were received or sent on a connection.
+    pub(super) fn record_progress(&self, id: ConnectionId, bytes: usize) {
+        let now_ms = self.now_ms();
+        self.lock().budget.record_progress(id, now_ms, bytes as u64);
+    }
+
+    /// Whether a connection was told to give way.
+    pub(super) fn is_leaving(&self, id: ConnectionId) -> bool {
+        self.lock().budget.connections().is_leaving(id)
+    }
+
+    /// Gives back the place and the memory of a connection.
+    pub(super) fn close_connection(&self, id: ConnectionId, kind: ClientKind) {
+        let mut core = self.lock();
+        core.budget.close_connection(id);
+        core.connections.remove(&id);
+        self.record(&core.budget);
+        drop(core);
+        self.inner.metrics.add_connections(kind.name(), -1);
+    }
+
+    /// Takes the place and the memory of an accepted connection, if there is a place; otherwise tells the connection that
+    /// gives way. `signals` wake the tasks of the new one.
+    pub fn open_connection(&self, kind: ClientKind, signals: &Arc<ConnectionSignals>) -> Admission {
+        let now_ms = self.now_ms();
+        let cost = ConnectionCost::of(kind);
+        let mut core = self.lock();
+        let admission = core.budget.open_connection(kind, cost, now_ms);
+        match admission {
+            Admission::Admitted(id) => {
+                core.connections.insert(id, signals.clone());
+                self.inner.metrics.add_connections(kind.name(), 1);
+            }
+            Admission::GivesWay(id) => self.notify_leaving(&core, id),
+            Admission::Refused => {}
+        }
+        self.record(&core.budget);
+        admission
+    }
+
+    /// Records that an accepted connection found no place and is closed.
+    pub fn record_refused_connection(&self, kind: ClientKind) {
+        self.inner.metrics.count_limit("connection-refused");
+        log::info!(kind = kind.name(); "connection closed, too many are open");
+    }
+
+    /// Wakes the task of a connection that gives way.
+    fn notify_leaving(&self, core: &BudgetCore, id: ConnectionId) {
+        let (Some(signals), Some(phase)) = (
+            core.connections.get(&id),
+            core.budget.connections().phase(id),
+        ) else {
+            return;
+        };
+        if signals.give_way(phase) {
+            self.inner.metrics.count_limit(limit_of(phase));
         }
     }
 
@@ -123,6 +228,18 @@
     }
 }
 
+/// Name of the limit in metrics for which a connection is ended in `phase`.
+fn limit_of(phase: ConnectionPhase) -> &'static str {
+    match phase {
+        ConnectionPhase::Idle => "idle-closed",
+        ConnectionPhase::Receiving => "slow-request",
+        ConnectionPhase::Sending => "slow-reader",
+        ConnectionPhase::Discarding => "refused-closed",
+        // Does not give way.
+        ConnectionPhase::Running => "running-closed",
+    }
+}
+
 /// Bytes of the budget that belong to one body or answer; dropping the lease gives them back.
 #[derive(Debug)]
 pub struct ByteLease {
@@ -157,10 +274,13 @@
         self.ask(&mut |budget, now_ms| budget.grow(self.id, now_ms, more_bytes)) == Room::Granted
     }
 
-    /// Records that bytes of the body were received.
-    pub fn record_received(&self) {
+    /// Records that `bytes` of the body were received.
+    pub fn record_received(&self, bytes: usize) {
         let now_ms = self.budget.now_ms();
-        self.budget.lock().budget.record_received(self.id, now_ms);
+        self.budget
+            .lock()
+            .budget
+            .record_received(self.id, now_ms, bytes as u64);
     }
 
     /// Records that the body has been received completely.
@@ -211,17 +331,17 @@
     }
 }
 
-/// Memory of one connection; dropping the lease gives it back.
+/// Memory of one outgoing connection; dropping the lease gives it back.
 #[derive(Debug)]
-pub struct ConnectionLease {
+pub struct OutgoingLease {
     budget: ByteBudget,
-    bytes: u64,
+    cost: ConnectionCost,
 }
 
-impl Drop for ConnectionLease {
+impl Drop for OutgoingLease {
     fn drop(&mut self) {
         let mut core = self.budget.lock();
-        core.budget.close_connection(self.bytes);
+        core.budget.remove_outgoing(self.cost);
         self.budget.record(&core.budget);
     }
 }
--- a/jayrack-meshd/src/traffic/request_body.rs
+++ b/jayrack-meshd/src/traffic/request_body.rs
@@ -10,11 +10,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use jayrack_mesh::memory::SMALL_BYTES;
+use jayrack_mesh::memory::{SMALL_BYTES, connections::ConnectionPhase};
 use tokio::time::{Instant, sleep_until};
 
 use super::{
-    memory::{ByteBudget, ByteLease, NoRoom},
+    connections::ConnectionState,
+    memory::{ByteLease, NoRoom},
     segments::SegmentBuffer,
 };
 
@@ -115,25 +116,26 @@
     }
 }
 
-/// Receives a whole body of at most `max_bytes`; its memory is taken from `budget` as it arrives.
+/// Receives a whole body of at most `max_bytes` on `connection`; its memory is taken from the budget as it arrives.
 ///
 /// # Errors
 ///
 /// Returns the reason why the body was not received; what it held is given back.
 pub async fn receive(
-    budget: &ByteBudget,
+    connection: &ConnectionState,
     mut incoming: Incoming,
     max_bytes: u64,
 ) -> Result<RequestBody, BodyRefusal> {
     if incoming.is_end_stream() {
+        connection.enter(ConnectionPhase::Running);
         return Ok(RequestBody::default());
     }
     let stated_bytes = incoming.size_hint().exact();
     if stated_bytes.is_some_and(|stated_bytes| stated_bytes > max_bytes) {
         return Err(BodyRefusal::TooLarge);
     }
-    let mut received = SegmentBuffer::new(budget.lease(), stated_bytes);
-    received.lease().record_received();
+    let mut received = SegmentBuffer::new(connection.budget().lease(), stated_bytes);
+    received.lease().record_received(0);
     if let Some(stated_bytes) = stated_bytes
         && stated_bytes > SMALL_BYTES
     {
@@ -145,6 +147,7 @@
             biased;
             frame = incoming.frame() => frame,
             () = received.lease().until_giving_way() => return Err(BodyRefusal::NoRoom),
+            () = connection.until_refusing() => return Err(BodyRefusal::NoRoom),
             () = sleep_until(rate.interval_ends_at) => {
                 rate.end_interval()?;
                 continue;
@@ -163,10 +166,11 @@
                 return Err(BodyRefusal::TooLarge);
             }
             rate.interval_bytes += data.len() as u64;
-            received.lease().record_received();
+            received.lease().record_received(data.len());
             received.append(&data).await?;
         }
     }
+    connection.enter(ConnectionPhase::Running);
     Ok(finish(received))
 }
 
--- a/jayrack-meshd/src/traffic/state.rs
+++ b/jayrack-meshd/src/traffic/state.rs
@@ -4,9 +4,8 @@
 use jayrack_platform::socket::SocketOptions;
 
 use super::{
-    connections::ConnectionTable,
     link::HostLink,
-    memory::ByteBudget,
+    memory::{ByteBudget, ProcessLimits},
     pool::{self, ConnectionPool},
     router::IngressRouter,
 };
@@ -40,17 +39,19 @@
     pub server_pool: ConnectionPool,
     /// Link of this host, which limits large answers.
     pub link: HostLink,
-    /// Memory for what clients send and are sent.
+    /// Connections of clients, and memory for what they send and are sent.
     pub budget: ByteBudget,
-    /// Open connections of clients.
-    pub connections: ConnectionTable,
 }
 
 impl TrafficState {
     /// Creates the state; `seed` determines random choices.
     pub fn new(mesh: Arc<MeshState>, seed: u64) -> Self {
         let host = &mesh.settings.host;
-        let budget = ByteBudget::new(host.memory_mb, mesh.metrics.clone());
+        let limits = ProcessLimits {
+            memory_mb: host.memory_mb,
+            max_descriptors: host.max_descriptors,
+        };
+        let budget = ByteBudget::new(limits, mesh.metrics.clone());
         let options = |connect_timeout, max_idle| pool::Options {
             socket: SocketOptions {
                 connect_timeout,
@@ -60,7 +61,6 @@
             max_idle_connections: MAX_IDLE_CONNECTIONS,
             budget: Some(budget.clone()),
         };
-        let connections = ConnectionTable::new(host.max_descriptors, mesh.metrics.clone());
         Self {
             router: IngressRouter::new(mesh.clone(), seed),
             link: HostLink::new(mesh.settings.host.link_mbps),
@@ -68,7 +68,6 @@
             peer_pool: ConnectionPool::new(options(PEER_CONNECT_TIMEOUT, PEER_MAX_IDLE)),
             server_pool: ConnectionPool::new(options(SERVER_CONNECT_TIMEOUT, SERVER_MAX_IDLE)),
             budget,
-            connections,
         }
     }
 }
--- a/jayrack-meshd/tests/crowd/callers.rs
+++ b/jayrack-meshd/tests/crowd/callers.rs
@@ -83,7 +83,8 @@
         for caller in 0..count {
             let plan = plan_of(caller);
             sending.spawn(async move {
-                let mut stream = TcpStream::connect(address).await.ok()?;
+                let connecting = timeout(SEND_TIMEOUT, TcpStream::connect(address));
+                let mut stream = connecting.await.ok()?.ok()?;
                 // A refusal may close the connection before all is sent.
                 let _ = timeout(SEND_TIMEOUT, plan.write(&mut stream)).await;
                 Some(stream)
--- a/jayrack-meshd/tests/crowd/fixture.rs
+++ b/jayrack-meshd/tests/crowd/fixture.rs
@@ -110,14 +110,20 @@
     /// descriptors have stayed within the limits of its host, and an ordinary request is answered.
     pub async fn check(&self, name: &str) {
         self.settle().await;
-        let peak_kb = self.meter.peak_kb();
+        self.check_now(name).await;
+    }
+
+    /// As [`CrowdFixture::check`], while the crowd goes on sending.
+    pub async fn check_now(&self, name: &str) {
+        let peak = self.meter.peak();
+        let peak_kb = peak.total_kb();
         let high_water_kb = match self.host.is_running() {
             true => self.host.peak_memory_kb(),
             false => 0,
         };
         let descriptors = self.meter.most_descriptors();
         println!(
-            "{name}: VmHWM {high_water_kb} kB, with unread bytes {peak_kb} kB, {descriptors} descriptors"
+            "{name}: VmHWM {high_water_kb} kB, with unread bytes {peak_kb} kB ({peak:?}), {descriptors} descriptors"
         );
         assert!(self.host.is_running(), "{name}: the process has ended");
         if let Some(memory_mb) = self.limits.memory_mb {
@@ -177,9 +183,33 @@
     lines
 }
 
+/// Memory of a daemon at one time, in kilobytes.
+#[derive(Debug, Clone, Copy, Default)]
+struct MemorySample {
+    resident_kb: u64,
+    /// Bytes that the kernel has received and the daemon has not read, on accepted and outgoing connections.
+    unread_kb: u64,
+    /// The same on connections that wait to be accepted.
+    waiting_kb: u64,
+}
+
+impl MemorySample {
+    fn total_kb(&self) -> u64 {
+        self.resident_kb + self.unread_kb + self.waiting_kb
+    }
+}
+
+/// Keeps the larger one of `peak` and `sample`.
+fn record_peak(peak: &std::sync::Mutex<MemorySample>, sample: MemorySample) {
+    let mut peak = peak.lock().unwrap();
+    if sample.total_kb() > peak.total_kb() {
+        *peak = sample;
+    }
+}
+
 /// Samples the memory and the descriptors of a process until it is dropped.
 struct MemoryMeter {
-    peak_kb: Arc<AtomicU64>,
+    peak: Arc<std::sync::Mutex<MemorySample>>,
     most_descriptors: Arc<AtomicU64>,
     is_over: Arc<AtomicBool>,
 }
@@ -188,12 +218,12 @@
     /// Starts to sample `host`, whose daemon connects to the addresses `dialed`.
     fn start(host: &HostProcess, dialed: &[SocketAddr]) -> Self {
         let meter = Self {
-            peak_kb: Arc::default(),
+            peak: Arc::default(),
             most_descriptors: Arc::default(),
             is_over: Arc::default(),
         };
-        let (peak_kb, most_descriptors, is_over) = (
-            meter.peak_kb.clone(),
+        let (peak, most_descriptors, is_over) = (
+            meter.peak.clone(),
             meter.most_descriptors.clone(),
             meter.is_over.clone(),
         );
@@ -201,9 +231,13 @@
         let probe = host.probe();
         tokio::spawn(async move {
             while !is_over.load(Ordering::Relaxed) {
-                let memory_kb = probe.memory_kb().unwrap_or(0);
-                let unread_kb = sockets.unread_bytes() / 1_024;
-                peak_kb.fetch_max(memory_kb + unread_kb, Ordering::Relaxed);
+                let unread = sockets.unread_bytes();
+                let sample = MemorySample {
+                    resident_kb: probe.memory_kb().unwrap_or(0),
+                    unread_kb: unread.accepted / 1_024,
+                    waiting_kb: unread.waiting / 1_024,
+                };
+                record_peak(&peak, sample);
                 let descriptors = probe.open_descriptors();
                 most_descriptors.fetch_max(descriptors, Ordering::Relaxed);
                 sleep(SAMPLE_INTERVAL).await;
@@ -212,8 +246,8 @@
         meter
     }
 
-    fn peak_kb(&self) -> u64 {
-        self.peak_kb.load(Ordering::Relaxed)
+    fn peak(&self) -> MemorySample {
+        *self.peak.lock().unwrap()
     }
 
     fn most_descriptors(&self) -> u64 {
@@ -227,6 +261,13 @@
     }
 }
 
+/// Bytes that the kernel has received for a daemon and that were not read yet.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct UnreadBytes {
+    accepted: u64,
+    waiting: u64,
+}
+
 /// The connections of a daemon in the kernel's table.
 struct HostSockets {
     listeners: Vec<String>,
@@ -235,31 +276,47 @@
 
 impl HostSockets {
     fn new(host: &HostProcess, dialed: &[SocketAddr]) -> Self {
-        let listeners = [host.callers(), host.forward()];
+        let listeners = [
+            host.callers(),
+            host.forward(),
+            host.ready(),
+            host.reports(),
+            host.metrics(),
+        ];
         Self {
             listeners: listeners.iter().map(kernel_text).collect(),
             dialed: dialed.iter().map(kernel_text).collect(),
         }
     }
 
-    /// Bytes that the kernel has received for these connections and that were not read yet.
-    fn unread_bytes(&self) -> u64 {
+    fn unread_bytes(&self) -> UnreadBytes {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-        let unread = |line: &str| {
-            let mut fields = line.split_whitespace().skip(1);
-            let (local, remote) = (fields.next()?, fields.next()?);
-            let is_own = self.listeners.iter().any(|own| own == local)
-                || self.dialed.iter().any(|peer| peer == remote);
-            let queues = fields.nth(1).filter(|_| is_own)?;
-            // The state `0A` of a listener counts connections in this column, not bytes.
-            let (_, received) = queues.split_once(':')?;
-            u64::from_str_radix(received, 16).ok()
-        };
-        table
-            .lines()
-            .filter(|line| !line.contains(" 0A "))
-            .filter_map(unread)
-            .sum()
+        let mut unread = UnreadBytes::default();
+        // The state `0A` of a listener counts connections in the column of bytes.
+        for line in table.lines().filter(|line| !line.contains(" 0A ")) {
+            let Some((bytes, is_accepted)) = self.unread_of(line) else {
+                continue;
+            };
+            match is_accepted {
+                true => unread.accepted += bytes,
+                false => unread.waiting += bytes,
+            }
+        }
+        unread
+    }
+
+    /// Unread bytes of the connection in `line` of the table, and whether it has been accepted.
+    fn unread_of(&self, line: &str) -> Option<(u64, bool)> {
+        let mut fields = line.split_whitespace().skip(1);
+        let (local, remote) = (fields.next()?, fields.next()?);
+        let is_own = self.listeners.iter().any(|own| own == local)
+            || self.dialed.iter().any(|peer| peer == remote);
+        let queues = fields.nth(1).filter(|_| is_own)?;
+        let (_, received) = queues.split_once(':')?;
+        let bytes = u64::from_str_radix(received, 16).ok()?;
+        // A connection that was not accepted has no inode.
+        let inode = fields.nth(4)?;
+        Some((bytes, inode != "0"))
     }
 }
 
--- a/jayrack-meshd/tests/crowd/main.rs
+++ b/jayrack-meshd/tests/crowd/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod fixture;
 mod server;
+mod slow;
 // Each test program uses only some of its items.
 #[allow(dead_code)]
 #[path = "../support/mod.rs"]
@@ -17,6 +18,7 @@
 use fixture::{CrowdFixture, FixturePlan, caller_fields, daemon_fields, until_served};
 use hyper::{Method, StatusCode};
 use rstest::rstest;
+use slow::{SlowCrowd, SlowPlan};
 use support::{HostLimits, HostProcess};
 
 /// Memory of the host in the settings of a crowd's test, in megabytes; the bound of each.
@@ -46,6 +48,18 @@
 const MAX_DESCRIPTORS: u64 = 400;
 /// Idle connections that are opened in it.
 const IDLE_CONNECTIONS: usize = 800;
+/// Callers whose bodies arrive a little above the minimum rate, more than twice the places of the host, and their rate in bytes a second.
+const SLOW_CALLERS: usize = 600;
+const SLOW_BYTES_PER_S: usize = 9_000;
+/// Size of a slow body that is small, in bytes.
+const SMALL_SLOW_BYTES: usize = 60 << 10;
+/// Descriptors of the host in the settings of the tests with slow callers.
+const SLOW_DESCRIPTORS: u64 = 1_000;
+/// Ordinary requests that are sent one after the other while slow callers stay, and tries of each.
+const ORDINARY_REQUESTS: usize = 20;
+const ORDINARY_TRIES: usize = 2;
+/// Pause between two ordinary requests.
+const ORDINARY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which the backend server runs a request.
 const WORK_TIME: Duration = Duration::from_millis(50);
 
@@ -64,6 +78,7 @@
         }
     }
 
+    /// Header lines of a request; `NUMBER` stands for the number of its caller.
     fn fields(self) -> String {
         match self {
             Door::Callers => caller_fields(),
@@ -316,3 +331,59 @@
         .unwrap();
     assert_eq!(answer.status, StatusCode::OK);
 }
+
+/// Guards against callers that hold all places of the daemon by sending slowly, and shut out ordinary requests.
+#[rstest]
+#[case::callers(Door::Callers, Door::Callers, BODY_BYTES)]
+#[case::callers_with_small_bodies(Door::Callers, Door::Callers, SMALL_SLOW_BYTES)]
+#[case::callers_and_forwarded_requests(Door::Callers, Door::Daemons, BODY_BYTES)]
+#[case::daemons(Door::Daemons, Door::Daemons, BODY_BYTES)]
+#[case::daemons_and_requests_of_callers(Door::Daemons, Door::Callers, BODY_BYTES)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_bodies_do_not_shut_out_ordinary_requests(
+    #[case] crowded: Door,
+    #[case] asked: Door,
+    #[case] body_bytes: usize,
+) {
+    let limits = HostLimits {
+        memory_mb: Some(MEMORY_MB),
+        max_descriptors: Some(SLOW_DESCRIPTORS),
+    };
+    let plan = FixturePlan {
+        limits,
+        ..fixture_plan()
+    };
+    let fixture = CrowdFixture::start(plan).await;
+    let slow = SlowPlan {
+        body_bytes,
+        bytes_per_s: SLOW_BYTES_PER_S,
+    };
+
+    let address = crowded.address(&fixture.host);
+    let crowd = SlowCrowd::start(address, SLOW_CALLERS, &crowded.fields(), slow);
+    crowd.until_connected().await;
+    let mut unserved = 0;
+    for number in 0..ORDINARY_REQUESTS {
+        unserved += usize::from(!is_served(&fixture.host, asked, number).await);
+        tokio::time::sleep(ORDINARY_PAUSE).await;
+    }
+
+    let name = format!("slow bodies at {crowded:?}, asked at {asked:?}");
+    assert_eq!(unserved, 0, "{name}: {ORDINARY_REQUESTS} requests");
+    fixture.check_now(&name).await;
+}
+
+/// Whether an ordinary request without a body is answered in one of its tries.
+async fn is_served(host: &HostProcess, door: Door, number: usize) -> bool {
+    for attempt in 0..ORDINARY_TRIES {
+        let fields = door
+            .fields()
+            .replace("NUMBER", &format!("{number}-{attempt}"));
+        let head = format!("GET /browse/1 HTTP/1.1\r\nhost: a.example\r\n{fields}\r\n");
+        let asking = CallerCrowd::send_bytes(door.address(host), 1, head.into_bytes()).await;
+        if asking.answer().await.starts_with("HTTP/1.1 200") {
+            return true;
+        }
+    }
+    false
+}
--- a/jayrack-meshd/tests/segments.rs
+++ b/jayrack-meshd/tests/segments.rs
@@ -2,7 +2,10 @@
 use bytes::Bytes;
 use jayrack_meshd::{
     metrics::MeshMetrics,
-    traffic::{memory::ByteBudget, segments::SegmentBuffer},
+    traffic::{
+        memory::{ByteBudget, ProcessLimits},
+        segments::SegmentBuffer,
+    },
 };
 use rstest::rstest;
 
@@ -15,10 +18,11 @@
 
 fn budget() -> (ByteBudget, MeshMetrics) {
     let metrics = MeshMetrics::default();
-    (
-        ByteBudget::new(Some(SMALL_HOST_MB), metrics.clone()),
-        metrics,
-    )
+    let limits = ProcessLimits {
+        memory_mb: Some(SMALL_HOST_MB),
+        max_descriptors: None,
+    };
+    (ByteBudget::new(limits, metrics.clone()), metrics)
 }
 
 fn numbered(length: usize) -> Bytes {
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -46,6 +46,8 @@
 const REPORTS_PORT: u16 = 21_004;
 const SERVER_PORT: u16 = 21_005;
 const RELAYED_SERVER_PORT: u16 = 21_006;
+const GOSSIP_PORT: u16 = 21_010;
+const METRICS_PORT: u16 = 21_011;
 
 /// Number of the next host of this process; each host has its own loopback address.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
@@ -326,6 +328,18 @@
         (self.address, FORWARD_PORT).into()
     }
 
+    pub fn ready(&self) -> SocketAddr {
+        (self.address, READY_PORT).into()
+    }
+
+    pub fn reports(&self) -> SocketAddr {
+        (self.address, REPORTS_PORT).into()
+    }
+
+    pub fn metrics(&self) -> SocketAddr {
+        (self.address, METRICS_PORT).into()
+    }
+
     pub fn server(&self) -> SocketAddr {
         (self.address, SERVER_PORT).into()
     }
@@ -548,7 +562,7 @@
     "callers": "{address}:{CALLERS_PORT}", "forward": "{address}:{FORWARD_PORT}",
     "ready": "{address}:{READY_PORT}", "reports": "{address}:{REPORTS_PORT}"
   }},
-  "ports": [21010, 21011],
+  "ports": [{GOSSIP_PORT}, {METRICS_PORT}],
   "store": "{store}",
   "bounds": {{
     "stop_s": 6, "repeat_ratio": 0.2, "repeat_slack": 60, "repeat_window_s": 10
