fix(meshd): bound the connections of the small listeners

What callers saw: nothing yet; 1,200 connections to the listeners for readiness, reports and metrics took 439 descriptors and 23.7 MB, beside what callers may use.

Cause: these listeners accepted every connection, in nobody's account and without a time limit for a head.

Evidence: many_connections_to_a_small_listener (800 connections, idle or with half a head, at a host with 400 descriptors) failed before in all six cases, with 533 to 823 descriptors. The cases with a body that stops short were written after the change and were not run on the code of before.

Their memory is taken from the budget at all times.

Result: 31 or 32 descriptors and 13 MB in these six cases; readiness is answered during each.

--- a/jayrack-mesh/src/memory.rs
+++ b/jayrack-mesh/src/memory.rs
@@ -122,6 +122,11 @@
         self.taken_bytes + self.outgoing_bytes + self.connections.bytes()
     }
 
+    /// Bytes in use, and those that are taken at all times.
+    fn committed_bytes(&self) -> u64 {
+        self.taken_bytes() + self.sizes.standing_bytes()
+    }
+
     /// Open connections of clients.
     pub fn connections(&self) -> &ConnectionLedger {
         &self.connections
@@ -202,8 +207,11 @@
         now_ms: u64,
     ) -> Admission {
         let bytes = cost.bytes();
-        let has_place = self.connections.has_place(kind, bytes, self.outgoing_bytes);
-        let has_room = self.taken_bytes() + bytes <= self.sizes.total_bytes;
+        let other_bytes = self.other_connection_bytes();
+        let has_place = self.connections.has_place(kind, bytes, other_bytes);
+        // Those of small listeners are taken at all times.
+        let has_room =
+            kind.is_small_listener() || self.committed_bytes() + bytes <= self.sizes.total_bytes;
         if !has_place || !has_room {
             return match self.connections.give_way(kind, bytes, now_ms) {
                 Some(id) => Admission::GivesWay(id),
@@ -248,12 +256,17 @@
         self.outgoing_bytes = self.outgoing_bytes.saturating_sub(cost.bytes());
     }
 
+    /// Memory of connections other than those of callers and daemons, in bytes.
+    fn other_connection_bytes(&self) -> u64 {
+        self.sizes.standing_bytes() + self.outgoing_bytes
+    }
+
     fn room(&mut self, id: HoldingId, now_ms: u64, held_bytes: u64, bytes: u64) -> Room {
         let is_large = bytes > SMALL_BYTES;
         let more_bytes = bytes - held_bytes;
         let large_after_bytes = self.large_bytes + bytes - counted_as_large(held_bytes);
         let has_large_room = !is_large || large_after_bytes <= self.sizes.largest_bytes();
-        if has_large_room && self.taken_bytes() + more_bytes <= self.sizes.total_bytes {
+        if has_large_room && self.committed_bytes() + more_bytes <= self.sizes.total_bytes {
             return Room::Granted;
         }
         if bytes > self.sizes.largest_bytes() {
--- a/jayrack-mesh/src/memory/connections.rs
+++ b/jayrack-mesh/src/memory/connections.rs
@@ -10,6 +10,8 @@
 /// Number of a connection in a [`ConnectionLedger`].
 pub type ConnectionId = u64;
 
+/// Connections of each small listener. Its clients are few and send one short request at a time.
+pub const SMALL_LISTENER_CONNECTIONS: u64 = 8;
 /// Part of the places that only callers, and another one that only daemons may use: one part of this.
 const SHARE_DIVISOR: u64 = 8;
 /// Age in which a connection is served before it may give way like older ones, in milliseconds: its first bytes are
@@ -28,14 +30,40 @@
     Caller,
     /// Other daemons.
     Daemon,
+    /// Readiness checks.
+    Readiness,
+    /// Reports of the backend server.
+    Reports,
+    /// Readers of the metrics.
+    Metrics,
 }
 
 impl ClientKind {
+    /// All kinds.
+    pub const ALL: [Self; 5] = [
+        ClientKind::Caller,
+        ClientKind::Daemon,
+        ClientKind::Readiness,
+        ClientKind::Reports,
+        ClientKind::Metrics,
+    ];
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             ClientKind::Caller => "callers",
             ClientKind::Daemon => "daemons",
+            ClientKind::Readiness => "readiness",
+            ClientKind::Reports => "reports",
+            ClientKind::Metrics => "metrics",
+        }
+    }
+
+    /// Whether the listener has a few connections of its own instead of a part of the shared ones.
+    pub fn is_small_listener(self) -> bool {
+        match self {
+            ClientKind::Caller | ClientKind::Daemon => false,
+            ClientKind::Readiness | ClientKind::Reports | ClientKind::Metrics => true,
         }
     }
 
@@ -45,6 +73,7 @@
         match self {
             ClientKind::Caller => 16 << 10,
             ClientKind::Daemon => 32 << 10,
+            ClientKind::Readiness | ClientKind::Reports | ClientKind::Metrics => 8 << 10,
         }
     }
 }
@@ -167,6 +196,9 @@
     /// that are not in the ledger.
     pub fn has_place(&self, kind: ClientKind, bytes: u64, other_bytes: u64) -> bool {
         let own = self.use_of(kind);
+        if kind.is_small_listener() {
+            return own.connections < SMALL_LISTENER_CONNECTIONS;
+        }
         let all = self.shared_use();
         let ConnectionLimits {
             connections: max_connections,
@@ -275,6 +307,9 @@
         if kind == newcomer {
             return true;
         }
+        if kind.is_small_listener() || newcomer.is_small_listener() {
+            return false;
+        }
         let share = self.share();
         let (used, own) = (self.use_of(kind), self.use_of(newcomer));
         let is_within_share = used.connections <= share.connections && used.bytes <= share.bytes;
--- a/jayrack-mesh/src/memory/sizes.rs
+++ b/jayrack-mesh/src/memory/sizes.rs
@@ -1,6 +1,6 @@
 //! Sizes of the byte budget of a host.
 
-use super::connections::ClientKind;
+use super::connections::{ClientKind, SMALL_LISTENER_CONNECTIONS};
 
 /// Memory of the process itself, in megabytes: it needs 6 to 15 MB under ordinary load, without large bodies.
 const PROCESS_MB: u64 = 18;
@@ -53,6 +53,8 @@
     pub total_bytes: u64,
     /// Part of it for small holdings, in bytes.
     pub reserve_bytes: u64,
+    /// Part of it for the connections of the small listeners, in bytes.
+    pub small_listener_bytes: u64,
 }
 
 impl BudgetSizes {
@@ -66,6 +68,7 @@
         Self {
             total_bytes,
             reserve_bytes: RESERVE_BYTES.min(total_bytes / 2),
+            small_listener_bytes: small_listener_bytes(),
         }
     }
 
@@ -73,4 +76,17 @@
     pub fn largest_bytes(&self) -> u64 {
         self.total_bytes - self.reserve_bytes
     }
+
+    /// Bytes that are taken at all times, since small listeners accept their connections in any case.
+    pub fn standing_bytes(&self) -> u64 {
+        self.small_listener_bytes
+    }
+}
+
+fn small_listener_bytes() -> u64 {
+    let kinds = ClientKind::ALL
+        .into_iter()
+        .filter(|kind| kind.is_small_listener());
+    let bytes = kinds.map(|kind| SMALL_LISTENER_CONNECTIONS * ConnectionCost::of(kind).bytes());
+    bytes.sum()
 }
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -49,7 +49,7 @@
 use crate::{
     settings::{self, MeshSettings},
     shared::MeshState,
-    traffic::{listener, state::TrafficState},
+    traffic::{listener, memory::ByteBudget, state::TrafficState},
 };
 
 /// Time limit for connecting to the store, in milliseconds.
@@ -106,7 +106,7 @@
         let seed = crate::logging::unix_ms() ^ u64::from(std::process::id());
         let traffic = Arc::new(TrafficState::new(mesh.clone(), seed));
         start_traffic(traffic.clone())?;
-        let control = start_control(mesh.clone()).await?;
+        let control = start_control(mesh.clone(), &traffic.budget).await?;
         log::info!(host = mesh.settings.host.name.as_str(), epoch = control.gossip.epoch(); "started");
         let mut current = mesh.settings.clone();
         loop {
@@ -126,7 +126,10 @@
     })
 }
 
-async fn start_control(mesh: Arc<MeshState>) -> eyre::Result<Arc<ControlState>> {
+async fn start_control(
+    mesh: Arc<MeshState>,
+    budget: &ByteBudget,
+) -> eyre::Result<Arc<ControlState>> {
     let settings = &mesh.settings;
     let options = store::Options {
         pool: pool::Options {
@@ -152,9 +155,17 @@
         rollout_calls: tokio::sync::Mutex::default(),
         mesh,
     });
-    tokio::spawn(endpoint::serve_ready(ready, control.mesh.clone()));
-    tokio::spawn(endpoint::serve_metrics(metrics, control.mesh.clone()));
-    tokio::spawn(reports::serve(reports, control.clone()));
+    tokio::spawn(endpoint::serve_ready(
+        ready,
+        budget.clone(),
+        control.mesh.clone(),
+    ));
+    tokio::spawn(endpoint::serve_metrics(
+        metrics,
+        budget.clone(),
+        control.mesh.clone(),
+    ));
+    tokio::spawn(reports::serve(reports, budget.clone(), control.clone()));
     tokio::spawn(configuration::follow(control.clone()));
     tokio::spawn(hosts::register(control.clone()));
     tokio::spawn(receive::receive(control.clone()));
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -2,12 +2,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hyper::{Request, StatusCode, body::Incoming};
-use jayrack_mesh::server::{ReportEffect, ServerRecord};
-use jayrack_platform::{
-    body,
-    report::{self, ServerCall},
+use hyper::{Request, StatusCode};
+use jayrack_mesh::{
+    memory::connections::ClientKind,
+    server::{ReportEffect, ServerRecord},
 };
+use jayrack_platform::report::{self, ServerCall};
 use tokio::{net::TcpListener, time::timeout};
 
 use super::{
@@ -15,32 +15,24 @@
     endpoint::{self, SmallResponse},
     hosts,
 };
-use crate::logging::unix_ms;
+use crate::{logging::unix_ms, traffic::memory::ByteBudget};
 
-/// Maximum size of a report's body, in bytes.
-const MAX_REPORT_BYTES: usize = 16 << 10;
 /// Time limit for recording a departure in the store; the server waits one second for the answer to its report.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest lead of a server's clock, in milliseconds; a server that states a later start is not the one beside the daemon.
 const MAX_CLOCK_SKEW_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Serves reports for as long as the process runs.
-pub async fn serve(listener: TcpListener, control: Arc<ControlState>) {
-    endpoint::serve(listener, move |request| handle(control.clone(), request)).await;
+pub async fn serve(listener: TcpListener, budget: ByteBudget, control: Arc<ControlState>) {
+    let handler = move |request| handle(control.clone(), request);
+    endpoint::serve(listener, ClientKind::Reports, budget, handler).await;
 }
 
-async fn handle(control: Arc<ControlState>, request: Request<Incoming>) -> SmallResponse {
+async fn handle(control: Arc<ControlState>, request: Request<Bytes>) -> SmallResponse {
     let (parts, body) = request.into_parts();
     let Some(call) = ServerCall::decode(&parts.method, &parts.uri) else {
         return endpoint::answer(StatusCode::NOT_FOUND, String::new());
     };
-    let body = match body::read_whole(body, MAX_REPORT_BYTES).await {
-        Ok(body) => body,
-        Err(error) => {
-            log::warn!(error:% = error; "report not received completely");
-            return endpoint::answer(StatusCode::BAD_REQUEST, String::new());
-        }
-    };
     let acknowledged = match call {
         ServerCall::Report(instance) => handle_report(&control, &instance, &body).await,
         ServerCall::Leave(instance) => handle_leave(&control, &instance, &body).await,
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -20,6 +20,7 @@
     client_stream::ClientStream,
     connections::{self, BusyGuard, ConnectionState},
     ingress,
+    memory::ByteBudget,
     state::TrafficState,
 };
 
@@ -43,19 +44,32 @@
 
 /// Accepts and serves connections for as long as the process runs.
 pub async fn accept(listener: TcpListener, kind: ClientKind, state: Arc<TrafficState>) {
+    let budget = state.budget.clone();
+    accept_admitted(listener, kind, &budget, |stream, peer, connection_state| {
+        serve_connection(stream, peer, connection_state, state.clone())
+    })
+    .await;
+}
+
+/// Accepts the connections that get a place in `budget`, and spawns a task for each that `serve` returns.
+pub async fn accept_admitted<F>(
+    listener: TcpListener,
+    kind: ClientKind,
+    budget: &ByteBudget,
+    serve: impl Fn(TcpStream, IpAddr, Arc<ConnectionState>) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     // Accepted connections inherit it. A fixed size also bounds what the kernel keeps while a body waits.
     let buffer_bytes = kind.receive_buffer_bytes();
     if let Err(error) = socket::set_receive_buffer(&listener, buffer_bytes) {
         log::warn!(error:% = error; "receive buffer not limited");
     }
-    let budget = &state.budget;
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 if let Some(connection_state) = connections::admit(budget, kind).await {
-                    let serving =
-                        serve_connection(stream, peer.ip(), connection_state, state.clone());
-                    tokio::spawn(serving);
+                    tokio::spawn(serve(stream, peer.ip(), connection_state));
                 }
             }
             Err(error) => {
--- a/jayrack-meshd/src/traffic/memory.rs
+++ b/jayrack-meshd/src/traffic/memory.rs
@@ -19,7 +19,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Attempts before a body is refused.
 const MAX_RETRIES: u32 = 20;
-/// Descriptors for files, listeners, the store and datagrams.
+/// Descriptors for files, listeners, the connections of small listeners, the store and datagrams.
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// A request of a client may need an outgoing connection as well.
 const DESCRIPTORS_PER_CONNECTION: u64 = 2;
--- a/jayrack-meshd/tests/crowd/main.rs
+++ b/jayrack-meshd/tests/crowd/main.rs
@@ -48,6 +48,8 @@
 const MAX_DESCRIPTORS: u64 = 400;
 /// Idle connections that are opened in it.
 const IDLE_CONNECTIONS: usize = 800;
+/// Connections that are opened to each small listener in its test: twice the descriptors of the host.
+const SMALL_LISTENER_CONNECTIONS: usize = 800;
 /// Callers whose bodies arrive a little above the minimum rate, more than twice the places of the host, and their rate in bytes a second.
 const SLOW_CALLERS: usize = 600;
 const SLOW_BYTES_PER_S: usize = 9_000;
@@ -387,3 +389,56 @@
     }
     false
 }
+
+/// Listener for readiness, reports or metrics.
+#[derive(Debug, Clone, Copy)]
+enum SmallListener {
+    Ready,
+    Reports,
+    Metrics,
+}
+
+impl SmallListener {
+    fn address(self, host: &HostProcess) -> std::net::SocketAddr {
+        match self {
+            SmallListener::Ready => host.ready(),
+            SmallListener::Reports => host.reports(),
+            SmallListener::Metrics => host.metrics(),
+        }
+    }
+}
+
+/// Guards against connections to the small listeners that use up the descriptors of the process.
+#[rstest]
+#[case::ready(SmallListener::Ready)]
+#[case::reports(SmallListener::Reports)]
+#[case::metrics(SmallListener::Metrics)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_connections_to_a_small_listener(
+    #[case] listener: SmallListener,
+    #[values(
+        "",
+        "GET / HTTP/1.1\r\nhost: a.example\r\nx-long: ",
+        "POST / HTTP/1.1\r\nhost: a.example\r\ncontent-length: 1000\r\n\r\nx"
+    )]
+    head: &str,
+) {
+    let plan = FixturePlan {
+        limits: HostLimits {
+            memory_mb: Some(MEMORY_MB),
+            max_descriptors: Some(MAX_DESCRIPTORS),
+        },
+        ..fixture_plan()
+    };
+    let fixture = CrowdFixture::start(plan).await;
+
+    let address = listener.address(&fixture.host);
+    let crowd = CallerCrowd::send_bytes(address, SMALL_LISTENER_CONNECTIONS, head.into());
+    let crowd = crowd.await;
+
+    fixture
+        .check(&format!("connections to {listener:?}, {head:?}"))
+        .await;
+    fixture.host.until_ready(StatusCode::OK).await;
+    assert!(crowd.len() > 0, "no connection was opened");
+}
