fix(meshd): count connections that wait to be accepted

What callers saw: waves of 100 to 330 callers took a daemon over the memory of its host (50 to 54 MB of 48 MB), which the platform answers by ending the process.

Cause, one of two: clients send as soon as the kernel has opened their connection. The receive queues of up to 1,024 connections that wait to be accepted by each listener were in nobody's account.

Evidence: connections_that_wait_to_be_accepted fills the budget with bodies, suspends the daemon and opens 900 connections to each listener: 54,680 kB before, of which 12,960 kB on connections without an inode (bound 49,152 kB). In the waves 5,328 kB of 50,072 kB were of this kind.

Ruled out: a smaller receive buffer before a connection is accepted, since the kernel keeps the window that it negotiated.

Why it works: the backlog of a listener is as long as the budget has bytes for, and these bytes are taken at all times.

--- a/jayrack-mesh/src/memory/sizes.rs
+++ b/jayrack-mesh/src/memory/sizes.rs
@@ -11,6 +11,17 @@
 const MIN_BUDGET_BYTES: u64 = 8 << 20;
 /// Budget where the host's memory is not limited, in bytes.
 const DEFAULT_BUDGET_BYTES: u64 = 256 << 20;
+/// Share of the budget for connections that wait to be accepted by the two large listeners: one part of this.
+const WAITING_DIVISOR: u64 = 24;
+/// Least and largest memory of these connections, in bytes.
+const MIN_WAITING_BYTES: u64 = 3 << 20;
+const MAX_WAITING_BYTES: u64 = 16 << 20;
+/// Largest part of the budget that is taken at all times, where a host's memory is stated too low: one part of this.
+const STANDING_DIVISOR: u64 = 4;
+/// Fewest connections that may wait to be accepted by a listener.
+const MIN_BACKLOG: u64 = 8;
+/// Connections that may wait to be accepted by a small listener.
+const SMALL_LISTENER_BACKLOG: u64 = 8;
 /// Memory of a connection without its receive queue, in bytes: its state, the buffer that it reads into, and the one of
 /// the latest head, which lives as long as the request.
 const CONNECTION_BYTES: u64 = 24 << 10;
@@ -53,6 +64,8 @@
     pub total_bytes: u64,
     /// Part of it for small holdings, in bytes.
     pub reserve_bytes: u64,
+    /// Part of it for connections that wait to be accepted by one of the two large listeners, in bytes.
+    pub waiting_bytes: u64,
     /// Part of it for the connections of the small listeners, in bytes.
     pub small_listener_bytes: u64,
 }
@@ -65,9 +78,12 @@
             None => DEFAULT_BUDGET_BYTES,
         };
         let total_bytes = total_bytes.max(MIN_BUDGET_BYTES);
+        let waiting_bytes =
+            (total_bytes / WAITING_DIVISOR).clamp(MIN_WAITING_BYTES, MAX_WAITING_BYTES);
         Self {
             total_bytes,
             reserve_bytes: RESERVE_BYTES.min(total_bytes / 2),
+            waiting_bytes: waiting_bytes.min(total_bytes / STANDING_DIVISOR) / 2,
             small_listener_bytes: small_listener_bytes(),
         }
     }
@@ -77,9 +93,19 @@
         self.total_bytes - self.reserve_bytes
     }
 
-    /// Bytes that are taken at all times, since small listeners accept their connections in any case.
+    /// Bytes that are taken at all times, since connections that wait to be accepted are not known one by one and small
+    /// listeners accept theirs in any case.
     pub fn standing_bytes(&self) -> u64 {
-        self.small_listener_bytes
+        2 * self.waiting_bytes + self.small_listener_bytes
+    }
+
+    /// Number of connections that may wait to be accepted by the listener for a kind of client.
+    pub fn backlog(&self, kind: ClientKind) -> u32 {
+        let backlog = match kind.is_small_listener() {
+            true => SMALL_LISTENER_BACKLOG,
+            false => (self.waiting_bytes / ConnectionCost::of(kind).queue_bytes).max(MIN_BACKLOG),
+        };
+        u32::try_from(backlog).unwrap_or(u32::MAX)
     }
 }
 
@@ -87,6 +113,9 @@
     let kinds = ClientKind::ALL
         .into_iter()
         .filter(|kind| kind.is_small_listener());
-    let bytes = kinds.map(|kind| SMALL_LISTENER_CONNECTIONS * ConnectionCost::of(kind).bytes());
+    let bytes = kinds.map(|kind| {
+        let cost = ConnectionCost::of(kind);
+        SMALL_LISTENER_CONNECTIONS * cost.bytes() + SMALL_LISTENER_BACKLOG * cost.queue_bytes
+    });
     bytes.sum()
 }
--- a/jayrack-mesh/tests/memory.rs
+++ b/jayrack-mesh/tests/memory.rs
@@ -20,6 +20,7 @@
     let sizes = BudgetSizes {
         total_bytes: TOTAL_BYTES,
         reserve_bytes: RESERVE_BYTES,
+        waiting_bytes: 0,
         small_listener_bytes: 0,
     };
     MemoryBudget::new(sizes, MAX_CONNECTIONS)
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -38,6 +38,7 @@
 };
 use jayrack_platform::{
     pool,
+    socket::{self, ListenOptions},
     store::{self, StoreClient},
 };
 use tokio::{
@@ -144,9 +145,9 @@
     let socket = UdpSocket::bind((address, gossip_port))
         .await
         .wrap_err("cannot bind the port for datagrams")?;
-    let ready = bind(settings.listen.ready).await?;
-    let reports = bind(settings.listen.reports).await?;
-    let metrics = bind((address, metrics_port).into()).await?;
+    let ready = bind(settings.listen.ready, ClientKind::Readiness, budget)?;
+    let reports = bind(settings.listen.reports, ClientKind::Reports, budget)?;
+    let metrics = bind((address, metrics_port).into(), ClientKind::Metrics, budget)?;
     let control = Arc::new(ControlState {
         store: StoreClient::new(settings.store, options),
         gossip: gossip::GossipState::new(&mesh, socket),
@@ -177,10 +178,18 @@
     Ok(control)
 }
 
-async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot bind {address}"))
+/// Opens the listener for a kind of client. What the kernel keeps for its connections, also for those that wait to be
+/// accepted, is bounded by what the budget has for them.
+fn bind(
+    address: std::net::SocketAddr,
+    kind: ClientKind,
+    budget: &ByteBudget,
+) -> eyre::Result<TcpListener> {
+    let options = ListenOptions {
+        backlog: budget.backlog(kind),
+        receive_buffer_bytes: kind.receive_buffer_bytes(),
+    };
+    socket::listen(address, options).wrap_err_with(|| format!("cannot bind {address}"))
 }
 
 fn start_traffic(state: Arc<TrafficState>) -> eyre::Result<()> {
@@ -207,8 +216,10 @@
     result_sender: std::sync::mpsc::Sender<eyre::Result<()>>,
 ) {
     let listen = state.mesh.settings.listen.clone();
-    let listeners = async { eyre::Ok((bind(listen.callers).await?, bind(listen.forward).await?)) };
-    let (callers, daemons) = match listeners.await {
+    let budget = &state.budget;
+    let callers = bind(listen.callers, ClientKind::Caller, budget);
+    let daemons = bind(listen.forward, ClientKind::Daemon, budget);
+    let (callers, daemons) = match callers.and_then(|callers| Ok((callers, daemons?))) {
         Ok(listeners) => listeners,
         Err(error) => {
             // Fails only if the control thread no longer waits for the result.
--- a/jayrack-meshd/src/traffic/listener.rs
+++ b/jayrack-meshd/src/traffic/listener.rs
@@ -60,11 +60,6 @@
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
-    // Accepted connections inherit it. A fixed size also bounds what the kernel keeps while a body waits.
-    let buffer_bytes = kind.receive_buffer_bytes();
-    if let Err(error) = socket::set_receive_buffer(&listener, buffer_bytes) {
-        log::warn!(error:% = error; "receive buffer not limited");
-    }
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/jayrack-meshd/src/traffic/memory.rs
+++ b/jayrack-meshd/src/traffic/memory.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Number of connections that may wait to be accepted by the listener for a kind of client.
+    pub fn backlog(&self, kind: ClientKind) -> u32 {
+        self.lock().budget.sizes().backlog(kind)
+    }
+
     /// Number of open connections of callers and daemons.
     pub fn connections(&self) -> usize {
         self.lock().budget.connections().len()
--- a/jayrack-meshd/tests/crowd/main.rs
+++ b/jayrack-meshd/tests/crowd/main.rs
@@ -48,6 +48,9 @@
 const MAX_DESCRIPTORS: u64 = 400;
 /// Idle connections that are opened in it.
 const IDLE_CONNECTIONS: usize = 800;
+/// Connections that are opened to each listener of a suspended daemon, and the bytes that each sends.
+const WAITING_CALLERS: usize = 900;
+const WAITING_BYTES: usize = 60 << 10;
 /// Connections that are opened to each small listener in its test: twice the descriptors of the host.
 const SMALL_LISTENER_CONNECTIONS: usize = 800;
 /// Callers whose bodies arrive a little above the minimum rate, more than twice the places of the host, and their rate in bytes a second.
@@ -334,6 +337,33 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
+/// Guards against connections that wait to be accepted while bodies use the whole budget, and whose receive queues are in
+/// nobody's account.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_wait_to_be_accepted() {
+    let fixture = CrowdFixture::start(fixture_plan()).await;
+    let head = [
+        &b"GET /browse/1 HTTP/1.1\r\nhost: a.example\r\nx-long: "[..],
+        &vec![b'x'; WAITING_BYTES],
+    ]
+    .concat();
+
+    // Bodies that fill the budget, and are not refused while the daemon is suspended.
+    let address = Door::Callers.address(&fixture.host);
+    let large = stalled(BodyFraming::Length(BODY_BYTES), BODY_BYTES - 1);
+    let fields = Door::Callers.fields();
+    let _bodies = CallerCrowd::send_bodies(address, LARGE_CALLERS, &fields, large).await;
+    fixture.host.suspend();
+    let send = |door: Door| {
+        let address = door.address(&fixture.host);
+        CallerCrowd::send_bytes(address, WAITING_CALLERS, head.clone())
+    };
+    let _crowds = tokio::join!(send(Door::Callers), send(Door::Daemons));
+    fixture.host.resume();
+
+    fixture.check("connections that wait").await;
+}
+
 /// Guards against callers that hold all places of the daemon by sending slowly, and shut out ordinary requests.
 #[rstest]
 #[case::callers(Door::Callers, Door::Callers, BODY_BYTES)]
