fix(meshd): count freed memory until the allocator has returned it

Cause: the budget covers memory that the process allocates and receive queues that the kernel keeps. Bytes that bodies gave back were taken for queues at once, while the allocator kept them resident.

Evidence: connections_that_stall_after_a_crowd_of_bodies: 52,900 kB for daemons before, 40,580 kB of them resident after the bodies were gone (callers: 46,662 kB, held; bound 49,152 kB). waves_of_bodies: 50,072 and 50,292 kB before, both beside other load.

Ruled out: load of the machine (four of five runs of the waves failed, on a quiet machine, too); the buffers of connections alone, which are 6 MB at most.

Why it works: bytes that are given back stay in the account until malloc_trim has returned all unused pages, which the daemon calls when a request for room needs them.

--- a/jayrack-mesh/src/memory.rs
+++ b/jayrack-mesh/src/memory.rs
@@ -39,6 +39,9 @@
 pub enum Room {
     /// The bytes are taken.
     Granted,
+    /// There is room once the allocator has returned what was given back to the system; see
+    /// [`MemoryBudget::record_returned`].
+    Unreturned,
     /// This holding gives way; the bytes may be asked for again when it is closed.
     GivesWay(HoldingId),
     /// There is no room.
@@ -50,6 +53,8 @@
 pub enum Admission {
     /// The connection is open.
     Admitted(ConnectionId),
+    /// As [`Room::Unreturned`].
+    Unreturned,
     /// This connection gives way; the place may be asked for again when it is closed.
     GivesWay(ConnectionId),
     /// There is no place.
@@ -92,6 +97,8 @@
     large_bytes: u64,
     connections: ConnectionLedger,
     outgoing_bytes: u64,
+    /// Memory that was given back and that the allocator may still keep, in bytes.
+    unreturned_bytes: u64,
 }
 
 impl MemoryBudget {
@@ -109,6 +116,7 @@
             large_bytes: 0,
             connections: ConnectionLedger::new(limits),
             outgoing_bytes: 0,
+            unreturned_bytes: 0,
         }
     }
 
@@ -127,6 +135,16 @@
         self.taken_bytes() + self.sizes.standing_bytes()
     }
 
+    /// Memory that was given back and that the allocator may still keep, in bytes.
+    pub fn unreturned_bytes(&self) -> u64 {
+        self.unreturned_bytes
+    }
+
+    /// Records that the allocator has returned all memory that was given back to the system.
+    pub fn record_returned(&mut self) {
+        self.unreturned_bytes = 0;
+    }
+
     /// Open connections of clients.
     pub fn connections(&self) -> &ConnectionLedger {
         &self.connections
@@ -150,6 +168,7 @@
             return;
         };
         self.taken_bytes -= holding.bytes;
+        self.unreturned_bytes += holding.bytes;
         if holding.bytes > SMALL_BYTES {
             self.large_bytes -= holding.bytes;
         }
@@ -218,6 +237,9 @@
                 None => Admission::Refused,
             };
         }
+        if !kind.is_small_listener() && !self.is_returned(bytes) {
+            return Admission::Unreturned;
+        }
         Admission::Admitted(self.connections.open(kind, bytes, now_ms))
     }
 
@@ -231,9 +253,11 @@
         self.connections.give_way(kind, cost.bytes(), now_ms)
     }
 
-    /// Closes a connection of a client.
-    pub fn close_connection(&mut self, id: ConnectionId) {
-        self.connections.close(id);
+    /// Closes a connection of a client that cost `cost`.
+    pub fn close_connection(&mut self, id: ConnectionId, cost: ConnectionCost) {
+        if self.connections.close(id) > 0 {
+            self.unreturned_bytes += cost.heap_bytes;
+        }
     }
 
     /// Records what happens on a connection from now on.
@@ -254,6 +278,7 @@
     /// Gives back the memory of an outgoing connection.
     pub fn remove_outgoing(&mut self, cost: ConnectionCost) {
         self.outgoing_bytes = self.outgoing_bytes.saturating_sub(cost.bytes());
+        self.unreturned_bytes += cost.heap_bytes;
     }
 
     /// Memory of connections other than those of callers and daemons, in bytes.
@@ -261,13 +286,22 @@
         self.sizes.standing_bytes() + self.outgoing_bytes
     }
 
+    /// Whether `more_bytes` fit beside the memory that the allocator may keep.
+    fn is_returned(&self, more_bytes: u64) -> bool {
+        self.committed_bytes() + self.unreturned_bytes + more_bytes <= self.sizes.total_bytes
+            || self.unreturned_bytes == 0
+    }
+
     fn room(&mut self, id: HoldingId, now_ms: u64, held_bytes: u64, bytes: u64) -> Room {
         let is_large = bytes > SMALL_BYTES;
         let more_bytes = bytes - held_bytes;
         let large_after_bytes = self.large_bytes + bytes - counted_as_large(held_bytes);
         let has_large_room = !is_large || large_after_bytes <= self.sizes.largest_bytes();
         if has_large_room && self.committed_bytes() + more_bytes <= self.sizes.total_bytes {
-            return Room::Granted;
+            return match self.is_returned(more_bytes) {
+                true => Room::Granted,
+                false => Room::Unreturned,
+            };
         }
         if bytes > self.sizes.largest_bytes() {
             return Room::Refused;
--- a/jayrack-mesh/tests/crowd_places.rs
+++ b/jayrack-mesh/tests/crowd_places.rs
@@ -120,6 +120,7 @@
                     self.fail(client);
                 }
             }
+            Admission::Unreturned => self.budget.record_returned(),
             Admission::GivesWay(_) | Admission::Refused => {
                 self.next_client();
                 self.fail(client);
@@ -144,7 +145,8 @@
     }
 
     fn close(&mut self, id: ConnectionId) -> Option<Client> {
-        self.budget.close_connection(id);
+        let cost = ConnectionCost::of(self.kind);
+        self.budget.close_connection(id, cost);
         self.open.remove(&id)
     }
 
--- a/jayrack-mesh/tests/memory.rs
+++ b/jayrack-mesh/tests/memory.rs
@@ -66,6 +66,7 @@
 
     let asked = budget.grow(newcomer, LATER_MS, LARGE_BYTES / 2);
     budget.close(second);
+    budget.record_returned();
     let asked_again = budget.grow(newcomer, LATER_MS, LARGE_BYTES / 2);
 
     assert_eq!(asked, Room::GivesWay(second));
@@ -181,7 +182,7 @@
 
     for expected in order {
         let chosen = budget.make_place(kind, cost, LATER_MS).unwrap();
-        budget.close_connection(chosen);
+        budget.close_connection(chosen, cost);
         let (_, phase) = opened.iter().find(|(id, _)| *id == chosen).unwrap();
         assert_eq!(*phase, expected);
     }
--- a/jayrack-meshd/src/lib.rs
+++ b/jayrack-meshd/src/lib.rs
@@ -5,8 +5,10 @@
 //! * [`traffic`]: traffic thread: requests of callers and of other daemons.
 //! * [`shared`]: state shared by the two threads.
 //! * [`logging`], [`metrics`]: logs and metrics.
+//! * [`allocator`]: memory that is returned to the system.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod allocator;
 pub mod control;
 pub mod logging;
 pub mod metrics;
--- a/jayrack-meshd/src/metrics.rs
+++ b/jayrack-meshd/src/metrics.rs
@@ -52,6 +52,10 @@
     pub key_knowledge_age: Gauge<f64, AtomicU64>,
     /// Bytes of the byte budget in use.
     pub budget_bytes: Gauge,
+    /// Bytes that were given back and that the allocator may still keep.
+    pub unreturned_bytes: Gauge,
+    /// Times that the allocator returned its unused memory to the system.
+    pub memory_returns: Counter,
     /// Bodies, answers and connections that were refused or ended for a limit, by outcome.
     pub limits: Family<OutcomeLabels, Counter>,
     /// Open connections of clients, by kind of client.
@@ -74,6 +78,8 @@
             server_connections: Counter::default(),
             key_knowledge_age: Gauge::default(),
             budget_bytes: Gauge::default(),
+            unreturned_bytes: Gauge::default(),
+            memory_returns: Counter::default(),
             limits: Family::default(),
             connections: Family::default(),
             dropped_lines: Counter::default(),
@@ -187,6 +193,16 @@
             "Bytes of the byte budget in use",
             self.budget_bytes.clone(),
         );
+        registry.register(
+            "unreturned_bytes",
+            "Bytes given back that the allocator may still keep",
+            self.unreturned_bytes.clone(),
+        );
+        registry.register(
+            "memory_returns",
+            "Returns of unused memory to the system",
+            self.memory_returns.clone(),
+        );
         registry.register("limits", "Limits that were met", self.limits.clone());
         registry.register(
             "connections",
--- a/jayrack-meshd/src/traffic/connections.rs
+++ b/jayrack-meshd/src/traffic/connections.rs
@@ -30,7 +30,7 @@
             }
             Admission::Refused => break,
             // Lets the task of the connection that gives way close it.
-            Admission::GivesWay(_) => tokio::task::yield_now().await,
+            Admission::GivesWay(_) | Admission::Unreturned => tokio::task::yield_now().await,
         }
     }
     budget.record_refused_connection(kind);
--- a/jayrack-meshd/src/traffic/memory.rs
+++ b/jayrack-meshd/src/traffic/memory.rs
@@ -13,7 +13,7 @@
 use tokio::{sync::Notify, time::sleep};
 
 use super::signals::ConnectionSignals;
-use crate::metrics::MeshMetrics;
+use crate::{allocator, metrics::MeshMetrics};
 
 /// Interval between two attempts to take room from a body that gives way.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
@@ -171,7 +171,7 @@
     /// Gives back the place and the memory of a connection.
     pub(super) fn close_connection(&self, id: ConnectionId, kind: ClientKind) {
         let mut core = self.lock();
-        core.budget.close_connection(id);
+        core.budget.close_connection(id, ConnectionCost::of(kind));
         core.connections.remove(&id);
         self.record(&core.budget);
         drop(core);
@@ -184,14 +184,19 @@
         let now_ms = self.now_ms();
         let cost = ConnectionCost::of(kind);
         let mut core = self.lock();
-        let admission = core.budget.open_connection(kind, cost, now_ms);
+        let mut admission = core.budget.open_connection(kind, cost, now_ms);
+        if admission == Admission::Unreturned {
+            drop(core);
+            core = self.return_memory();
+            admission = core.budget.open_connection(kind, cost, now_ms);
+        }
         match admission {
             Admission::Admitted(id) => {
                 core.connections.insert(id, signals.clone());
                 self.inner.metrics.add_connections(kind.name(), 1);
             }
             Admission::GivesWay(id) => self.notify_leaving(&core, id),
-            Admission::Refused => {}
+            Admission::Unreturned | Admission::Refused => {}
         }
         self.record(&core.budget);
         admission
@@ -216,6 +221,15 @@
         }
     }
 
+    /// Returns the memory that was given back to the system.
+    fn return_memory(&self) -> MutexGuard<'_, BudgetCore> {
+        allocator::return_unused();
+        self.inner.metrics.memory_returns.inc();
+        let mut core = self.lock();
+        core.budget.record_returned();
+        core
+    }
+
     fn now_ms(&self) -> u64 {
         self.inner.started.elapsed().as_millis() as u64
     }
@@ -223,6 +237,8 @@
     fn record(&self, budget: &MemoryBudget) {
         let taken_bytes = i64::try_from(budget.taken_bytes()).unwrap_or(i64::MAX);
         self.inner.metrics.budget_bytes.set(taken_bytes);
+        let unreturned_bytes = i64::try_from(budget.unreturned_bytes()).unwrap_or(i64::MAX);
+        self.inner.metrics.unreturned_bytes.set(unreturned_bytes);
     }
 
     fn lock(&self) -> MutexGuard<'_, BudgetCore> {
@@ -306,7 +322,7 @@
             match self.ask(&mut ask) {
                 Room::Granted => return Ok(()),
                 Room::Refused => return Err(NoRoom),
-                Room::GivesWay(_) => sleep(RETRY_INTERVAL).await,
+                Room::GivesWay(_) | Room::Unreturned => sleep(RETRY_INTERVAL).await,
             }
         }
         Err(NoRoom)
@@ -316,7 +332,12 @@
     fn ask(&self, ask: &mut impl FnMut(&mut MemoryBudget, u64) -> Room) -> Room {
         let now_ms = self.budget.now_ms();
         let mut core = self.budget.lock();
-        let room = ask(&mut core.budget, now_ms);
+        let mut room = ask(&mut core.budget, now_ms);
+        if room == Room::Unreturned {
+            drop(core);
+            core = self.budget.return_memory();
+            room = ask(&mut core.budget, now_ms);
+        }
         if let Room::GivesWay(id) = room
             && let Some(reader) = core.readers.get(&id)
         {
--- a/jayrack-meshd/tests/crowd/main.rs
+++ b/jayrack-meshd/tests/crowd/main.rs
@@ -11,6 +11,7 @@
 #[allow(dead_code)]
 #[path = "../support/mod.rs"]
 mod support;
+mod waves;
 
 use std::time::Duration;
 
@@ -51,8 +52,13 @@
 /// Connections that are opened to each listener of a suspended daemon, and the bytes that each sends.
 const WAITING_CALLERS: usize = 900;
 const WAITING_BYTES: usize = 60 << 10;
+/// Connections whose requests stop short after a crowd of bodies is gone: more than a host has places for.
+const LATER_CALLERS: usize = 400;
 /// Connections that are opened to each small listener in its test: twice the descriptors of the host.
 const SMALL_LISTENER_CONNECTIONS: usize = 800;
+/// Seed of the waves' bodies, and their number.
+const WAVES_SEED: u64 = 48;
+const WAVES: usize = 24;
 /// Callers whose bodies arrive a little above the minimum rate, more than twice the places of the host, and their rate in bytes a second.
 const SLOW_CALLERS: usize = 600;
 const SLOW_BYTES_PER_S: usize = 9_000;
@@ -337,6 +343,42 @@
     assert_eq!(answer.status, StatusCode::OK);
 }
 
+/// Guards against memory that a wave of bodies leaves behind, so that the next one exceeds the memory of the host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn waves_of_bodies() {
+    let fixture = CrowdFixture::start(fixture_plan()).await;
+
+    for wave in waves::plan(WAVES_SEED, WAVES, BODY_BYTES) {
+        waves::send(&fixture.host, wave).await;
+        assert!(fixture.host.is_running(), "the process has ended: {wave:?}");
+    }
+
+    fixture.check("waves").await;
+}
+
+/// Guards against memory of freed bodies that stays with the allocator while the kernel fills the receive queues of other
+/// connections.
+#[rstest]
+#[case(Door::Callers)]
+#[case(Door::Daemons)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_stall_after_a_crowd_of_bodies(#[case] door: Door) {
+    let fixture = CrowdFixture::start(fixture_plan()).await;
+    let address = door.address(&fixture.host);
+
+    let large = stalled(BodyFraming::Length(BODY_BYTES), BODY_BYTES - 1);
+    let bodies = CallerCrowd::send_bodies(address, LARGE_CALLERS, &door.fields(), large).await;
+    fixture.settle().await;
+    drop(bodies);
+    let small = stalled(BodyFraming::Length(STALLED_BYTES), STALLED_BYTES / 2);
+    let connections = CallerCrowd::send_bodies(address, LATER_CALLERS, &door.fields(), small).await;
+
+    fixture
+        .check(&format!("stalls after bodies, {door:?}"))
+        .await;
+    assert!(connections.len() > 0, "no connection was opened");
+}
+
 /// Guards against connections that wait to be accepted while bodies use the whole budget, and whose receive queues are in
 /// nobody's account.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
