fix: pass on no answer whose status ends no exchange

What callers saw: a server in trouble that answered with status 101, 600 or 999 and its signature had these statuses reach the caller through jayrack-meshd; 600 and 999 through jayrackd. Status 000, which was seen on other systems, never reached a caller here.

Cause: the HTTP library accepts all statuses from 100 to 999, and neither program looked at their meaning.

Evidence: a_status_that_is_not_final_is_a_lost_answer, 13 statuses by GET and POST at the server's host and at another one: 101, 600 and 999 failed before, the other ten held (000, 001, 099, 100, 103, 199, 1000, 20, 2x0, -01). only_final_statuses_reach_callers (300 random statuses from fixed seeds), a_reply_whose_status_is_not_final_is_none and a_status_that_is_not_final_is_a_failure failed before.

Why it works: one function of jayrack-protocol decides for both programs; any other answer is lost, so that the caller gets 502 and what must not run twice is not repeated. The daemon at the caller checks again, since owners of earlier builds do not.

--- a/jayrack-meshd/src/traffic/forward.rs
+++ b/jayrack-meshd/src/traffic/forward.rs
@@ -10,6 +10,7 @@
     pick::FreeHost,
 };
 use jayrack_platform::headers::REQUEST_ID;
+use jayrack_protocol::answer::is_final_status;
 
 use super::body::AnswerBody;
 
@@ -284,6 +285,10 @@
 
     /// Decodes an owner's response; `None` if it is not one.
     pub fn decode(mut response: Response<AnswerBody>) -> Option<Self> {
+        // Owners of earlier builds pass on whatever status their server answers with.
+        if !is_final_status(response.status().as_u16()) {
+            return None;
+        }
         let reply = response.headers_mut().remove(REPLY)?;
         let mut fields = reply.to_str().ok()?.split(' ');
         let outcome = fields.next()?;
--- a/jayrack-meshd/src/traffic/owner.rs
+++ b/jayrack-meshd/src/traffic/owner.rs
@@ -16,6 +16,7 @@
     link::{CallerLocation, LARGE_ANSWER_BYTES},
 };
 use jayrack_platform::headers;
+use jayrack_protocol::answer::is_final_status;
 
 use super::{
     body::{self, AnswerBody},
@@ -364,6 +365,15 @@
     mut permit: SlotPermit,
     has_refused_call: bool,
 ) -> OwnerOutcome {
+    let status = response.status().as_u16();
+    if !is_final_status(status) {
+        log_lost(
+            id.as_ref(),
+            &format!("its status {status} ends no exchange"),
+        );
+        pool::discard(response.into_body());
+        return OwnerOutcome::Lost;
+    }
     let is_refusal = response.headers().contains_key(headers::NOT_RUN)
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
     let (mut parts, body) = response.into_parts();
--- a/jayrack-meshd/tests/forward.rs
+++ b/jayrack-meshd/tests/forward.rs
@@ -106,3 +106,26 @@
     let text = headers["jayrack-request"].to_str().expect("text");
     assert_eq!(text.split(' ').nth(6), Some(field));
 }
+
+/// Guards against a status that ends no exchange and that an owner of an earlier build passes on.
+#[rstest]
+#[case(101, false)]
+#[case(199, false)]
+#[case(200, true)]
+#[case(599, true)]
+#[case(600, false)]
+#[case(999, false)]
+fn a_reply_whose_status_is_not_final_is_none(#[case] status: u16, #[case] is_decoded: bool) {
+    let sent = OwnerReply {
+        outcome: OwnerOutcome::Answered {
+            response: Box::new(empty(StatusCode::from_u16(status).unwrap())),
+            service_ms: 5,
+            has_refused_call: false,
+        },
+        ..reply()
+    };
+
+    let decoded = OwnerReply::decode(sent.encode());
+
+    assert_eq!(decoded.is_some(), is_decoded);
+}
--- a/jayrack-meshd/tests/hostile_server.rs
+++ b/jayrack-meshd/tests/hostile_server.rs
@@ -89,6 +89,10 @@
     },
     /// Nothing, on an open connection.
     Silent,
+    /// A signed answer with this status and a body of three bytes.
+    Status(&'static str),
+    /// The same with a random status; the request's number is the seed.
+    RandomStatus,
     /// One of several answers, with some bytes changed, inserted or removed; the request's number is the seed.
     Mutated,
 }
@@ -179,6 +183,15 @@
                     }
                     Ok(())
                 }
+                Script::Status(status) => {
+                    stream.write_all(with_status(status, &id).as_bytes()).await
+                }
+                Script::RandomStatus => {
+                    let seed = self.received().len() as u64;
+                    let status = random_status(seed);
+                    self.ran.lock().unwrap().push(status.clone());
+                    stream.write_all(with_status(&status, &id).as_bytes()).await
+                }
                 Script::Mutated => {
                     let seed = self.received().len() as u64;
                     stream.write_all(&mutated(&id, seed)).await
@@ -724,3 +737,78 @@
     assert!(host.is_running());
     assert!(host.peak_memory_kb() < MAX_MEMORY_KB);
 }
+
+/// A signed answer to the request `id` with this status.
+fn with_status(status: &str, id: &str) -> String {
+    let answer = "HTTP/1.1 STATUS Fine\r\n{echo}{signature}content-length: 3\r\n\r\nabc";
+    fill(answer, id).replace("STATUS", status)
+}
+
+/// A status of up to four characters, most of which are digits.
+fn random_status(seed: u64) -> String {
+    const CHARACTERS: &[u8] = b"01234567890123456789 -xX+";
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut below = |limit: usize| random.next_u32() as usize % limit;
+    let length = 3 + below(8) / 7;
+    let characters = (0..length).map(|_| char::from(CHARACTERS[below(CHARACTERS.len())]));
+    characters.collect()
+}
+
+/// Guards against a status that ends no exchange and reaches a caller as the server's answer.
+#[rstest]
+#[tokio::test]
+async fn a_status_that_is_not_final_is_a_lost_answer(
+    #[values(
+        "000", "001", "099", "100", "101", "103", "199", "600", "999", "1000", "20", "2x0", "-01"
+    )]
+    status: &'static str,
+    #[values(Method::GET, Method::POST)] method: Method,
+) {
+    let store = FleetStore::start().await;
+    let (host, _server) = hostile_host(&store, Script::Status(status)).await;
+    let other = HostProcess::start(&store);
+    other.until_ready(StatusCode::OK).await;
+
+    for ingress in [&host, &other] {
+        // An interim answer is followed by nothing until the request's time limit.
+        let answer = ingress.ask(method.clone(), "/book/1", "r-1").await;
+        let answer = answer.unwrap();
+
+        let expected = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+        let has_not_run = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        let is_remote = std::ptr::eq(ingress, &other);
+        // The other host may not know the server yet.
+        assert!(
+            expected.contains(&answer.status) || (is_remote && has_not_run),
+            "{status}: {answer:?}"
+        );
+        assert!(!answer.headers.contains_key(headers::ANSWER_SIGNATURE));
+    }
+}
+
+/// Guards against a malformed status line that is taken for an answer, whatever it looks like.
+#[tokio::test]
+async fn only_final_statuses_reach_callers() {
+    const REQUESTS: usize = 300;
+    let store = FleetStore::start().await;
+    let (host, server) = hostile_host(&store, Script::RandomStatus).await;
+
+    let mut passed = 0;
+    for number in 0..REQUESTS {
+        let id = format!("r-{number:04}");
+        let sent_before = server.ran.lock().unwrap().len();
+        let answer = host.ask(Method::POST, "/book/1", &id).await.unwrap();
+        if !answer.headers.contains_key(headers::ANSWER_SIGNATURE) {
+            assert!(!answer.status.is_success(), "{id}: {answer:?}");
+            continue;
+        }
+        passed += 1;
+        let sent = server.ran.lock().unwrap()[sent_before].clone();
+        let status = answer.status.as_u16();
+        assert_eq!(sent, status.to_string(), "{id}");
+        assert!((200..=599).contains(&status), "{id}: {status}");
+    }
+
+    assert!(passed > 0, "no answer was passed on");
+    assert!(host.is_running());
+}
--- a/jayrack-protocol/src/lib.rs
+++ b/jayrack-protocol/src/lib.rs
@@ -3,10 +3,12 @@
 //! * [`code`]: the numbered result codes of every component.
 //! * [`id`]: identifiers of members and requests.
 //! * [`frame`]: length-prefixed messages on byte streams.
+//! * [`answer`]: answers of backend servers.
 //! * [`auth`]: authentication of datagrams by a fleet key.
 //! * [`gossip`], [`forward`], [`sync`], [`status`]: message types generated from `proto/`.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod answer;
 pub mod auth;
 pub mod code;
 pub mod frame;
--- a/jayrackd/src/owner/headers.rs
+++ b/jayrackd/src/owner/headers.rs
@@ -6,6 +6,7 @@
 };
 use jayrack_protocol::{
     RequestId,
+    answer::is_final_status,
     forward::{Header, RequestHead, ResponseHead},
 };
 
@@ -141,7 +142,9 @@
 /// Makes the response to the caller; `None` when the owner's answer is malformed.
 pub(crate) fn to_response(answer: OwnerAnswer) -> Option<Response<RelayBody>> {
     let headers = to_headers(answer.head.headers)?;
-    let status = u16::try_from(answer.head.status).ok()?;
+    let status = u16::try_from(answer.head.status)
+        .ok()
+        .filter(|status| is_final_status(*status))?;
     let mut response = Response::new(answer.body);
     *response.status_mut() = StatusCode::from_u16(status).ok()?;
     *response.headers_mut() = headers;
--- a/jayrackd/src/owner/run.rs
+++ b/jayrackd/src/owner/run.rs
@@ -2,7 +2,7 @@
 use std::{sync::Arc, time::Duration};
 
 use hyper::{Response, StatusCode};
-use jayrack_protocol::{ResultCode, forward::RequestHead};
+use jayrack_protocol::{ResultCode, answer::is_final_status, forward::RequestHead};
 
 use super::{
     answer::{OwnerAnswer, StoredAnswer},
@@ -63,6 +63,12 @@
     permit: Permit,
     response: Response<RelayBody>,
 ) -> OwnerAnswer {
+    let status = response.status().as_u16();
+    if !is_final_status(status) {
+        log::warn!(status = status; "status of the server's answer ends no exchange");
+        permit.complete(RunOutcome::Failed);
+        return OwnerAnswer::refusal(ResultCode::ServerFailed);
+    }
     let is_shed = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     let answer = headers::to_answer(response);
     let length = headers::content_length(&answer.head.headers);
--- a/jayrackd/tests/faults.rs
+++ b/jayrackd/tests/faults.rs
@@ -3,6 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rstest::rstest;
 use support::{
     backend::{ANSWER_HEADER, CUT_HEADER, HOLD_HEADER, MARK_HEADER, SLEEP_HEADER},
     block_on, caller,
@@ -282,3 +283,20 @@
         assert!(sent < 20_000_000, "{sent} bytes left the backend server");
     });
 }
+
+/// Guards against a status that ends no exchange and reaches a caller as the server's answer.
+#[rstest]
+#[case(600)]
+#[case(999)]
+fn a_status_that_is_not_final_is_a_failure(#[case] status: u16) {
+    block_on(async {
+        let pair = start_pair(&Setup::default()).await;
+        let request = format!(
+            "GET /browse HTTP/1.1\r\nhost: t\r\nx-mark: m1\r\nx-status: {status}\r\nconnection: close\r\n\r\n"
+        );
+
+        let answer = caller::raw(pair.ingress.callers(), request.as_bytes()).await;
+
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+    });
+}
