test: case 14, a truncated answer without a length looks complete

Cause: the owner keeps the version of the server's answer. An answer with HTTP/1.0 and without a length is passed on without chunks between the daemons and to the caller, and its early end is an orderly end of the connection there.

The callers of all cases no longer keep step.

--- a/review/cases-3/src/callers.rs
+++ b/review/cases-3/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers on the hosts, and the platform's readiness checks that send them elsewhere.
 use std::{
+    hash::{BuildHasher, Hasher, RandomState},
     net::SocketAddr,
     sync::{
         Arc,
@@ -49,11 +50,17 @@
             if is_in.load(Ordering::Relaxed) {
                 tokio::spawn(send(host.clone(), plan, record.clone()));
             }
-            sleep(plan.interval).await;
+            sleep(spread(plan.interval)).await;
         }
     })
 }
 
+/// A time between half of `interval` and one and a half of it, so that the callers do not keep step.
+fn spread(interval: Duration) -> Duration {
+    let random = RandomState::new().build_hasher().finish();
+    interval.mul_f64(0.5 + random as f64 / u64::MAX as f64)
+}
+
 /// Sends one request of `plan` on `host`.
 async fn send(host: Host, plan: RequestPlan, record: CaseRecord) {
     static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -73,14 +80,17 @@
     };
     let at = record.now();
     let exchange = exchange(host.callers(), request);
-    let status = tokio::time::timeout(plan.deadline, exchange).await;
-    let answer = status.ok().flatten().map(|status| (status, record.now()));
+    let answer = tokio::time::timeout(plan.deadline, exchange).await;
+    let answer = answer.ok().flatten();
+    let body_bytes = answer.map_or(0, |answer| answer.body_bytes);
+    let answer = answer.map(|answer| (answer.status, record.now()));
     record.add_request(SentRequest {
         at,
         id,
         path,
         host: host.number,
         answer,
+        body_bytes,
     });
 }
 
@@ -103,26 +113,42 @@
         .body(Full::default());
     let Ok(request) = request else { return false };
     let exchange = exchange(host.ready(), request);
-    let status = tokio::time::timeout(READINESS_INTERVAL, exchange).await;
-    status.ok().flatten() == Some(200)
+    let answer = tokio::time::timeout(READINESS_INTERVAL, exchange).await;
+    answer
+        .ok()
+        .flatten()
+        .is_some_and(|answer| answer.status == 200)
+}
+
+/// An answer that arrived to its end, by its framing.
+#[derive(Debug, Clone, Copy)]
+pub struct CompleteAnswer {
+    pub status: u16,
+    pub body_bytes: usize,
 }
 
-/// Sends a request on a new connection; returns the status if the whole answer arrived.
-pub async fn exchange(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<u16> {
+/// Sends a request on a new connection; `None` if the answer did not arrive to its end.
+pub async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<CompleteAnswer> {
     let stream = TcpStream::connect(address).await.ok()?;
     let _ = stream.set_nodelay(true);
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .ok()?;
     let connection = tokio::spawn(connection);
-    let response = sender.send_request(request).await;
-    let status = match response {
+    let answer = match sender.send_request(request).await {
         Ok(response) => {
             let status = response.status().as_u16();
-            response.into_body().collect().await.ok().map(|_| status)
+            let body = response.into_body().collect().await.ok();
+            body.map(|body| CompleteAnswer {
+                status,
+                body_bytes: body.to_bytes().len(),
+            })
         }
         Err(_) => None,
     };
     connection.abort();
-    status
+    answer
 }
--- a/review/cases-3/src/fleet.rs
+++ b/review/cases-3/src/fleet.rs
@@ -375,6 +375,7 @@
         "virtual_hosts": [
             {"host": "hulo84.example", "paths": [route("r-book", "/xapu221/", "unsafe", bookings, 2)]},
             {"host": "jepu9.example", "paths": browse},
+            {"host": "fiti8.example", "paths": [route("r-fetch", "/fiti832/", "download", "drawings", 1)]},
         ],
     })
     .to_string()
@@ -389,3 +390,13 @@
     deadline: Duration::from_millis(3_000),
     interval: Duration::from_millis(250),
 };
+
+/// Downloads, whose answers are large.
+pub const DOWNLOADS: callers::RequestPlan = callers::RequestPlan {
+    method: "GET",
+    host: "fiti8.example",
+    prefix: "/fiti832/",
+    key: None,
+    deadline: Duration::from_millis(2_500),
+    interval: Duration::from_millis(170),
+};
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -12,6 +12,7 @@
 mod servers;
 mod silent_store;
 mod store;
+mod unframed_answer;
 
 use std::{process::ExitCode, time::Duration};
 
@@ -40,6 +41,7 @@
                 "drill-departure" => drill_departure::run(&record, has_trouble).await,
                 "lone-lenders" => lone_lenders::run(&record, has_trouble).await,
                 "silent-store" => silent_store::run(&record, has_trouble).await,
+                "unframed-answer" => unframed_answer::run(&record, has_trouble).await,
                 _ => Err(format!("unknown case {case}")),
             }
         };
--- a/review/cases-3/src/record.rs
+++ b/review/cases-3/src/record.rs
@@ -28,8 +28,10 @@
     pub path: String,
     /// Number of the host at which it was sent.
     pub host: usize,
-    /// Status of the answer and when it arrived; `None` without an answer.
+    /// Status of the answer and when it arrived; `None` without a complete answer.
     pub answer: Option<(u16, Duration)>,
+    /// Length of the answer's body, in bytes.
+    pub body_bytes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -106,8 +108,11 @@
         }));
         lines.extend(entries.requests.iter().map(|request| {
             let SentRequest { id, path, host, .. } = request;
+            let bytes = request.body_bytes;
             let answer = match request.answer {
-                Some((status, at)) => format!("{status} at {:.3}", at.as_secs_f64()),
+                Some((status, at)) => {
+                    format!("{status} with {bytes} bytes at {:.3}", at.as_secs_f64())
+                }
                 None => "no answer".to_string(),
             };
             (
--- a/review/cases-3/src/servers.rs
+++ b/review/cases-3/src/servers.rs
@@ -30,6 +30,12 @@
 /// Time that a request takes.
 const WORK_TIME: Duration = Duration::from_millis(40);
 const SLOTS: u32 = 12;
+/// Length of the body of an answer without a stated length.
+pub const UNFRAMED_BYTES: usize = 300_000;
+/// One in this many answers of a faulty server is broken off.
+const FAULTY_INTERVAL: u64 = 20;
+/// Time between the last bytes of an answer that is broken off and the reset.
+const RESET_DELAY: Duration = Duration::from_millis(30);
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 24 << 10;
 
@@ -42,6 +48,10 @@
     sequence: Arc<AtomicU64>,
     is_reporting: Arc<AtomicBool>,
     record: CaseRecord,
+    is_unframed: Arc<AtomicBool>,
+    /// Whether one in [`FAULTY_INTERVAL`] unframed answers is reset midway.
+    is_faulty: Arc<AtomicBool>,
+    unframed_answers: Arc<AtomicU64>,
 }
 
 impl BackendServer {
@@ -59,6 +69,9 @@
             sequence: Arc::default(),
             is_reporting: Arc::new(AtomicBool::new(true)),
             record: record.clone(),
+            is_unframed: Arc::default(),
+            is_faulty: Arc::default(),
+            unframed_answers: Arc::default(),
         };
         let served = server.clone();
         tokio::spawn(async move {
@@ -119,9 +132,44 @@
             instance: self.instance.clone(),
         });
         sleep(WORK_TIME).await;
+        if self.is_unframed.load(Ordering::Relaxed) {
+            return self.answer_unframed(stream, &request.id).await;
+        }
         write_answer(stream, "200 OK", &request.id, "whole").await
     }
 
+    /// Makes the server answer without a length: the answer ends with its connection.
+    pub fn answer_without_length(&self) {
+        self.is_unframed.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes the server break off some answers, or no more of them.
+    pub fn set_faulty(&self, is_faulty: bool) {
+        self.is_faulty.store(is_faulty, Ordering::Relaxed);
+    }
+
+    /// Writes a large answer without a length, and ends the connection: by a reset in the middle of the body, or in order
+    /// after it.
+    async fn answer_unframed(&self, stream: &mut TcpStream, id: &str) -> Option<()> {
+        let head = format!(
+            "HTTP/1.0 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: signed.{id}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.ok()?;
+        let body = vec![b'z'; UNFRAMED_BYTES];
+        let number = self.unframed_answers.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.is_faulty.load(Ordering::Relaxed) && number.is_multiple_of(FAULTY_INTERVAL) {
+            stream.write_all(&body[..UNFRAMED_BYTES / 2]).await.ok()?;
+            let instance = &self.instance;
+            self.record
+                .note(&format!("{instance} resets its answer to {id} midway"));
+            sleep(RESET_DELAY).await;
+            stream.set_zero_linger().ok()?;
+        } else {
+            stream.write_all(&body).await.ok()?;
+        }
+        None
+    }
+
     /// Ends the periodic reports.
     pub fn stop_reporting(&self) {
         self.is_reporting.store(false, Ordering::Relaxed);
@@ -157,7 +205,7 @@
             .ok()?;
         let exchange = callers::exchange(self.host.reports(), request);
         let answer = tokio::time::timeout(ACKNOWLEDGEMENT_TIMEOUT, exchange).await;
-        answer.ok().flatten()
+        answer.ok().flatten().map(|answer| answer.status)
     }
 }
 
