--- a/review/cases-3/src/servers.rs
+++ b/review/cases-3/src/servers.rs
@@ -32,7 +32,7 @@
 const SLOTS: u32 = 12;
 /// Length of the body of an answer without a stated length.
 pub const UNFRAMED_BYTES: usize = 300_000;
-/// One in this many answers of a faulty server is broken off.
+/// One in this many answers of a faulty server is spoiled.
 const FAULTY_INTERVAL: u64 = 20;
 /// Time between the last bytes of an answer that is broken off and the reset.
 const RESET_DELAY: Duration = Duration::from_millis(30);
@@ -49,7 +49,7 @@
     is_reporting: Arc<AtomicBool>,
     record: CaseRecord,
     is_unframed: Arc<AtomicBool>,
-    /// Whether one in [`FAULTY_INTERVAL`] unframed answers is reset midway.
+    /// Whether one in [`FAULTY_INTERVAL`] unframed answers is spoiled.
     is_faulty: Arc<AtomicBool>,
     unframed_answers: Arc<AtomicU64>,
 }
@@ -143,29 +143,33 @@
         self.is_unframed.store(true, Ordering::Relaxed);
     }
 
-    /// Makes the server break off some answers, or no more of them.
+    /// Makes the server spoil some answers, or no more of them.
     pub fn set_faulty(&self, is_faulty: bool) {
         self.is_faulty.store(is_faulty, Ordering::Relaxed);
     }
 
-    /// Writes a large answer without a length, and ends the connection: by a reset in the middle of the body, or in order
-    /// after it.
+    /// Writes a large answer without a length, which ends with its connection. A spoiled one has a head in another version of
+    /// the protocol, and the connection is reset in the middle of its body.
     async fn answer_unframed(&self, stream: &mut TcpStream, id: &str) -> Option<()> {
+        let number = self.unframed_answers.fetch_add(1, Ordering::Relaxed) + 1;
+        let is_spoiled =
+            self.is_faulty.load(Ordering::Relaxed) && number.is_multiple_of(FAULTY_INTERVAL);
+        let (version, body_bytes) = match is_spoiled {
+            true => ("HTTP/1.0", UNFRAMED_BYTES / 2),
+            false => ("HTTP/1.1", UNFRAMED_BYTES),
+        };
         let head = format!(
-            "HTTP/1.0 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: signed.{id}\r\n\r\n"
+            "{version} 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: signed.{id}\r\n\
+             Connection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await.ok()?;
-        let body = vec![b'z'; UNFRAMED_BYTES];
-        let number = self.unframed_answers.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.is_faulty.load(Ordering::Relaxed) && number.is_multiple_of(FAULTY_INTERVAL) {
-            stream.write_all(&body[..UNFRAMED_BYTES / 2]).await.ok()?;
+        stream.write_all(&vec![b'z'; body_bytes]).await.ok()?;
+        if is_spoiled {
             let instance = &self.instance;
             self.record
                 .note(&format!("{instance} resets its answer to {id} midway"));
             sleep(RESET_DELAY).await;
             stream.set_zero_linger().ok()?;
-        } else {
-            stream.write_all(&body).await.ok()?;
         }
         None
     }
