test: stand-in of the store that comes back from a copy

The stand-in states its era in each answer once that is asked for, copies its topics and returns to such a copy: later records are lost, their offsets are given out again, the era rises by one, and calls that wait get no answer.

--- a/jayrack-mesh/src/lib.rs
+++ b/jayrack-mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`routes`]: route table of the operator's configuration.
 //! * [`tenants`]: tenants and the lookup of their keys.
 //! * [`freshness`]: age of the knowledge of the configuration.
+//! * [`era`]: era of the store, which rises when it comes back from a copy.
 //! * [`hosts`]: directory of the hosts in the fleet with their newest records.
 //! * [`server`]: state of the backend server beside the daemon, from its status reports.
 //! * [`gate`]: admission gate and queue in front of that backend server.
@@ -32,6 +33,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod delta;
+pub mod era;
 pub mod fairness;
 pub mod freshness;
 pub mod gate;
--- a/jayrack-meshd/src/control/configuration.rs
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -6,7 +6,7 @@
 use jayrack_platform::{
     configuration::{self, KEY, TOPIC},
     rollout,
-    store::{Error, KeyedBatch},
+    store::{Error, KeyedBatch, TopicCursor},
 };
 use tokio::time::{Instant, sleep, timeout};
 
@@ -17,7 +17,7 @@
 const POLL_WAIT: Duration = Duration::from_secs(3);
 /// Part of the interval between two reads that is spent waiting for a change where the age of the knowledge is bounded.
 const POLL_WAIT_DIVISOR: u32 = 4;
-/// Time for which a host that is no reader keeps its offset, so that it does not read the whole configuration again
+/// Time for which a host that is no reader keeps its position, so that it does not read the whole configuration again
 /// each time that it renews its knowledge itself; after a longer time it would read many changes one after the other.
 const OFFSET_KEEP_TIME: Duration = Duration::from_secs(10);
 /// Interval between two checks whether this host has become a reader.
@@ -63,7 +63,7 @@
 /// Reads the configuration from the store for as long as the process runs: the first one in any case, later ones
 /// while this host is a reader.
 pub async fn follow(control: Arc<ControlState>) {
-    let mut next: Option<u64> = None;
+    let mut next: Option<TopicCursor> = None;
     let mut backoff_ms = INITIAL_BACKOFF_MS;
     let waits_until = prepare_first(&control).await;
     let mut read_at = Instant::now();
@@ -90,7 +90,12 @@
             None => control.store.newest(TOPIC).await,
             Some(from) => control.store.changes(TOPIC, from, schedule.wait()).await,
         };
-        let reaches_store = matches!(read, Ok(_) | Err(Error::Expired(_)));
+        let reaches_store = match &read {
+            Ok(_) | Err(Error::Expired(_)) => true,
+            // This may be known without a call.
+            Err(Error::Superseded) => control.gossip.reaches_store(),
+            Err(_) => false,
+        };
         if control.gossip.set_reaches_store(reaches_store) {
             log::info!(reached = reaches_store; "store");
             control.mesh.metrics.count_state_change(if reaches_store {
@@ -105,7 +110,7 @@
                 backoff_ms = INITIAL_BACKOFF_MS;
                 // Records that are missing although none is new have been lost by the store.
                 let is_cut = !records.is_complete && records.records.is_empty();
-                next = Some(records.next_offset).filter(|_| !is_cut);
+                next = Some(records.next).filter(|_| !is_cut);
                 add_orders(&control.mesh, &records, source);
                 let is_changed = apply_newest(&control.mesh, &records);
                 confirm(&control.mesh, schedule.began_ms, &records);
@@ -117,8 +122,8 @@
                     sleep(schedule.pause()).await;
                 }
             }
-            Err(Error::Expired(first)) => {
-                log::info!(first = first; "changes no longer retained; reading the newest configuration");
+            Err(error @ (Error::Expired(_) | Error::Superseded)) => {
+                log::info!(error:% = error; "changes not readable; reading the newest configuration");
                 next = None;
             }
             Err(error) => {
--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -111,7 +111,8 @@
         ..control.gossip.own_record()
     };
     let key = format!("{HOST_PREFIX}{}", record.address);
-    control.store.put(TOPIC, &key, &encode(&record)?).await
+    control.store.put(TOPIC, &key, &encode(&record)?).await?;
+    Ok(())
 }
 
 /// Applies a record of the topic; returns whether it is the record of this host, `own`, as this process would write it.
--- a/jayrack-meshd/src/control/rollout_record.rs
+++ b/jayrack-meshd/src/control/rollout_record.rs
@@ -4,7 +4,7 @@
 use jayrack_mesh::rollout::{RolloutOrder, RolloutPhase};
 use jayrack_platform::{
     rollout::{self, RecordedState, STATE_TOPIC},
-    store::{Error, KeyedBatch},
+    store::{Error, KeyedBatch, TopicCursor},
 };
 use tokio::time::{Instant, timeout};
 
@@ -21,7 +21,7 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreCalls {
     /// Where the topic ended after the latest call; `None` if the states are to be read first.
-    end: Option<u64>,
+    end: Option<TopicCursor>,
     failures: u32,
     retry_at: Option<Instant>,
 }
@@ -81,13 +81,13 @@
         .map_err(|error| Error::Malformed(error.to_string()))?;
     let key = rollout::key(service);
     match limited(control.store.put_at(STATE_TOPIC, &key, &value, end)).await {
-        Ok(offset) => {
-            calls.end = Some(offset + 1);
+        Ok(end) => {
+            calls.end = Some(end);
             adopt(control, &order, state).await;
             Ok(())
         }
-        // Another state was recorded first, perhaps that of this roll-out.
-        Err(Error::Moved(_)) => read_states(control, calls).await,
+        // Another state was recorded first, perhaps that of this roll-out, or the store has lost the latest ones.
+        Err(Error::Moved(_) | Error::Superseded) => read_states(control, calls).await,
         Err(error) => Err(error),
     }
 }
@@ -129,7 +129,7 @@
         orders.collect()
     };
     let states = limited(control.store.newest(STATE_TOPIC)).await?;
-    calls.end = Some(states.next_offset);
+    calls.end = Some(states.next);
     let aged = orders.iter().filter(|(_, is_fresh)| !is_fresh);
     for (order, _) in aged {
         match recorded_state(&states, order) {
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use hyper_util::rt::TokioIo;
 use jayrack_platform::{
     headers, pool,
-    store::{self, StoreClient},
+    store::{self, StoreClient, TopicCursor},
 };
 use jayrack_testkit::{log_standin::LogStandin, standin_process::ANY_PORT};
 use tokio::{
@@ -96,7 +96,13 @@
 
     /// All values that were written for a key of a keyed topic, in order.
     pub async fn values(&self, topic: &str, key: &str) -> Vec<Bytes> {
-        let batch = self.client.changes(topic, 0, Duration::ZERO).await.unwrap();
+        let newest = self.client.newest(topic).await.unwrap();
+        let from = TopicCursor {
+            offset: 0,
+            ..newest.next
+        };
+        let changes = self.client.changes(topic, from, Duration::ZERO);
+        let batch = changes.await.unwrap();
         let records = batch.records.into_iter();
         let of_key = records.filter(|record| record.key == key);
         of_key.map(|record| record.value).collect()
--- a/jayrack-testkit/src/log_standin/mod.rs
+++ b/jayrack-testkit/src/log_standin/mod.rs
@@ -8,4 +8,4 @@
 pub mod store;
 
 pub use behaviour::{LogBehaviour, LogCounts, LostAnswer, Outage};
-pub use server::LogStandin;
+pub use server::{LogCopy, LogStandin};
--- a/jayrack-testkit/src/log_standin/server.rs
+++ b/jayrack-testkit/src/log_standin/server.rs
@@ -8,7 +8,11 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::Full;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
 use serde::Serialize;
 use tokio::{
     net::TcpListener,
@@ -28,6 +32,8 @@
 /// Highest number of open connections.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Header that states the era.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Longest long poll, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
 
@@ -50,8 +56,14 @@
     store: LogStore,
     behaviour: LogBehaviour,
     counts: LogCounts,
+    /// Number of returns from a copy; not stated before [`LogStandin::state_era`].
+    era: Option<u64>,
 }
 
+/// Copy of all topics at one moment.
+#[derive(Debug)]
+pub struct LogCopy(LogStore);
+
 /// How an append is handled.
 enum AppendAction {
     Refuse,
@@ -135,6 +147,27 @@
         self.shared.lock().store.expire_all();
     }
 
+    /// Makes each later answer state the era, which is 0 at first.
+    pub fn state_era(&self) {
+        self.shared.lock().era.get_or_insert_default();
+    }
+
+    /// Copies all topics.
+    pub fn copy(&self) -> LogCopy {
+        LogCopy(self.shared.lock().store.clone())
+    }
+
+    /// Returns from `copy`: later records are lost, their offsets are given out again, and the era rises by one. Calls that
+    /// are not answered yet get no answer.
+    pub fn return_from(&self, copy: &LogCopy) {
+        {
+            let mut state = self.shared.lock();
+            state.store = copy.0.clone();
+            state.era = state.era.map(|era| era + 1);
+        }
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
     /// Request counters and retained records.
     pub fn counts(&self) -> LogCounts {
         self.shared.counts()
@@ -196,6 +229,18 @@
 }
 
 async fn handle(shared: Arc<SharedLog>, request: Request<Incoming>) -> HandlerResult {
+    let era = shared.lock().era;
+    let mut response = answer(shared.clone(), request).await?;
+    if shared.lock().era != era {
+        return Err(ConnectionAborted);
+    }
+    if let Some(era) = era {
+        response.headers_mut().insert(ERA, HeaderValue::from(era));
+    }
+    Ok(response)
+}
+
+async fn answer(shared: Arc<SharedLog>, request: Request<Incoming>) -> HandlerResult {
     let path = request.uri().path().to_string();
     let method = request.method().clone();
     match (method, path.as_str()) {
@@ -325,10 +370,10 @@
 }
 
 async fn read(shared: Arc<SharedLog>, request: &Request<Incoming>) -> HandlerResult {
-    let delay_ms = {
+    let (delay_ms, era) = {
         let mut state = shared.lock();
         state.counts.reads += 1;
-        state.behaviour.delay_ms
+        (state.behaviour.delay_ms, state.era)
     };
     let Some(query) = parse_query(request) else {
         return empty_answer(StatusCode::BAD_REQUEST);
@@ -340,6 +385,9 @@
         if let Some(answer) = check_outage(&shared).await {
             return answer;
         }
+        if shared.lock().era != era {
+            return Err(ConnectionAborted);
+        }
         match shared.read(&query) {
             ReadOutcome::Expired(first_offset) => {
                 shared.lock().counts.expired += 1;
--- a/jayrack-testkit/src/log_standin/store.rs
+++ b/jayrack-testkit/src/log_standin/store.rs
@@ -29,7 +29,7 @@
 pub enum ReadOutcome {
     /// The offset is retained or is the next one; the batch may be empty.
     Batch(TopicBatch),
-    /// The offset is expired; holds the oldest retained one.
+    /// There is no record at the offset, and it is not the next one; holds the oldest retained offset.
     Expired(u64),
 }
 
@@ -42,13 +42,13 @@
     pub offset: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct TopicRecord {
     time_ms: u64,
     data: Bytes,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     first: u64,
     records: VecDeque<TopicRecord>,
@@ -92,7 +92,7 @@
 }
 
 /// All topics and the append quota, in memory.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LogStore {
     topics: BTreeMap<String, Topic>,
     token_thousandths: u64,
@@ -123,7 +123,10 @@
     pub fn read(&self, name: &str, from: u64) -> ReadOutcome {
         let empty = Topic::default();
         let topic = self.topics.get(name).unwrap_or(&empty);
-        let Some(skipped) = from.checked_sub(topic.first) else {
+        let skipped = from
+            .checked_sub(topic.first)
+            .filter(|_| from <= topic.end());
+        let Some(skipped) = skipped else {
             return ReadOutcome::Expired(topic.first);
         };
         let records = topic.records.iter().skip(skipped as usize);
--- a/jayrack-testkit/tests/log_standin.rs
+++ b/jayrack-testkit/tests/log_standin.rs
@@ -2,7 +2,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use jayrack_platform::{
-    HttpLog, LogService, StoreClient, http, log::Error, pool, store, store::Error as StoreError,
+    HttpLog, LogService, StoreClient, http,
+    log::Error,
+    pool, store,
+    store::{Error as StoreError, TopicCursor},
 };
 use jayrack_testkit::{
     log_standin::{LogBehaviour, LogStandin, LostAnswer, Outage, store::LogStore},
@@ -10,6 +13,11 @@
 };
 use rstest::rstest;
 
+/// A position in a topic of a store that states no eras.
+fn at(offset: u64) -> TopicCursor {
+    TopicCursor { offset, era: None }
+}
+
 fn client(address: SocketAddr) -> HttpLog {
     HttpLog::with_options(
         address,
@@ -160,10 +168,10 @@
     let standin = LogStandin::start(ANY_PORT).await.unwrap();
     let client = store_client(standin.address());
 
-    assert_eq!(client.put_at("status", "a", b"1", 0).await, Ok(0));
-    let moved = client.put_at("status", "b", b"2", 0).await;
+    assert_eq!(client.put_at("status", "a", b"1", at(0)).await, Ok(at(1)));
+    let moved = client.put_at("status", "b", b"2", at(0)).await;
     assert_eq!(moved, Err(StoreError::Moved(1)));
-    assert_eq!(client.put_at("status", "b", b"2", 1).await, Ok(1));
+    assert_eq!(client.put_at("status", "b", b"2", at(1)).await, Ok(at(2)));
 
     assert_eq!(client.newest("status").await.unwrap().records.len(), 2);
     standin.close().await;
@@ -180,14 +188,78 @@
         late_ms: 400,
         ..LogBehaviour::default()
     });
-    let lost = client.put_at("status", "a", b"late", 0).await;
+    let lost = client.put_at("status", "a", b"late", at(0)).await;
     assert!(matches!(lost, Err(StoreError::Ambiguous(_))));
 
-    assert_eq!(client.put_at("status", "a", b"first", 0).await, Ok(0));
+    assert_eq!(
+        client.put_at("status", "a", b"first", at(0)).await,
+        Ok(at(1))
+    );
     tokio::time::sleep(Duration::from_millis(600)).await;
 
     let batch = client.newest("status").await.unwrap();
-    assert_eq!(batch.next_offset, 1);
+    assert_eq!(batch.next, at(1));
     assert_eq!(batch.records[0].value, "first");
     standin.close().await;
 }
+
+/// A cursor of the first era, and a stand-in that has come back from a copy without the record before the cursor.
+async fn returned_standin() -> (LogStandin, StoreClient, TopicCursor) {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    standin.state_era();
+    let client = store_client(standin.address());
+    let copy = standin.copy();
+    client.put("status", "a", b"lost").await.unwrap();
+    let cursor = client.newest("status").await.unwrap().next;
+    standin.return_from(&copy);
+    (standin, client, cursor)
+}
+
+#[tokio::test]
+async fn a_return_from_a_copy_loses_later_records_and_gives_their_offsets_out_again() {
+    let (standin, client, cursor) = returned_standin().await;
+
+    let end = client.newest("status").await.unwrap().next;
+    let era = client.put("status", "b", b"new").await.unwrap();
+    let newest = client.newest("status").await.unwrap();
+
+    assert_eq!((cursor.offset, end.offset), (1, 0));
+    assert!(end.era > cursor.era && era == end.era);
+    assert_eq!(newest.next.offset, cursor.offset);
+    assert_eq!(newest.records[0].key, "b");
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn a_read_from_an_offset_that_the_copy_does_not_have_is_answered_410() {
+    let (standin, client, cursor) = returned_standin().await;
+
+    let read = client.read("keyed.status", cursor.offset, Duration::ZERO);
+
+    assert_eq!(read.await, Err(StoreError::Expired(0)));
+    standin.close().await;
+}
+
+/// Guards against a poll of before that is answered as if nothing had been lost.
+#[tokio::test]
+async fn a_waiting_read_gets_no_answer_when_the_log_returns_from_a_copy() {
+    let standin = LogStandin::start(ANY_PORT).await.unwrap();
+    standin.state_era();
+    let copy = standin.copy();
+    let client = store_client(standin.address());
+    let start = client.newest("status").await.unwrap().next;
+    let reads = standin.counts().reads;
+    let poll = tokio::spawn(async move {
+        client
+            .changes("status", start, Duration::from_secs(30))
+            .await
+    });
+    while standin.counts().reads == reads {
+        tokio::task::yield_now().await;
+    }
+
+    standin.return_from(&copy);
+
+    assert!(matches!(poll.await.unwrap(), Err(StoreError::Ambiguous(_))));
+    standin.close().await;
+}
