fix: write departures and hosts again when the store has lost them

Cause: a departure counted as stored for good once the store had acknowledged it. After a return of the store nobody wrote it again: in calm only the two readers of each data centre call the store, and they read the configuration. A restarted daemon took the list of hosts as complete, asked no other daemon, and its first record replaced the copies of the others.

Ruled out: the tracker of reports and the copies at other daemons, which are right until the restarted daemon publishes its record.

Fix: datagrams state the era that the store has proved; a daemon that hears of a later one relies on no answer of an earlier one, and drops a statement that the store does not prove within 10 s. In each new era a daemon writes the record of its host and the latest departure in one call, and reads the list of hosts. An acknowledgement counts in its era. The record of a host states the era in which it is complete; a started daemon that finds another one asks the others, as when the store does not answer.

By reading, a store that states no eras gets the same calls as before.

--- a/jayrack-mesh/src/server.rs
+++ b/jayrack-mesh/src/server.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::era::StoreEra;
+
 /// Phase of a backend server, as it reports it; a later phase is greater.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -81,6 +83,14 @@
     since_ms: u64,
 }
 
+/// A departure that the store has acknowledged.
+#[derive(Debug)]
+struct StoredDeparture {
+    record: ServerRecord,
+    /// Era of the store in which it did; in a later one, the record may be lost.
+    era: Option<StoreEra>,
+}
+
 /// Record of the backend server beside the daemon, updated by its reports.
 ///
 /// Guarantees that an incarnation that was reported as leaving never counts as ready again, in whatever order
@@ -97,8 +107,8 @@
     past: VecDeque<ServerRecord>,
     reported_ms: u64,
     is_restored: bool,
-    /// Instance and start of the incarnation whose departure is stored durably.
-    stored_departure: Option<(String, u64)>,
+    /// Latest departure that the store has acknowledged.
+    stored_departure: Option<StoredDeparture>,
 }
 
 impl ServerTracker {
@@ -264,21 +274,32 @@
     }
 
     /// Record of a departure that must be stored before it is acknowledged, so that it outlives this process; `None`
-    /// if the server has not left or its departure is stored.
-    pub fn unstored_departure(&self) -> Option<&ServerRecord> {
-        let record = self.record.as_ref()?;
-        let is_stored = self
-            .stored_departure
-            .as_ref()
-            .is_some_and(|(instance, born_ms)| {
-                *instance == record.instance && *born_ms == record.born_ms
-            });
-        (record.phase != ServerPhase::Ready && !is_stored).then_some(record)
+    /// if the server has not left or its departure is stored in the era `latest` of the store.
+    pub fn unstored_departure(&self, latest: Option<StoreEra>) -> Option<&ServerRecord> {
+        let record = self.departed()?;
+        let is_stored = self.stored_departure.as_ref().is_some_and(|stored| {
+            stored.era == latest && is_same_incarnation(&stored.record, record)
+        });
+        (!is_stored).then_some(record)
+    }
+
+    /// Record of the latest departure that this process knows, which the store must hold for the next process at this
+    /// address: reports of before it may still arrive after another server has started.
+    pub fn latest_departure(&self) -> Option<&ServerRecord> {
+        let stored = self.stored_departure.as_ref().map(|stored| &stored.record);
+        self.departed().or(stored)
+    }
+
+    /// Records that the store has acknowledged the departure `record` in its era `era`.
+    pub fn departure_stored(&mut self, record: &ServerRecord, era: Option<StoreEra>) {
+        let record = record.clone();
+        self.stored_departure = Some(StoredDeparture { record, era });
     }
 
-    /// Records that the departure `record` is stored durably.
-    pub fn departure_stored(&mut self, record: &ServerRecord) {
-        self.stored_departure = Some((record.instance.clone(), record.born_ms));
+    /// Record of the server if it leaves or has left.
+    fn departed(&self) -> Option<&ServerRecord> {
+        let record = self.record.as_ref();
+        record.filter(|record| record.phase != ServerPhase::Ready)
     }
 
     /// Record of the server, also if it has left; `None` without a report or restored record.
--- a/jayrack-mesh/tests/server.rs
+++ b/jayrack-mesh/tests/server.rs
@@ -1,6 +1,7 @@
 //! Tests of reports of the backend server beside the daemon that arrive in any order.
 use jayrack_mesh::{
     ServerTracker,
+    era::StoreEra,
     server::{ReportEffect, ServerPhase, ServerRecord, StatusReport},
 };
 use proptest::prelude::*;
@@ -129,30 +130,64 @@
 #[case::leaves_at_once(false)]
 fn a_departure_is_unstored_until_the_store_has_recorded_it(#[case] drains: bool) {
     let mut tracker = ready_tracker();
-    assert!(tracker.unstored_departure().is_none());
+    assert!(tracker.unstored_departure(None).is_none());
 
     match drains {
         true => tracker.handle(1, report(5, 2, ServerPhase::Draining)),
         false => tracker.leave(1, "i-1", 5),
     };
-    let departure = tracker.unstored_departure().cloned();
+    let departure = tracker.unstored_departure(None).cloned();
     assert!(departure.is_some(), "acknowledged without a stored record");
-    tracker.departure_stored(&departure.expect("checked above"));
+    tracker.departure_stored(&departure.expect("checked above"), None);
 
-    assert!(tracker.unstored_departure().is_none());
+    assert!(tracker.unstored_departure(None).is_none());
+}
+
+/// Guards against a departure that is relied on to be in the store although the store has come back from a copy.
+#[test]
+fn a_departure_is_unstored_again_in_a_later_era_of_the_store() {
+    let [earlier, later] = [1, 2].map(|number| Some(StoreEra::from_number(number)));
+    let mut tracker = ready_tracker();
+    tracker.handle(1, report(5, 2, ServerPhase::Draining));
+    let departure = tracker.unstored_departure(earlier).cloned();
+    let departure = departure.expect("draining");
+
+    tracker.departure_stored(&departure, earlier);
+
+    assert_eq!(tracker.unstored_departure(earlier), None);
+    assert_eq!(tracker.unstored_departure(later), Some(&departure));
+    // An acknowledgement of the earlier era may arrive after the later one is known.
+    tracker.departure_stored(&departure, earlier);
+    assert_eq!(tracker.unstored_departure(later), Some(&departure));
+}
+
+/// Guards against a departure that the store loses for good since another server has started in its place.
+#[test]
+fn the_latest_departure_is_known_while_the_next_incarnation_serves() {
+    let mut tracker = ready_tracker();
+    assert_eq!(tracker.latest_departure(), None);
+    tracker.handle(1, report(5, 2, ServerPhase::Draining));
+    let departure = tracker.unstored_departure(None).cloned();
+    let departure = departure.expect("draining");
+    tracker.departure_stored(&departure, None);
+
+    tracker.handle(2, report(6, 1, ServerPhase::Ready));
+
+    assert!(tracker.serving().is_some());
+    assert_eq!(tracker.latest_departure(), Some(&departure));
 }
 
 #[test]
 fn the_departure_of_the_next_incarnation_is_stored_as_well() {
     let mut tracker = ready_tracker();
     tracker.handle(1, report(5, 2, ServerPhase::Draining));
-    let departure = tracker.unstored_departure().cloned();
-    tracker.departure_stored(&departure.expect("draining"));
+    let departure = tracker.unstored_departure(None).cloned();
+    tracker.departure_stored(&departure.expect("draining"), None);
 
     tracker.handle(2, report(6, 1, ServerPhase::Ready));
     tracker.handle(3, report(6, 2, ServerPhase::Draining));
 
-    assert!(tracker.unstored_departure().is_some());
+    assert!(tracker.unstored_departure(None).is_some());
 }
 
 #[test]
--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -148,9 +148,10 @@
     let ready = bind(settings.listen.ready, ClientKind::Readiness, budget)?;
     let reports = bind(settings.listen.reports, ClientKind::Reports, budget)?;
     let metrics = bind((address, metrics_port).into(), ClientKind::Metrics, budget)?;
+    let store = StoreClient::new(settings.store, options);
     let control = Arc::new(ControlState {
-        store: StoreClient::new(settings.store, options),
-        gossip: gossip::GossipState::new(&mesh, socket),
+        gossip: gossip::GossipState::new(&mesh, socket, store.eras().clone()),
+        store,
         registered: tokio::sync::watch::Sender::new(false),
         departure_writes: tokio::sync::Mutex::default(),
         rollout_calls: tokio::sync::Mutex::default(),
--- a/jayrack-meshd/src/control/datagram.rs
+++ b/jayrack-meshd/src/control/datagram.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
 use jayrack_mesh::{
+    era::StoreEra,
     freshness::{FreshnessReport, StatedConfirmation, StatedTime},
     gate::{GateLoad, ServiceTimeEstimate},
     health::ServerHealth,
@@ -51,6 +52,8 @@
     pub freshness: FreshnessReport,
     /// Roll-outs that run or have just ended, the most important first.
     pub rollouts: Vec<RolloutStatus>,
+    /// Latest era of the store that an answer to the sender has proved.
+    pub store_era: Option<StoreEra>,
 }
 
 /// Error of decoding a datagram.
@@ -110,6 +113,7 @@
             confirmed_version,
             failure_percent: self.health.failure_percent,
             warmup_left_ms: self.health.warmup_left_ms,
+            store_era: self.store_era.map(StoreEra::to_number),
             ..wire::Status::default()
         };
         for rollout in &self.rollouts {
@@ -187,6 +191,7 @@
                 .into_iter()
                 .filter_map(rollout_wire::decode)
                 .collect(),
+            store_era: status.store_era.map(StoreEra::from_number),
         })
     }
 }
@@ -214,6 +219,7 @@
         correction: status.correction,
         freshness: FreshnessReport::default(),
         rollouts: Vec::new(),
+        store_era: None,
     })
 }
 
--- a/jayrack-meshd/src/control/gossip.rs
+++ b/jayrack-meshd/src/control/gossip.rs
@@ -3,7 +3,7 @@
 //! Each daemon reports only its own record. A datagram also carries the order of the receiver's record that its
 //! sender holds, so that a receiver whose latest record was lost sends it again.
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::Duration,
@@ -15,6 +15,7 @@
     server::{ServerPhase, ServerRecord},
     status::{DueInput, PeerState, RecordOrder},
 };
+use jayrack_platform::era::EraMonitor;
 use rand_pcg::{
     Pcg32,
     rand_core::{Rng, SeedableRng},
@@ -56,6 +57,8 @@
     pub(super) announced: AnnouncedConfiguration,
     /// Daemons asked for the state of an earlier process.
     pub(super) restore_sources: u32,
+    /// Daemons that know no server of this host.
+    empty_sources: BTreeSet<SocketAddr>,
     restore: RestoreState,
     /// Whether the server has been given requests by this process.
     has_served: bool,
@@ -67,12 +70,23 @@
 enum RestoreState {
     /// Not yet; the server gets no requests.
     Pending,
+    /// Not yet, although the store has been read: it may have lost what that process has written.
+    Doubtful,
     /// Nobody held that state in time; the server's reports are relied on.
     TimedOut,
     /// The store or another daemon held it.
     Restored,
 }
 
+impl RestoreState {
+    fn is_over(self) -> bool {
+        match self {
+            RestoreState::Pending | RestoreState::Doubtful => false,
+            RestoreState::TimedOut | RestoreState::Restored => true,
+        }
+    }
+}
+
 /// Receiver of a datagram.
 #[derive(Debug)]
 pub(super) struct Receiver {
@@ -87,12 +101,13 @@
 pub struct GossipState {
     pub(super) socket: UdpSocket,
     core: Mutex<GossipCore>,
+    eras: Arc<EraMonitor>,
     pub(super) pulling: AtomicBool,
 }
 
 impl GossipState {
     /// Creates the state of a host whose server has not reported yet.
-    pub fn new(mesh: &MeshState, socket: UdpSocket) -> Self {
+    pub fn new(mesh: &MeshState, socket: UdpSocket, eras: Arc<EraMonitor>) -> Self {
         let settings = &mesh.settings;
         let epoch = logging::unix_ms();
         let own = HostRecord {
@@ -111,12 +126,14 @@
         mesh.directory().merge(&own);
         Self {
             socket,
+            eras,
             core: Mutex::new(GossipCore {
                 own,
                 peers: BTreeMap::new(),
                 reaches_store: true,
                 announced: AnnouncedConfiguration::default(),
                 restore_sources: 0,
+                empty_sources: BTreeSet::new(),
                 restore: RestoreState::Pending,
                 has_served: false,
                 random: Pcg32::seed_from_u64(epoch),
@@ -130,9 +147,47 @@
         self.lock().own.epoch
     }
 
-    /// Whether a further daemon is to be asked for the state of an earlier process.
-    pub(super) fn needs_restore(&self) -> bool {
-        !self.is_restored() && self.lock().restore_sources < MAX_RESTORE_SOURCES
+    /// Whether the daemon at `source` is to be asked for the state of an earlier process.
+    pub(super) fn needs_restore(&self, source: SocketAddr) -> bool {
+        let core = self.lock();
+        match core.restore {
+            RestoreState::Pending => core.restore_sources < MAX_RESTORE_SOURCES,
+            RestoreState::Doubtful => !core.empty_sources.contains(&source),
+            RestoreState::TimedOut | RestoreState::Restored => false,
+        }
+    }
+
+    /// Records that the store has been read, but may lack what an earlier process at this address has written; other
+    /// daemons are asked for it.
+    pub fn doubt_store(&self, mesh: &MeshState) {
+        {
+            let mut core = self.lock();
+            if core.restore == RestoreState::Pending {
+                core.restore = RestoreState::Doubtful;
+            }
+        }
+        self.end_doubt(mesh);
+    }
+
+    /// Records that the daemon at `source` knows no server of this host.
+    ///
+    /// Where the store was read as well, there has been no server once enough daemons say so. Where it was not, they may just
+    /// not have heard of it.
+    pub(super) fn record_unknown_server(&self, mesh: &MeshState, source: SocketAddr) {
+        self.lock().empty_sources.insert(source);
+        self.end_doubt(mesh);
+    }
+
+    fn end_doubt(&self, mesh: &MeshState) {
+        let others = mesh.directory().len().saturating_sub(1);
+        let needed = others.clamp(1, MAX_RESTORE_SOURCES as usize);
+        let is_over = {
+            let core = self.lock();
+            core.restore == RestoreState::Doubtful && core.empty_sources.len() >= needed
+        };
+        if is_over {
+            self.set_restored(mesh);
+        }
     }
 
     /// Copy of this host's record.
@@ -148,7 +203,7 @@
     /// Whether the state that an earlier process at this address acknowledged was restored, or the time limit for
     /// that is over.
     pub fn is_restored(&self) -> bool {
-        self.lock().restore != RestoreState::Pending
+        self.lock().restore.is_over()
     }
 
     /// Whether the store or another daemon held the state that an earlier process at this address acknowledged.
@@ -163,7 +218,7 @@
 
     fn end_restore(&self, mesh: &MeshState, end: RestoreState) {
         let earlier = std::mem::replace(&mut self.lock().restore, end);
-        if earlier == RestoreState::Pending {
+        if !earlier.is_over() {
             self.apply_server(mesh);
         }
     }
@@ -204,7 +259,7 @@
                 .is_some_and(|record| record.phase != ServerPhase::Ready);
         let mut core = self.lock();
         core.own.server = record.filter(|_| is_known);
-        core.own.is_restoring = core.restore == RestoreState::Pending;
+        core.own.is_restoring = !core.restore.is_over();
         core.own.revision += 1;
         mesh.directory().merge(&core.own);
     }
@@ -327,7 +382,7 @@
         Some(source.forward)
     }
 
-    /// Sends a datagram to all other hosts, with the configuration version and the reachability of the store.
+    /// Sends a datagram to all other hosts, with the configuration version and the state of the store.
     pub async fn announce(&self, mesh: &MeshState) {
         for address in self.others(mesh) {
             self.send_to(mesh, address, None).await;
@@ -404,6 +459,7 @@
             correction,
             freshness,
             rollouts: rollout::news(mesh),
+            store_era: self.eras.proved(),
         };
         let bytes = match is_json {
             true => message.encode_json(),
--- a/jayrack-meshd/src/control/receive.rs
+++ b/jayrack-meshd/src/control/receive.rs
@@ -80,11 +80,15 @@
         };
         mesh.record_report(address, server.instance.clone(), (report, message.health));
     }
-    // The clocks of hosts that are not in the directory are not kept, since datagrams are not authenticated.
+    // What hosts that are not in the directory state about clocks and eras is ignored, since datagrams are not authenticated.
     if merged.known.is_some() {
         let in_force = mesh.version();
         let mut knowledge = mesh.knowledge();
         knowledge.receive(boot_ms(), address, &message.freshness, in_force);
+        drop(knowledge);
+        if let Some(era) = message.store_era {
+            control.store.eras().record_stated(era);
+        }
     }
     if let Some(held) = &merged.held {
         rollout::record_service_times(mesh, held, &message.service_times);
@@ -181,7 +185,7 @@
     let is_behind = version > mesh.version();
     // A daemon that has just started itself cannot tell what an earlier process here has acknowledged.
     let is_restore_source = !sender.is_restoring;
-    let needs_restore = is_restore_source && gossip.needs_restore();
+    let needs_restore = is_restore_source && gossip.needs_restore(source);
     if !is_behind && !needs_restore || gossip.pulling.swap(true, Ordering::AcqRel) {
         return;
     }
@@ -189,7 +193,7 @@
     tokio::spawn(async move {
         let gossip = &control.gossip;
         sleep(Duration::from_millis(gossip.jitter_ms(MAX_PULL_JITTER_MS))).await;
-        if is_restore_source && gossip.needs_restore() {
+        if is_restore_source && gossip.needs_restore(source) {
             gossip.lock().restore_sources += 1;
             sync::pull_hosts(&control, source).await;
         }
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -132,7 +132,8 @@
 ///
 /// The server reports again until it is acknowledged, and a write that outlasts [`RECORD_TIMEOUT`] goes on meanwhile.
 async fn store_departure(control: &Arc<ControlState>) -> bool {
-    if control.mesh.tracker().unstored_departure().is_none() {
+    let latest = control.store.eras().latest();
+    if control.mesh.tracker().unstored_departure(latest).is_none() {
         return true;
     }
     let writing = tokio::spawn(hosts::record_departure(control.clone()));
--- a/jayrack-meshd/src/control/sync.rs
+++ b/jayrack-meshd/src/control/sync.rs
@@ -154,7 +154,8 @@
 /// Fetches the hosts that the daemon at `address` knows and merges them into the directory.
 ///
 /// Afterwards the state of an earlier process at this address counts as restored if that daemon held a record of the
-/// server beside it; a daemon that has just started itself holds none.
+/// server beside it; a daemon that has just started itself holds none. What it means that it held none depends on the
+/// store; see [`super::gossip::GossipState::record_unknown_server`].
 pub async fn pull_hosts(control: &ControlState, address: SocketAddr) {
     let Some((_, text)) = pull(address, HOSTS, None).await else {
         return;
@@ -177,8 +178,9 @@
             control.mesh.directory().merge(&record);
         }
     }
-    if holds_server {
-        control.gossip.set_restored(&control.mesh);
+    match holds_server {
+        true => control.gossip.set_restored(&control.mesh),
+        false => control.gossip.record_unknown_server(&control.mesh, address),
     }
     control.gossip.publish(&control.mesh).await;
 }
--- a/jayrack-meshd/tests/datagrams.rs
+++ b/jayrack-meshd/tests/datagrams.rs
@@ -3,6 +3,7 @@
 
 use jayrack_mesh::{
     HostDirectory, HostRecord,
+    era::StoreEra,
     freshness::{FreshnessReport, StatedConfirmation, StatedTime},
     gate::{GateLoad, ServiceTimeEstimate},
     health::{FailureMeter, ServerHealth},
@@ -76,6 +77,7 @@
         correction: None,
         freshness: FreshnessReport::default(),
         rollouts: Vec::new(),
+        store_era: None,
     }
 }
 
@@ -154,6 +156,22 @@
     assert_eq!(decoded.health, message.health);
 }
 
+/// Guards against an era 0 that is taken for none, and against bytes for a store without eras.
+#[test]
+fn the_era_of_the_store_is_decoded_as_it_was_sent() {
+    let without = status(None);
+    let with = |number| StatusMessage {
+        store_era: Some(StoreEra::from_number(number)),
+        ..status(None)
+    };
+
+    for message in [without.clone(), with(0), with(1), with(u64::MAX)] {
+        let decoded = StatusMessage::decode(&message.encode()).unwrap();
+        assert_eq!(decoded.store_era, message.store_era);
+    }
+    assert!(with(0).encode().len() > without.encode().len());
+}
+
 /// A fleet runs two builds while it is upgraded.
 #[test]
 fn a_datagram_of_an_earlier_build_is_decoded() {
