fix: tell orders of roll-outs apart when their offsets change with the store

Callers saw (in a test): after the store had come back from a copy and the order of a version that was rolled back had been written again at a higher offset, the bad version got requests again. An order at an offset that is not higher than the last one's never started.

Ruled out: the verdict and its spread, which hold as long as the order counts as the same one.

Fix: the position of an order has the era. Within an era the offset tells orders apart, as before; between eras what they say does. An order that was written again keeps its phase and verdict. A kept record of a replaced order does not replace the later one. In a new era the leader and its first substitute record a final state again that the store has lost.

The position of the store client moves to jayrack-mesh::era, so that both use one type.

--- a/jayrack-mesh/src/era.rs
+++ b/jayrack-mesh/src/era.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// Position in a topic of the store; of two of the same topic, the one that was given later compares greater.
+///
+/// Offsets are given out again after the store has come back from a copy, so that one means nothing without its era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LogPosition {
+    /// Era in which the store gave the offset; `None` if it states no eras.
+    pub era: Option<StoreEra>,
+    /// Offset of a record, or of the next one.
+    pub offset: u64,
+}
+
 /// What an answer of the store means for the known era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerAge {
--- a/jayrack-mesh/src/rollout/book.rs
+++ b/jayrack-mesh/src/rollout/book.rs
@@ -1,6 +1,6 @@
 //! Roll-outs known to a daemon.
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::IpAddr,
 };
 
@@ -10,13 +10,14 @@
 };
 
 use super::{
-    ExposureBounds, RolloutOrder, RolloutPhase,
+    ExposureBounds, OrderRelation, RolloutOrder, RolloutPhase,
     evidence::{EvidenceWindow, ServerEvidence},
     exposure::ExposureBudget,
     observation::{ReportedTimes, RunningRequest},
     phase::{LeaderView, RolloutSchedule},
     status::{MergeEffect, RolloutStatus},
 };
+use crate::era::StoreEra;
 
 /// Time without a status from another daemon after which an unproven version gets no more requests, in milliseconds:
 /// less than the time within which a rollback must take effect, so that it also holds for an isolated or resumed host.
@@ -32,6 +33,9 @@
 /// learns it later may have used that budget in an earlier process.
 const MAX_FRESH_AGE_MS: u64 = 10_000;
 
+/// Number of replaced orders of a service that are remembered: a copy of the store is seconds old, in which few are given.
+const MAX_REPLACED: usize = 8;
+
 /// How a daemon learned an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderSource {
@@ -66,6 +70,8 @@
     /// Age of the order and the time at which it had that age, in milliseconds.
     age_at: (u64, u64),
     pub(super) is_recorded: bool,
+    /// Since when the store may have lost the final state, in milliseconds; `None` if it has not.
+    state_lost_ms: Option<u64>,
     pub(super) budget: ExposureBudget,
     pub(super) evidence: BTreeMap<IpAddr, (u64, ServerEvidence)>,
     pub(super) drained: BTreeSet<IpAddr>,
@@ -123,6 +129,10 @@
     pub(super) rollouts: BTreeMap<String, ServiceRollout>,
     /// Version of each service that is in use apart from a roll-out.
     pub(super) baselines: BTreeMap<String, Baseline>,
+    /// Orders of each service that a later one has replaced, the oldest first.
+    replaced: BTreeMap<String, VecDeque<RolloutOrder>>,
+    /// Latest known era of the store.
+    era: Option<StoreEra>,
     /// Versions of each service that were rolled back.
     pub(super) rolled_back: BTreeMap<String, BTreeSet<String>>,
     /// Since when no server runs the baseline of a service, in milliseconds.
@@ -144,6 +154,8 @@
             bounds,
             rollouts: BTreeMap::new(),
             baselines: BTreeMap::new(),
+            replaced: BTreeMap::new(),
+            era: None,
             rolled_back: BTreeMap::new(),
             missing_since_ms: BTreeMap::new(),
             target_servers: BTreeMap::new(),
@@ -176,15 +188,68 @@
             OrderSource::Change => RolloutPhase::Canary,
             OrderSource::Newest => RolloutPhase::Unknown,
         };
-        let is_known = self.rollouts.get_mut(&order.service).is_some_and(|known| {
-            // The same order may first have been found among the newest records, or the reverse.
-            known.order.offset >= order.offset
-        });
-        if is_known {
-            return false;
+        // The same order may first have been found among the newest records, or the reverse.
+        match self.relate(&order) {
+            OrderRelation::Later => {
+                self.insert(now_ms, order, (phase, 0, 0), hosts);
+                true
+            }
+            OrderRelation::Same => {
+                self.move_order(&order);
+                false
+            }
+            OrderRelation::Earlier => false,
+        }
+    }
+
+    /// How `order` is related to the latest known order of its service.
+    fn relate(&self, order: &RolloutOrder) -> OrderRelation {
+        let Some(known) = self.rollouts.get(&order.service) else {
+            return OrderRelation::Later;
+        };
+        let relation = order.relation_to(&known.order);
+        let mut replaced = self.replaced.get(&order.service).into_iter().flatten();
+        // The store has lost the known order, which is going to be written again, and shows the one before.
+        let is_replaced = replaced.any(|replaced| order.is_kept_record_of(replaced));
+        match relation {
+            OrderRelation::Later if is_replaced => OrderRelation::Earlier,
+            relation => relation,
+        }
+    }
+
+    /// Adopts the position of an order that the store has lost and that was written again.
+    fn move_order(&mut self, order: &RolloutOrder) {
+        if let Some(rollout) = self.rollouts.get_mut(&order.service) {
+            let position = &mut rollout.order.position;
+            *position = order.position.max(*position);
+        }
+    }
+
+    /// Records the latest era that the store has proved. In a new one, the states that it has recorded may be lost.
+    pub fn observe_era(&mut self, now_ms: u64, era: Option<StoreEra>) {
+        let is_new = self.era.is_some() && era > self.era;
+        self.era = era.max(self.era);
+        if !is_new {
+            return;
+        }
+        for rollout in self.rollouts.values_mut() {
+            rollout.is_recorded = false;
+            rollout.state_lost_ms = rollout.phase.is_final().then_some(now_ms);
+        }
+    }
+
+    /// Services whose final state the store may have lost.
+    pub fn lost_states(&self) -> Vec<String> {
+        let lost = self.rollouts.iter();
+        let lost = lost.filter(|(_, rollout)| rollout.state_lost_ms.is_some());
+        lost.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Records that the store holds the final state of `order` again.
+    pub fn set_state_restored(&mut self, order: &RolloutOrder) {
+        if let Some(rollout) = self.rollout_of(order) {
+            rollout.state_lost_ms = None;
         }
-        self.insert(now_ms, order, (phase, 0, 0), hosts);
-        true
     }
 
     fn insert(
@@ -196,6 +261,11 @@
     ) {
         let service = order.service.clone();
         if let Some(earlier) = self.rollouts.get(&service) {
+            let replaced = self.replaced.entry(service.clone()).or_default();
+            replaced.push_back(earlier.order.clone());
+            if replaced.len() > MAX_REPLACED {
+                replaced.pop_front();
+            }
             self.settle_earlier(
                 earlier.phase,
                 earlier.order.target_version.clone(),
@@ -217,6 +287,7 @@
             phase_at_ms,
             age_at: (age_ms, now_ms),
             is_recorded: false,
+            state_lost_ms: None,
             budget,
             evidence: BTreeMap::new(),
             drained: BTreeSet::new(),
@@ -262,17 +333,20 @@
             return MergeEffect::default();
         }
         let service = &status.order.service;
-        let known = self.rollouts.get(service).map(|known| known.order.offset);
-        if known.is_some_and(|offset| offset > status.order.offset) {
-            return MergeEffect {
-                is_changed: false,
-                is_sender_behind: true,
-            };
-        }
-        let is_new = known.is_none_or(|offset| offset < status.order.offset);
-        if is_new {
-            let times = (status.phase, status.phase_at_ms, status.age_ms);
-            self.insert(now_ms, status.order.clone(), times, hosts);
+        let relation = self.relate(&status.order);
+        let is_new = relation == OrderRelation::Later;
+        match relation {
+            OrderRelation::Earlier => {
+                return MergeEffect {
+                    is_changed: false,
+                    is_sender_behind: true,
+                };
+            }
+            OrderRelation::Same => self.move_order(&status.order),
+            OrderRelation::Later => {
+                let times = (status.phase, status.phase_at_ms, status.age_ms);
+                self.insert(now_ms, status.order.clone(), times, hosts);
+            }
         }
         if !self.baselines.contains_key(service) && !status.baseline.is_empty() {
             let baseline = Baseline::settled(status.baseline.clone());
@@ -301,25 +375,28 @@
         effect
     }
 
-    /// Enters a phase of the order at `offset` of the store; returns whether it is later than the current one.
-    pub fn enter(&mut self, now_ms: u64, service: &str, offset: u64, phase: RolloutPhase) -> bool {
-        let rollout = self.rollouts.get_mut(service);
-        let Some(rollout) = rollout.filter(|rollout| rollout.order.offset == offset) else {
+    /// Enters a phase of `order`, if that is the latest one; returns whether the phase is later than the current one.
+    pub fn enter(&mut self, now_ms: u64, order: &RolloutOrder, phase: RolloutPhase) -> bool {
+        let Some(rollout) = self.rollout_of(order) else {
             return false;
         };
         let phase_at_ms = rollout.age_ms(now_ms);
         rollout.enter(now_ms, phase, phase_at_ms)
     }
 
-    /// Records that the store holds the state `running` of the order at `offset`.
-    pub fn set_recorded(&mut self, service: &str, offset: u64) {
-        if let Some(rollout) = self.rollouts.get_mut(service)
-            && rollout.order.offset == offset
-        {
+    /// Records that the store holds the state `running` of `order`.
+    pub fn set_recorded(&mut self, order: &RolloutOrder) {
+        if let Some(rollout) = self.rollout_of(order) {
             rollout.is_recorded = true;
         }
     }
 
+    /// The roll-out of `order`, unless a later order has replaced it.
+    fn rollout_of(&mut self, order: &RolloutOrder) -> Option<&mut ServiceRollout> {
+        let rollout = self.rollouts.get_mut(&order.service)?;
+        (order.relation_to(&rollout.order) == OrderRelation::Same).then_some(rollout)
+    }
+
     /// Services with a roll-out that has not ended.
     pub fn unfinished(&self) -> Vec<String> {
         let unfinished = self.rollouts.iter().filter(|(_, r)| !r.phase.is_final());
@@ -366,6 +443,9 @@
             phase_at_ms: rollout.phase_at_ms,
             rank,
             is_recorded: rollout.is_recorded,
+            state_lost_for_ms: rollout
+                .state_lost_ms
+                .map(|lost_ms| now_ms.saturating_sub(lost_ms)),
             has_target_server: self.target_servers.get(service).is_some_and(|n| *n > 0),
             is_drained: old_hosts.iter().all(|host| rollout.drained.contains(host)),
         })
--- a/jayrack-mesh/src/rollout/phase.rs
+++ b/jayrack-mesh/src/rollout/phase.rs
@@ -22,6 +22,8 @@
 /// Time that a host waits for each host ranked before it to take an overdue step, in milliseconds: several times the
 /// time that a datagram takes.
 const RANK_DELAY_MS: u64 = 600;
+/// Rank from which on hosts do not restore a final state that the store may have lost: the leader and one substitute do.
+const RESTORING_RANKS: usize = 2;
 /// Time after the deadline for which an ingress without a final state still sends requests to the version, in
 /// milliseconds.
 const STALE_AFTER_MS: u64 = 2_000;
@@ -133,6 +135,8 @@
     pub rank: usize,
     /// Whether the store is known to hold the state `running` of this order.
     pub is_recorded: bool,
+    /// Time for which the store may lack the final state, in milliseconds; `None` if it does not.
+    pub state_lost_for_ms: Option<u64>,
     /// Whether a server of the new version is ready.
     pub has_target_server: bool,
     /// Whether all old servers have finished their requests.
@@ -154,6 +158,8 @@
     RecordCompleted,
     /// Record the state `rolled_back` in the store.
     RecordRolledBack,
+    /// Look whether the store still holds the final state, and record it again if not.
+    RestoreState,
 }
 
 impl LeaderView {
@@ -191,6 +197,12 @@
                 }
             }
             RolloutPhase::RollingBack if is_due(self.phase_at_ms) => LeaderStep::RecordRolledBack,
+            RolloutPhase::Completed | RolloutPhase::RolledBack
+                if self.rank < RESTORING_RANKS
+                    && self.state_lost_for_ms.is_some_and(|ms| ms >= delay_ms) =>
+            {
+                LeaderStep::RestoreState
+            }
             RolloutPhase::Unknown
             | RolloutPhase::Canary
             | RolloutPhase::Promoting
--- a/jayrack-mesh/src/rollout/versions.rs
+++ b/jayrack-mesh/src/rollout/versions.rs
@@ -225,7 +225,7 @@
         servers: &[VersionedServer<'_>],
     ) {
         let service = &rollout.order.service;
-        let seed = rollout.order.offset.wrapping_add(1);
+        let seed = rollout.order.position.offset.wrapping_add(1);
         targets.sort_by_key(|index| rendezvous_hash(service, servers[*index].address, seed));
         let age_ms = rollout.age_ms(now_ms);
         let share = self.share(rollout, age_ms);
--- a/jayrack-mesh/tests/rollout_evidence.rs
+++ b/jayrack-mesh/tests/rollout_evidence.rs
@@ -3,6 +3,7 @@
 
 use jayrack_mesh::{
     RolloutBook,
+    era::LogPosition,
     rollout::{
         ExposureBounds, RolloutOrder, RolloutPhase,
         book::OrderSource,
@@ -56,7 +57,7 @@
         service: SERVICE.to_string(),
         target_version: target_version.to_string(),
         duration_ms: 12_000,
-        offset,
+        position: LogPosition { era: None, offset },
     }
 }
 
@@ -235,7 +236,7 @@
     let mut book = observing_book(&servers);
     book.add_order(0, order("v2", 3), OrderSource::Change, 2);
 
-    book.enter(1_000, SERVICE, 3, phase);
+    book.enter(1_000, &order("v2", 3), phase);
     book.observe_servers(1_100, &servers, true);
 
     assert_eq!(book.admits(SERVICE, "v1"), admits_old);
@@ -247,11 +248,12 @@
 fn an_earlier_phase_does_not_replace_a_later_one() {
     let mut book = observing_book(&[server(1, "v1", 1)]);
     book.add_order(0, order("v2", 3), OrderSource::Change, 2);
-    book.enter(1_000, SERVICE, 3, RolloutPhase::RollingBack);
+    let order = order("v2", 3);
+    book.enter(1_000, &order, RolloutPhase::RollingBack);
 
-    assert!(!book.enter(2_000, SERVICE, 3, RolloutPhase::Promoting));
-    assert!(book.enter(3_000, SERVICE, 3, RolloutPhase::RolledBack));
-    assert!(!book.enter(4_000, SERVICE, 3, RolloutPhase::Completed));
+    assert!(!book.enter(2_000, &order, RolloutPhase::Promoting));
+    assert!(book.enter(3_000, &order, RolloutPhase::RolledBack));
+    assert!(!book.enter(4_000, &order, RolloutPhase::Completed));
 }
 
 /// Guards against an isolated or resumed host that sends requests to a version that was rolled back meanwhile.
--- a/jayrack-mesh/tests/support/rollout_fleet.rs
+++ b/jayrack-mesh/tests/support/rollout_fleet.rs
@@ -6,6 +6,7 @@
 
 use jayrack_mesh::{
     RolloutBook,
+    era::LogPosition,
     rollout::{
         ExposureBounds, RolloutOrder, RolloutPhase,
         book::OrderSource,
@@ -357,12 +358,7 @@
     /// Two readers see the order in the store.
     fn order(&mut self) {
         self.has_order = true;
-        let order = RolloutOrder {
-            service: SERVICE.to_string(),
-            target_version: NEW.to_string(),
-            duration_ms: DURATION_MS,
-            offset: 7,
-        };
+        let order = new_order();
         let count = self.hosts.len();
         let working: Vec<usize> = (0..count)
             .filter(|number| self.hosts[*number].state == HostState::Live)
@@ -579,7 +575,7 @@
             && !was_final
             && host
                 .book
-                .enter(now_ms, SERVICE, 7, RolloutPhase::RollingBack)
+                .enter(now_ms, &new_order(), RolloutPhase::RollingBack)
         {
             host.is_announcing = true;
         }
@@ -612,10 +608,11 @@
     fn take_step(&mut self, number: usize, step: LeaderStep) {
         let now_ms = self.now_ms;
         let state = match step {
-            LeaderStep::Wait => return,
+            // The store of this fleet loses nothing.
+            LeaderStep::Wait | LeaderStep::RestoreState => return,
             LeaderStep::Enter(phase) => {
                 let host = &mut self.hosts[number];
-                host.is_announcing |= host.book.enter(now_ms, SERVICE, 7, phase);
+                host.is_announcing |= host.book.enter(now_ms, &new_order(), phase);
                 return;
             }
             LeaderStep::ReadState => return self.read_states(number),
@@ -672,13 +669,13 @@
         let host = &mut self.hosts[number];
         let phase = match state {
             "running" => {
-                host.book.set_recorded(SERVICE, 7);
+                host.book.set_recorded(&new_order());
                 RolloutPhase::Canary
             }
             "completed" => RolloutPhase::Completed,
             _ => RolloutPhase::RolledBack,
         };
-        host.is_announcing |= host.book.enter(now_ms, SERVICE, 7, phase);
+        host.is_announcing |= host.book.enter(now_ms, &new_order(), phase);
     }
 
     /// Sends due datagrams, every 1 to 9 s between two hosts, and announcements.
@@ -756,6 +753,19 @@
     }
 }
 
+/// The order of the simulation.
+fn new_order() -> RolloutOrder {
+    RolloutOrder {
+        service: SERVICE.to_string(),
+        target_version: NEW.to_string(),
+        duration_ms: DURATION_MS,
+        position: LogPosition {
+            era: None,
+            offset: 7,
+        },
+    }
+}
+
 fn versioned(host: &SimHost) -> VersionedServer<'_> {
     VersionedServer {
         address: host.address,
--- a/jayrack-meshd/src/control/configuration.rs
+++ b/jayrack-meshd/src/control/configuration.rs
@@ -6,7 +6,7 @@
 use jayrack_platform::{
     configuration::{self, KEY, TOPIC},
     rollout,
-    store::{Error, KeyedBatch, TopicCursor},
+    store::{Error, KeyedBatch, LogPosition},
 };
 use tokio::time::{Instant, sleep, timeout};
 
@@ -63,7 +63,7 @@
 /// Reads the configuration from the store for as long as the process runs: the first one in any case, later ones
 /// while this host is a reader.
 pub async fn follow(control: Arc<ControlState>) {
-    let mut next: Option<TopicCursor> = None;
+    let mut next: Option<LogPosition> = None;
     let mut backoff_ms = INITIAL_BACKOFF_MS;
     let waits_until = prepare_first(&control).await;
     let mut read_at = Instant::now();
@@ -232,7 +232,7 @@
     let hosts = mesh.directory().len();
     let orders = records.records.iter();
     for record in orders.filter(|record| rollout::is_rollout(&record.key)) {
-        let order = match rollout::decode_order(record) {
+        let order = match rollout::decode_order(record, records.next.era) {
             Ok(order) => order,
             Err(error) => {
                 log::warn!(key = record.key.as_str(), offset = record.offset, error:% = error; "roll-out refused");
--- a/jayrack-meshd/src/control/rollout.rs
+++ b/jayrack-meshd/src/control/rollout.rs
@@ -20,7 +20,12 @@
 use jayrack_platform::rollout::RecordedState;
 use tokio::time::{sleep, timeout};
 
-use super::{ControlState, datagram::StatusMessage, rollout_record, sync};
+use super::{
+    ControlState,
+    datagram::StatusMessage,
+    rollout_record::{self, StateCall},
+    sync,
+};
 use crate::shared::MeshState;
 
 /// Interval between two checks for a due step.
@@ -63,7 +68,15 @@
             continue;
         }
         driver.observe_servers(&control);
-        let services = control.mesh.rollouts().unfinished();
+        let (services, lost_states) = {
+            let (now_ms, era) = (control.mesh.boot_now_ms(), control.store.eras().proved());
+            let mut rollouts = control.mesh.rollouts();
+            rollouts.observe_era(now_ms, era);
+            (rollouts.unfinished(), rollouts.lost_states())
+        };
+        for service in &lost_states {
+            take_step(&control, service).await;
+        }
         for service in &services {
             driver.judge(&control, service).await;
             take_step(&control, service).await;
@@ -212,16 +225,20 @@
     match step {
         LeaderStep::Wait => {}
         LeaderStep::Enter(phase) => enter_current(control, service, phase).await,
-        LeaderStep::ReadState => rollout_record::start(control, service, None),
+        LeaderStep::ReadState => rollout_record::start(control, service, StateCall::Read),
         LeaderStep::RecordRunning => {
-            rollout_record::start(control, service, Some(RecordedState::Running));
+            let call = StateCall::Record(RecordedState::Running);
+            rollout_record::start(control, service, call);
         }
         LeaderStep::RecordCompleted => {
-            rollout_record::start(control, service, Some(RecordedState::Completed));
+            let call = StateCall::Record(RecordedState::Completed);
+            rollout_record::start(control, service, call);
         }
         LeaderStep::RecordRolledBack => {
-            rollout_record::start(control, service, Some(RecordedState::RolledBack));
+            let call = StateCall::Record(RecordedState::RolledBack);
+            rollout_record::start(control, service, call);
         }
+        LeaderStep::RestoreState => rollout_record::start(control, service, StateCall::Restore),
     }
 }
 
@@ -254,9 +271,7 @@
 pub(super) async fn enter(control: &ControlState, order: &RolloutOrder, phase: RolloutPhase) {
     let mesh = &control.mesh;
     let now_ms = mesh.boot_now_ms();
-    let is_entered = mesh
-        .rollouts()
-        .enter(now_ms, &order.service, order.offset, phase);
+    let is_entered = mesh.rollouts().enter(now_ms, order, phase);
     if is_entered {
         log_phase(mesh, &order.service);
         control.gossip.announce(mesh).await;
@@ -271,7 +286,7 @@
     log::info!(
         service = service,
         target_version = order.target_version.as_str(),
-        offset = order.offset,
+        offset = order.position.offset,
         phase = phase.name(),
         baseline = rollouts.baseline(service).unwrap_or("");
         "roll-out"
--- a/jayrack-meshd/src/control/rollout_record.rs
+++ b/jayrack-meshd/src/control/rollout_record.rs
@@ -4,7 +4,7 @@
 use jayrack_mesh::rollout::{RolloutOrder, RolloutPhase};
 use jayrack_platform::{
     rollout::{self, RecordedState, STATE_TOPIC},
-    store::{Error, KeyedBatch, TopicCursor},
+    store::{Error, KeyedBatch, LogPosition},
 };
 use tokio::time::{Instant, timeout};
 
@@ -21,14 +21,24 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreCalls {
     /// Where the topic ended after the latest call; `None` if the states are to be read first.
-    end: Option<TopicCursor>,
+    end: Option<LogPosition>,
     failures: u32,
     retry_at: Option<Instant>,
 }
 
-/// Starts a task that reads the recorded states and, if `state` is given, records it for the order of `service`. Does
-/// nothing while such a task runs or during the backoff.
-pub(super) fn start(control: &Arc<ControlState>, service: &str, state: Option<RecordedState>) {
+/// Call about the recorded state of an order.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum StateCall {
+    /// Read the recorded states.
+    Read,
+    /// Record a state.
+    Record(RecordedState),
+    /// Record the final state again, unless the store still holds it.
+    Restore,
+}
+
+/// Starts a task that makes a call about the order of `service`. Does nothing while such a task runs or during the backoff.
+pub(super) fn start(control: &Arc<ControlState>, service: &str, call: StateCall) {
     let is_ready = control
         .rollout_calls
         .try_lock()
@@ -41,9 +51,10 @@
         let Ok(mut calls) = control.rollout_calls.try_lock() else {
             return;
         };
-        let result = match state {
-            None => read_states(&control, &mut calls).await,
-            Some(state) => record(&control, &mut calls, &service, state).await,
+        let result = match call {
+            StateCall::Read => read_states(&control, &mut calls).await.map(|_| ()),
+            StateCall::Record(state) => record(&control, &mut calls, &service, state).await,
+            StateCall::Restore => restore(&control, &mut calls, &service).await,
         };
         match result {
             Ok(()) => {
@@ -56,7 +67,7 @@
                 let doublings = calls.failures.min(MAX_DOUBLINGS);
                 calls.failures += 1;
                 calls.retry_at = Some(Instant::now() + INITIAL_BACKOFF * (1 << doublings));
-                log::warn!(service = service.as_str(), state:? = state, error:% = error; "state of the roll-out not recorded");
+                log::warn!(service = service.as_str(), call:? = call, error:% = error; "state of the roll-out not recorded");
             }
         }
     });
@@ -77,8 +88,7 @@
     let Some(end) = calls.end else {
         return Ok(());
     };
-    let value = rollout::encode_state(state, &order.target_version)
-        .map_err(|error| Error::Malformed(error.to_string()))?;
+    let value = encode(state, &order)?;
     let key = rollout::key(service);
     match limited(control.store.put_at(STATE_TOPIC, &key, &value, end)).await {
         Ok(end) => {
@@ -87,11 +97,56 @@
             Ok(())
         }
         // Another state was recorded first, perhaps that of this roll-out, or the store has lost the latest ones.
-        Err(Error::Moved(_) | Error::Superseded) => read_states(control, calls).await,
+        Err(Error::Moved(_) | Error::Superseded) => {
+            read_states(control, calls).await?;
+            Ok(())
+        }
         Err(error) => Err(error),
     }
 }
 
+/// Records the final state of the order of `service` again, unless the store still holds it.
+async fn restore(
+    control: &ControlState,
+    calls: &mut StoreCalls,
+    service: &str,
+) -> Result<(), Error> {
+    let states = read_states(control, calls).await?;
+    let Some((order, state)) = final_state(control, service) else {
+        return Ok(());
+    };
+    if recorded_state(&states, &order) != Some(state) {
+        let value = encode(state, &order)?;
+        let key = rollout::key(service);
+        let put = control.store.put_at(STATE_TOPIC, &key, &value, states.next);
+        calls.end = Some(limited(put).await?);
+        log::info!(service = service, state:? = state; "recorded a state of a roll-out again that the store had lost");
+    }
+    control.mesh.rollouts().set_state_restored(&order);
+    Ok(())
+}
+
+/// The order of `service` and its final state, if it has one.
+fn final_state(control: &ControlState, service: &str) -> Option<(RolloutOrder, RecordedState)> {
+    let rollouts = control.mesh.rollouts();
+    let (order, phase) = rollouts.rollout(service)?;
+    let state = match phase {
+        RolloutPhase::Completed => RecordedState::Completed,
+        RolloutPhase::RolledBack => RecordedState::RolledBack,
+        RolloutPhase::Unknown
+        | RolloutPhase::Canary
+        | RolloutPhase::Promoting
+        | RolloutPhase::Draining
+        | RolloutPhase::RollingBack => return None,
+    };
+    Some((order.clone(), state))
+}
+
+fn encode(state: RecordedState, order: &RolloutOrder) -> Result<Vec<u8>, Error> {
+    rollout::encode_state(state, &order.target_version)
+        .map_err(|error| Error::Malformed(error.to_string()))
+}
+
 /// Limits the time of a call; a write that has not been answered by then may still take effect.
 async fn limited<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
     match timeout(CALL_TIMEOUT, call).await {
@@ -116,8 +171,8 @@
     is_due.then(|| order.clone())
 }
 
-/// Reads the recorded states and adopts those of known orders.
-async fn read_states(control: &ControlState, calls: &mut StoreCalls) -> Result<(), Error> {
+/// Reads the recorded states and adopts those of known orders that have not ended.
+async fn read_states(control: &ControlState, calls: &mut StoreCalls) -> Result<KeyedBatch, Error> {
     let orders: Vec<(RolloutOrder, bool)> = {
         let rollouts = control.mesh.rollouts();
         let now_ms = control.mesh.boot_now_ms();
@@ -138,7 +193,7 @@
             None => enter(control, order, RolloutPhase::Canary).await,
         }
     }
-    Ok(())
+    Ok(states)
 }
 
 /// Recorded state of `order`; `None` if there is none or that of another version.
@@ -159,7 +214,7 @@
     let phase = match state {
         RecordedState::Running => {
             let mut rollouts = control.mesh.rollouts();
-            rollouts.set_recorded(&order.service, order.offset);
+            rollouts.set_recorded(order);
             RolloutPhase::Canary
         }
         RecordedState::Completed => RolloutPhase::Completed,
--- a/jayrack-meshd/src/control/rollout_wire.rs
+++ b/jayrack-meshd/src/control/rollout_wire.rs
@@ -1,8 +1,11 @@
 //! Encoding of roll-outs in datagrams and in answers to daemons that have just started.
-use jayrack_mesh::rollout::{
-    RolloutOrder, RolloutPhase,
-    evidence::{RouteCounts, ServerEvidence},
-    status::RolloutStatus,
+use jayrack_mesh::{
+    era::{LogPosition, StoreEra},
+    rollout::{
+        RolloutOrder, RolloutPhase,
+        evidence::{RouteCounts, ServerEvidence},
+        status::RolloutStatus,
+    },
 };
 use jayrack_protocol::status as wire;
 use prost::Message;
@@ -25,7 +28,8 @@
 pub(super) fn encode(status: &RolloutStatus) -> wire::Rollout {
     wire::Rollout {
         service: status.order.service.clone(),
-        offset: status.order.offset,
+        offset: status.order.position.offset,
+        era: status.order.position.era.map(StoreEra::to_number),
         target_version: status.order.target_version.clone(),
         duration_ms: status.order.duration_ms,
         age_ms: status.age_ms,
@@ -49,7 +53,10 @@
             service: rollout.service,
             target_version: rollout.target_version,
             duration_ms: rollout.duration_ms,
-            offset: rollout.offset,
+            position: LogPosition {
+                era: rollout.era.map(StoreEra::from_number),
+                offset: rollout.offset,
+            },
         },
         age_ms: rollout.age_ms,
         phase: decode_phase(phase),
--- a/jayrack-meshd/tests/datagrams.rs
+++ b/jayrack-meshd/tests/datagrams.rs
@@ -3,7 +3,7 @@
 
 use jayrack_mesh::{
     HostDirectory, HostRecord,
-    era::StoreEra,
+    era::{LogPosition, StoreEra},
     freshness::{FreshnessReport, StatedConfirmation, StatedTime},
     gate::{GateLoad, ServiceTimeEstimate},
     health::{FailureMeter, ServerHealth},
@@ -303,7 +303,10 @@
             service: service.to_string(),
             target_version: "2026.12.1".to_string(),
             duration_ms: 12_000,
-            offset: 70_123,
+            position: LogPosition {
+                era: Some(StoreEra::from_number(3)),
+                offset: 70_123,
+            },
         },
         age_ms: 4_567,
         phase,
--- a/jayrack-meshd/tests/rollout.rs
+++ b/jayrack-meshd/tests/rollout.rs
@@ -25,7 +25,17 @@
 
 impl RolloutFleet {
     async fn start() -> Self {
+        Self::start_at(FleetStore::start().await, false).await
+    }
+
+    /// Starts the fleet for the first time at a store that states its era.
+    async fn start_at_store_with_era() -> Self {
         let store = FleetStore::start().await;
+        store.standin.state_era();
+        Self::start_at(store, true).await
+    }
+
+    async fn start_at(store: FleetStore, is_first_start: bool) -> Self {
         store.put_configuration(&configuration(1, 2.0)).await;
         let mut fleet = Self {
             store,
@@ -33,7 +43,7 @@
             servers: Vec::new(),
         };
         for (number, version) in ["v1", "v1", "v2"].into_iter().enumerate() {
-            let host = HostProcess::start_with_rollouts(&fleet.store);
+            let host = HostProcess::start_with_rollouts(&fleet.store, is_first_start);
             let instance = format!("i-{number}");
             let server = ServerStandin::start(host.server(), &instance, SERVICE_TIME).await;
             let mut status = host.status("ready", 1 + number as u64, 1);
@@ -164,3 +174,27 @@
 
     assert_eq!(states, [RUNNING, COMPLETED]);
 }
+
+/// Guards against a version that was judged bad and gets requests again: the store has lost its order and the recorded
+/// state, and the operator writes the order again at another offset.
+#[tokio::test]
+async fn a_rolled_back_version_stays_so_when_the_store_has_lost_its_order() {
+    let fleet = RolloutFleet::start_at_store_with_era().await;
+    let copy = fleet.store.standin.copy();
+    fleet.servers[2].fail_all();
+    fleet.order(8.0).await;
+    fleet.serve_until_final().await;
+    let runs = fleet.servers[2].runs().len();
+
+    fleet.store.standin.return_from(&copy);
+    fleet.store.put("op", "another", b"{}").await;
+    fleet.order(8.0).await;
+    let (states, failures) = fleet.serve_until_final().await;
+    for _ in 0..100 {
+        fleet.until_all_serve().await;
+    }
+
+    assert_eq!(states, [ROLLED_BACK]);
+    assert_eq!(failures, 0);
+    assert_eq!(fleet.servers[2].runs().len(), runs);
+}
--- a/jayrack-meshd/tests/support/mod.rs
+++ b/jayrack-meshd/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use hyper_util::rt::TokioIo;
 use jayrack_platform::{
     headers, pool,
-    store::{self, StoreClient, TopicCursor},
+    store::{self, LogPosition, StoreClient},
 };
 use jayrack_testkit::{log_standin::LogStandin, standin_process::ANY_PORT};
 use tokio::{
@@ -97,7 +97,7 @@
     /// All values that were written for a key of a keyed topic, in order.
     pub async fn values(&self, topic: &str, key: &str) -> Vec<Bytes> {
         let newest = self.client.newest(topic).await.unwrap();
-        let from = TopicCursor {
+        let from = LogPosition {
             offset: 0,
             ..newest.next
         };
@@ -169,11 +169,15 @@
         Self::start_with_output(store, DaemonOutput::Discarded)
     }
 
-    /// Starts a daemon whose settings have bounds of roll-outs.
-    pub fn start_with_rollouts(store: &FleetStore) -> Self {
-        let bounds = r#""rollout": { "share": 0.1, "slack": 50, "stop_s": 5 }, "stop_s""#;
+    /// Starts a daemon whose settings have bounds of roll-outs; `is_first_start` says that the whole fleet starts for the
+    /// first time.
+    pub fn start_with_rollouts(store: &FleetStore, is_first_start: bool) -> Self {
+        let bounds = format!(
+            r#""first_start": {is_first_start},
+  "bounds": {{ "rollout": {{ "share": 0.1, "slack": 50, "stop_s": 5 }},"#
+        );
         let store = store.standin.address();
-        let change = ("\"stop_s\"", bounds);
+        let change = (r#""bounds": {"#, bounds.as_str());
         Self::start_with(
             store,
             DaemonOutput::Discarded,
--- a/jayrack-testkit/tests/log_standin.rs
+++ b/jayrack-testkit/tests/log_standin.rs
@@ -5,7 +5,7 @@
     HttpLog, LogService, StoreClient, http,
     log::Error,
     pool, store,
-    store::{Error as StoreError, TopicCursor},
+    store::{Error as StoreError, LogPosition},
 };
 use jayrack_testkit::{
     log_standin::{LogBehaviour, LogStandin, LostAnswer, Outage, store::LogStore},
@@ -14,8 +14,8 @@
 use rstest::rstest;
 
 /// A position in a topic of a store that states no eras.
-fn at(offset: u64) -> TopicCursor {
-    TopicCursor { offset, era: None }
+fn at(offset: u64) -> LogPosition {
+    LogPosition { offset, era: None }
 }
 
 fn client(address: SocketAddr) -> HttpLog {
@@ -204,7 +204,7 @@
 }
 
 /// A cursor of the first era, and a stand-in that has come back from a copy without the record before the cursor.
-async fn returned_standin() -> (LogStandin, StoreClient, TopicCursor) {
+async fn returned_standin() -> (LogStandin, StoreClient, LogPosition) {
     let standin = LogStandin::start(ANY_PORT).await.unwrap();
     standin.state_era();
     let client = store_client(standin.address());
