fix: let a host that may have lost its record ask others at once

A daemon that finds no complete record of its host waited for datagrams before it asked others, and after each question up to 0.6 s for a reader that it did not need. In a store with eras that is each new host. It asks up to six daemons of its data centre now; one that is itself restoring does not count as one that knows no server.

--- a/jayrack-meshd/src/control/hosts.rs
+++ b/jayrack-meshd/src/control/hosts.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::ControlState;
+use super::{ControlState, sync};
 
 /// Topic with the hosts of the fleet.
 const TOPIC: &str = "jayrack-hosts";
@@ -20,6 +20,8 @@
 const INITIAL_BACKOFF_MS: u64 = 150;
 /// Longest backoff, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// Maximum number of other daemons that are asked at once for the state of an earlier process; some may not answer.
+const MAX_QUESTIONS: u32 = 6;
 /// Interval between two checks whether the state of an earlier process has been restored.
 const RESTORE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Mean time between two hosts that write their records again after the store has come back from a copy, in milliseconds:
@@ -86,16 +88,28 @@
                 }
                 prepare_return(&control, era).await;
             }
-            Registration::Doubtful => {
-                while !control.gossip.is_restored() {
-                    sleep(RESTORE_CHECK_INTERVAL).await;
-                }
-            }
+            Registration::Doubtful => restore_from_others(&control).await,
         }
         registration = register_again(&control).await;
     }
 }
 
+/// Asks other daemons for the state of an earlier process; returns when it is known or the time limit for that is over.
+async fn restore_from_others(control: &ControlState) {
+    let mut questions = 0;
+    while !control.gossip.is_restored() {
+        let source = control.gossip.configuration_source(&control.mesh);
+        let source = source.filter(|source| control.gossip.needs_restore(*source));
+        // Later, the daemons that send a datagram are asked.
+        if let Some(source) = source.filter(|_| questions < MAX_QUESTIONS) {
+            questions += 1;
+            sync::pull_hosts(control, source).await;
+        } else {
+            sleep(RESTORE_CHECK_INTERVAL).await;
+        }
+    }
+}
+
 /// Registers at the start; retries until that has succeeded.
 async fn register_first(control: &ControlState) -> Registration {
     let mut backoff_ms = INITIAL_BACKOFF_MS;
--- a/jayrack-meshd/src/control/receive.rs
+++ b/jayrack-meshd/src/control/receive.rs
@@ -197,7 +197,11 @@
             gossip.lock().restore_sources += 1;
             sync::pull_hosts(&control, source).await;
         }
-        if gossip.lock().announced.same_data_centre.is_none() {
+        let is_reader_awaited = {
+            let announced = &gossip.lock().announced;
+            announced.version > control.mesh.version() && announced.same_data_centre.is_none()
+        };
+        if is_reader_awaited {
             sleep(READER_WAIT).await;
         }
         pull_configuration(&control).await;
--- a/jayrack-meshd/src/control/sync.rs
+++ b/jayrack-meshd/src/control/sync.rs
@@ -170,7 +170,9 @@
     log::info!(from:% = address, hosts = records.len(); "hosts received from another daemon");
     let local = control.mesh.settings.host.address;
     let mut holds_server = false;
+    let mut is_restoring = false;
     for record in records {
+        is_restoring |= record.forward == address && record.is_restoring;
         if record.address == local {
             holds_server = record.server.is_some();
             control.gossip.refute(&control.mesh, &record);
@@ -180,6 +182,7 @@
     }
     match holds_server {
         true => control.gossip.set_restored(&control.mesh),
+        false if is_restoring => {}
         false => control.gossip.record_unknown_server(&control.mesh, address),
     }
     control.gossip.publish(&control.mesh).await;
