--- a/jayrack-meshd/src/control.rs
+++ b/jayrack-meshd/src/control.rs
@@ -1,7 +1,8 @@
 //! Control thread: configuration, hosts, status reports, readiness.
 //!
 //! * [`configuration`]: reads the operator's configuration from the store.
-//! * [`hosts`]: registers this host in the store and reads the records of the others.
+//! * [`hosts`]: registration of this host in the store, at the start and when the store has come back from a copy.
+//! * [`host_records`]: records of hosts and of departures in the store.
 //! * [`gossip`]: datagrams between daemons.
 //! * [`receive`]: handling of received datagrams.
 //! * `announced`: announced versions of the configuration.
@@ -21,6 +22,7 @@
 pub mod endpoint;
 mod freshness;
 pub mod gossip;
+pub mod host_records;
 pub mod hosts;
 pub mod receive;
 pub mod reports;
@@ -86,7 +88,7 @@
     /// Whether this host is registered in the store and has read the other hosts.
     pub registered: tokio::sync::watch::Sender<bool>,
     /// Writes of departures to the store; locked during a write, so that each departure is written once.
-    pub departure_writes: tokio::sync::Mutex<hosts::DepartureWrites>,
+    pub departure_writes: tokio::sync::Mutex<host_records::DepartureWrites>,
     /// Calls to the store about roll-outs; locked during a call, since each write depends on the one before.
     rollout_calls: tokio::sync::Mutex<rollout_record::StoreCalls>,
 }
--- a/jayrack-meshd/src/control/reports.rs
+++ b/jayrack-meshd/src/control/reports.rs
@@ -13,7 +13,7 @@
 use super::{
     ControlState,
     endpoint::{self, SmallResponse},
-    hosts,
+    host_records,
 };
 use crate::{logging::unix_ms, traffic::memory::ByteBudget};
 
@@ -136,7 +136,7 @@
     if control.mesh.tracker().unstored_departure(latest).is_none() {
         return true;
     }
-    let writing = tokio::spawn(hosts::record_departure(control.clone()));
+    let writing = tokio::spawn(host_records::record_departure(control.clone()));
     match timeout(RECORD_TIMEOUT, writing).await {
         Ok(Ok(Ok(is_stored))) => is_stored,
         Ok(Ok(Err(error))) => {
