fix: leave the recorded state of a later roll-out in place

By reading: the substitute of a leader restores the final state of the last roll-out that it knows 0.6 s after a return of the store. If an order for another version is already running by then and this daemon does not know it yet, its state would be replaced.

--- a/jayrack-meshd/src/control/rollout_record.rs
+++ b/jayrack-meshd/src/control/rollout_record.rs
@@ -3,7 +3,7 @@
 
 use jayrack_mesh::rollout::{RolloutOrder, RolloutPhase};
 use jayrack_platform::{
-    rollout::{self, RecordedState, STATE_TOPIC},
+    rollout::{self, RecordedState, STATE_TOPIC, StateRecord},
     store::{Error, KeyedBatch, LogPosition},
 };
 use tokio::time::{Instant, timeout};
@@ -115,7 +115,11 @@
     let Some((order, state)) = final_state(control, service) else {
         return Ok(());
     };
-    if recorded_state(&states, &order) != Some(state) {
+    let known = StateRecord {
+        state,
+        target_version: order.target_version.clone(),
+    };
+    if known.is_missing_in(stored_state(&states, service).as_ref()) {
         let value = encode(state, &order)?;
         let key = rollout::key(service);
         let put = control.store.put_at(STATE_TOPIC, &key, &value, states.next);
@@ -198,10 +202,16 @@
 
 /// Recorded state of `order`; `None` if there is none or that of another version.
 fn recorded_state(states: &KeyedBatch, order: &RolloutOrder) -> Option<RecordedState> {
-    let key = rollout::key(&order.service);
+    let stored = stored_state(states, &order.service)?;
+    (stored.target_version == order.target_version).then_some(stored.state)
+}
+
+/// Recorded state of the latest roll-out of `service`; `None` if there is none that can be decoded.
+fn stored_state(states: &KeyedBatch, service: &str) -> Option<StateRecord> {
+    let key = rollout::key(service);
     let record = states.records.iter().find(|record| record.key == key)?;
     match rollout::decode_state(&record.value) {
-        Ok(known) => (known.target_version == order.target_version).then_some(known.state),
+        Ok(stored) => Some(stored),
         Err(error) => {
             log::warn!(key = key.as_str(), offset = record.offset, error:% = error; "state of a roll-out ignored");
             None
