test: wait for a configuration before asking which one is in force

The check took any answer but 404 for a version in force, also the 503 of a daemon without a configuration. On the busy machine the daemon had none until the store had lost version 2 again, so that it rightly had version 1. The check now waits until the daemon is ready first, which is stricter.

--- a/jayrack-meshd/tests/store_return.rs
+++ b/jayrack-meshd/tests/store_return.rs
@@ -33,6 +33,8 @@
 
 /// Waits until `version` is in force at `host`.
 async fn until_in_force(host: &HostProcess, version: u64) {
+    // Without a configuration, the answer is another one than 404, too.
+    host.until_ready(StatusCode::OK).await;
     let path = format!("/look{version}/1");
     until("a version is in force", || async {
         let answer = host.ask(Method::GET, &path, "probe").await;
