test: give each gossip test addresses of its own

The fixture takes a free port of 127.0.0.1 and releases it before the daemon binds it; meanwhile another socket got the same one, as the error says. Each address is now on a loopback address of its own, as in the tests of jayrack-meshd. The checks are the same.

--- a/jayrackd/tests/gossip.rs
+++ b/jayrackd/tests/gossip.rs
@@ -1,5 +1,9 @@
 //! Gossip drivers join over UDP, detect departures and restarts, and reject another fleet's datagrams.
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
 
 use jayrack_membership::{MemberRecord, MemberStatus, MemberView, ServerRecord, core};
 use jayrack_protocol::{MemberId, auth::FleetKeys};
@@ -8,8 +12,20 @@
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Number of the next address of this process.
+static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+
+/// A free port of a loopback address that no other test uses, since the port is free until the daemon binds it.
 async fn free_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let host = Ipv4Addr::new(
+        127,
+        1 + (process % 250) as u8,
+        (process / 250) as u8,
+        number,
+    );
+    let socket = UdpSocket::bind((host, 0)).await.unwrap();
     socket.local_addr().unwrap()
 }
 
